--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,131 @@
+// Package api has the bodies of the operators' HTTP interface, and a client
+// for it. The paths are listed in docs/OPERATING.md.
+package api
+
+import (
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/place"
+	"github.com/spoolsill/spoolsill/timeline"
+)
+
+// An Intent is the body of POST /v1/plans. One of Submit, Cancel and Drain is
+// set.
+type Intent struct {
+	// Hall is where; empty means the hall of the job file, else the one of the
+	// host that is asked.
+	Hall spoolsill.HallID `json:"hall,omitempty"`
+	// Submit is the text of a job file, Name its name for error messages.
+	Submit string             `json:"submit,omitempty"`
+	Name   string             `json:"name,omitempty"`
+	Cancel []spoolsill.JobID  `json:"cancel,omitempty"`
+	Drain  spoolsill.WorkerID `json:"drain,omitempty"`
+}
+
+// A Confirmed answers POST /v1/plans/ID/confirm.
+type Confirmed struct {
+	ID   spoolsill.PlanID `json:"id"`
+	Hall spoolsill.HallID `json:"hall"`
+}
+
+// An Error is the body of every answer that is not a success.
+type Error struct {
+	Code string `json:"code"`
+	Text string `json:"text"`
+}
+
+// A Missing names a hall that did not answer.
+type Missing struct {
+	Hall spoolsill.HallID `json:"hall"`
+	Text string           `json:"text"`
+}
+
+// A Job is a job with its hall.
+type Job struct {
+	Hall spoolsill.HallID `json:"hall"`
+	place.JobView
+}
+
+// Jobs answers GET /v1/jobs.
+type Jobs struct {
+	Jobs    []Job     `json:"jobs"`
+	Missing []Missing `json:"missing"`
+}
+
+// A JobDetail answers GET /v1/jobs/ID.
+type JobDetail struct {
+	Hall  spoolsill.HallID `json:"hall"`
+	Job   place.JobView    `json:"job"`
+	Tasks []place.TaskView `json:"tasks"`
+}
+
+// A Worker is a worker with its hall.
+type Worker struct {
+	Hall spoolsill.HallID `json:"hall"`
+	place.WorkerView
+}
+
+// Workers answers GET /v1/workers.
+type Workers struct {
+	Workers []Worker  `json:"workers"`
+	Missing []Missing `json:"missing"`
+}
+
+// A Host answers GET /healthz and GET /readyz.
+type Host struct {
+	ID          spoolsill.HostID  `json:"id"                    msgpack:"i"`
+	Hall        spoolsill.HallID  `json:"hall"                  msgpack:"h"`
+	HTTP        string            `json:"http"                  msgpack:"a"`
+	Started     time.Time         `json:"started"               msgpack:"s"`
+	Stopping    bool              `json:"stopping"              msgpack:"x"`
+	Degraded    bool              `json:"degraded"              msgpack:"d"` // the platform is silent
+	Members     bool              `json:"members"               msgpack:"m"` // workers and runners are known
+	Config      spoolsill.Version `json:"config"                msgpack:"v"`
+	ConfigSure  bool              `json:"config_sure"           msgpack:"u"` // no newer one is in force in the hall
+	Holder      spoolsill.HostID  `json:"holder"                msgpack:"o"`
+	Epoch       spoolsill.Epoch   `json:"epoch"                 msgpack:"e"`
+	Holds       bool              `json:"holds"                 msgpack:"l"`
+	Waiting     int               `json:"waiting"               msgpack:"w"`
+	Running     int               `json:"running"               msgpack:"r"`
+	Unreachable string            `json:"unreachable,omitempty" msgpack:"n"`
+}
+
+// Hosts answers GET /v1/hosts.
+type Hosts struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// A Revision answers GET /v1/config.
+type Revision struct {
+	Version spoolsill.Version `json:"version"`
+	Who     string            `json:"who"`
+	When    time.Time         `json:"when"`
+	Note    string            `json:"note"`
+	Text    string            `json:"text"`
+}
+
+// A PutConfig is the body of PUT /v1/config. Base is the version that the
+// text was made from.
+type PutConfig struct {
+	Base spoolsill.Version `json:"base"`
+	Who  string            `json:"who"`
+	Note string            `json:"note"`
+	Text string            `json:"text"`
+}
+
+// An Accepted answers PUT /v1/config.
+type Accepted struct {
+	Version spoolsill.Version `json:"version"`
+}
+
+// A History answers GET /v1/config/history, newest first.
+type History struct {
+	Revisions []Revision `json:"revisions"`
+}
+
+// A Timeline answers GET /v1/timeline, oldest first.
+type Timeline struct {
+	Events  []timeline.Event   `json:"events"`
+	Missing []spoolsill.HostID `json:"missing"`
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,125 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// ErrDocument is returned for a document that can't be accepted.
+var ErrDocument = errors.New("config: document not accepted")
+
+// Limits of a document.
+const (
+	MaxDocument = 1 << 20 // bytes
+	MaxTeams    = 2000
+	MaxRate     = 1_000_000
+	MaxWeight   = 1000
+)
+
+// A Document is the configuration of the cell.
+type Document struct {
+	// Teams are the quotas of teams, for the whole cell.
+	Teams []Team `toml:"team"`
+	// Callers are the request rates of callers.
+	Callers []Caller `toml:"caller"`
+	// CallerRate bounds the requests a second of a caller that is not listed;
+	// 0 means no bound.
+	CallerRate int `toml:"caller_rate_per_second"`
+	// Drained lists workers and runners that get no new work.
+	Drained []string `toml:"drained"`
+}
+
+// A Team is the quota of one team.
+type Team struct {
+	ID           spoolsill.TeamID `toml:"id"`
+	Weight       int              `toml:"weight"`
+	Processors   int64            `toml:"processors_millicores"`
+	Memory       int64            `toml:"memory_bytes"`
+	Accelerators int64            `toml:"accelerators"`
+}
+
+// Quota returns the team's quota in units.
+func (t Team) Quota() spoolsill.Resources {
+	return spoolsill.Resources{
+		Processors:   spoolsill.Millicores(t.Processors),
+		Memory:       spoolsill.Bytes(t.Memory),
+		Accelerators: spoolsill.Accelerators(t.Accelerators),
+	}
+}
+
+// A Caller is the request rate of one caller.
+type Caller struct {
+	ID    spoolsill.CallerID `toml:"id"`
+	Rate  int                `toml:"rate_per_second"`
+	Burst int                `toml:"burst"`
+}
+
+// Parse reads and checks a document. It fails with [ErrDocument] and the
+// place and reason of each fault.
+func Parse(text []byte) (Document, error) {
+	if len(text) > MaxDocument {
+		return Document{}, fmt.Errorf("%w: %d bytes, at most %d", ErrDocument, len(text), MaxDocument)
+	}
+	var d Document
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&d)
+	if err != nil {
+		return Document{}, fmt.Errorf("%w: %s", ErrDocument, Explain(err))
+	}
+	if faults := d.check(); len(faults) > 0 {
+		return Document{}, fmt.Errorf("%w: %s", ErrDocument, strings.Join(faults, "; "))
+	}
+	return d, nil
+}
+
+// Explain returns the text of a TOML error with its line and key.
+func Explain(err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var lines []string
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			lines = append(lines, fmt.Sprintf("line %d: unknown key %s", row, strings.Join(e.Key(), ".")))
+		}
+		return strings.Join(lines, "; ")
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, column := decode.Position()
+		return fmt.Sprintf("line %d column %d: key %s: %s", row, column, strings.Join(decode.Key(), "."), decode.Error())
+	}
+	return err.Error()
+}
+
+func (d Document) check() []string {
+	var faults []string
+	need := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = append(faults, fmt.Sprintf(format, args...))
+		}
+	}
+	need(len(d.Teams) <= MaxTeams, "team: %d listed, at most %d", len(d.Teams), MaxTeams)
+	need(d.CallerRate >= 0 && d.CallerRate <= MaxRate, "caller_rate_per_second: %d, want 0 to %d", d.CallerRate, MaxRate)
+	teams := map[spoolsill.TeamID]bool{}
+	for i, t := range d.Teams {
+		need(t.ID != "", "team[%d].id: empty", i)
+		need(!teams[t.ID], "team[%d].id: %q is listed twice", i, t.ID)
+		need(t.Weight >= 0 && t.Weight <= MaxWeight, "team[%d].weight: %d, want 0 to %d", i, t.Weight, MaxWeight)
+		need(!t.Quota().Negative(), "team[%d]: a quota is below 0", i)
+		teams[t.ID] = true
+	}
+	callers := map[spoolsill.CallerID]bool{}
+	for i, c := range d.Callers {
+		need(c.ID != "", "caller[%d].id: empty", i)
+		need(!callers[c.ID], "caller[%d].id: %q is listed twice", i, c.ID)
+		need(c.Rate >= 1 && c.Rate <= MaxRate, "caller[%d].rate_per_second: %d, want 1 to %d", i, c.Rate, MaxRate)
+		need(c.Burst >= 0 && c.Burst <= MaxRate, "caller[%d].burst: %d, want 0 to %d", i, c.Burst, MaxRate)
+		callers[c.ID] = true
+	}
+	return faults
+}
--- /dev/null
+++ b/holder/commit.go
@@ -0,0 +1,334 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/journal"
+	"github.com/spoolsill/spoolsill/lease"
+	"github.com/spoolsill/spoolsill/place"
+	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/table"
+	"github.com/spoolsill/spoolsill/timeline"
+)
+
+// Waits between failed table writes.
+const (
+	minRetry = 50 * time.Millisecond
+	maxRetry = 2 * time.Second
+)
+
+// errDeposed is returned when another host has taken the lease over.
+var errDeposed = errors.New("holder: deposed")
+
+// pump moves the journal on and does what has come to last.
+func (t *tenure) pump() {
+	silent := t.h.config.Table.Silent()
+	held := t.holds()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.release()
+	if held {
+		t.copyOut(silent)
+	}
+	if time.Now().Before(t.retry) {
+		return
+	}
+	a := t.writer.Next()
+	if a.Kind != journal.Write {
+		return
+	}
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		t.write(a.Entries)
+	}()
+}
+
+// copyOut hands entries to the hall's other hosts while the table is silent.
+// The lock is held.
+func (t *tenure) copyOut(silent bool) {
+	if !silent {
+		return
+	}
+	a := t.writer.NextCopy()
+	if a.Kind != journal.Copy {
+		t.release()
+		return
+	}
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		t.copy(a.Entries)
+	}()
+}
+
+func (t *tenure) copy(entries []journal.Entry) {
+	ctx, cancel := context.WithTimeout(t.ctx, time.Second)
+	defer cancel()
+	all := true
+	for _, h := range t.h.config.Hosts {
+		if h == t.h.config.Host {
+			continue
+		}
+		all = t.h.config.Peers.Copy(ctx, h, t.epoch, entries) && all
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writer.Copied(entries[len(entries)-1].Sequence, all)
+	t.release()
+}
+
+// write writes entries to the table.
+func (t *tenure) write(entries []journal.Entry) {
+	err := t.commit(entries)
+	if errors.Is(err, errDeposed) {
+		t.h.event(timeline.Event{
+			Kind: timeline.KindLease,
+			Text: "the table refused the journal: another host has the lease",
+		})
+		t.cancel()
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writer.Wrote(err == nil)
+	if err != nil {
+		t.backOff()
+		return
+	}
+	t.failed = 0
+	t.retry = time.Time{}
+	t.release()
+	t.maybeSnapshot()
+}
+
+func (t *tenure) backOff() {
+	d := min(minRetry<<min(t.failed, 8), maxRetry)
+	t.failed++
+	t.retry = time.Now().Add(d/2 + rand.N(d/2+1))
+}
+
+// commit writes entries in one transaction. It returns nil when they stand,
+// errDeposed when they never will, and another error when that is not known.
+func (t *tenure) commit(entries []journal.Entry) error {
+	x := table.Txn{}
+	if !t.h.config.Break.Fence {
+		x.Conditions = append(x.Conditions, table.Condition{
+			Key:     lease.EpochKey(t.h.config.Hall),
+			Version: t.version,
+		})
+	}
+	for _, e := range entries {
+		b, err := journal.Encode(e)
+		if err != nil {
+			return err
+		}
+		k := journal.Key(t.h.config.Hall, e.Sequence)
+		x.Conditions = append(x.Conditions, table.Condition{
+			Key: k,
+		})
+		x.Puts = append(x.Puts, table.Put{
+			Key:   k,
+			Value: b,
+		})
+	}
+	r, err := t.h.config.Table.Commit(t.ctx, x)
+	if err != nil {
+		return err
+	}
+	if r.Applied {
+		return nil
+	}
+	return t.conflict(r.Conflicts, entries)
+}
+
+// conflict tells an own write whose answer was lost from one of another host.
+func (t *tenure) conflict(rows []table.Row, entries []journal.Entry) error {
+	own := 0
+	for _, r := range rows {
+		if r.Key == lease.EpochKey(t.h.config.Hall) {
+			return errDeposed
+		}
+		e, err := journal.Decode(r.Value)
+		if err == nil && e.Writer == t.h.config.Host && e.Life == t.h.config.Incarnation && e.Epoch == t.epoch {
+			own++
+		}
+	}
+	if own == len(entries) {
+		return nil
+	}
+	return errDeposed
+}
+
+// loadPage is the number of journal rows read at a time.
+const loadPage = 500
+
+// load rebuilds the state from what the former holder left. It tries until
+// the tenure ends, and reports whether it succeeded.
+func (t *tenure) load() bool {
+	for {
+		err := t.tryLoad()
+		if err == nil {
+			return true
+		}
+		t.h.config.Log.WithError(err).Warn("the hall's record can't be loaded yet")
+		t.h.event(timeline.Event{
+			Kind: timeline.KindFault,
+			Text: "the hall's record can't be loaded: " + err.Error(),
+		})
+		select {
+		case <-t.ctx.Done():
+			return false
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func (t *tenure) tryLoad() error {
+	if err := t.readEpoch(); err != nil {
+		return err
+	}
+	records, last, err := t.readSnapshot()
+	if err != nil {
+		return err
+	}
+	s, err := place.Rebuild(t.h.config.Place, records)
+	if err != nil {
+		return err
+	}
+	first := last
+	last, err = t.readJournal(s, last)
+	if err != nil {
+		return err
+	}
+	w := journal.NewWriter(journal.Config{
+		Host:   t.h.config.Host,
+		Life:   t.h.config.Incarnation,
+		Epoch:  t.epoch,
+		Last:   last,
+		Copies: len(t.h.config.Hosts) > 1,
+	})
+	if err := t.adopt(s, w, last); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state = s
+	t.writer = w
+	t.snap.last = first
+	return nil
+}
+
+// readEpoch learns the version of the epoch row, on which all writes of the
+// tenure are conditional.
+func (t *tenure) readEpoch() error {
+	row, err := t.h.config.Table.Get(t.ctx, lease.EpochKey(t.h.config.Hall))
+	if err != nil {
+		return err
+	}
+	r, err := lease.Decode(row.Value)
+	if err != nil {
+		return err
+	}
+	if r.Epoch != t.epoch {
+		t.cancel()
+		return errDeposed
+	}
+	t.version = row.Version
+	return nil
+}
+
+func (t *tenure) readSnapshot() ([]place.Record, spoolsill.Sequence, error) {
+	row, err := t.h.config.Table.Get(t.ctx, journal.SnapshotKey(t.h.config.Hall))
+	if err != nil || row.Version == 0 {
+		return nil, 0, err
+	}
+	b, err := t.h.config.Objects.GetObject(t.ctx, string(row.Value))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, fmt.Errorf("%w: snapshot %s is missing", journal.ErrDamaged, row.Value)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	e, err := journal.Decode(b)
+	if err != nil {
+		return nil, 0, fmt.Errorf("snapshot %s: %w", row.Value, err)
+	}
+	return e.Records, e.Sequence, nil
+}
+
+func (t *tenure) readJournal(s *place.State, last spoolsill.Sequence) (spoolsill.Sequence, error) {
+	for {
+		rows, err := t.h.config.Table.List(t.ctx, journal.Prefix(t.h.config.Hall), journal.Key(t.h.config.Hall, last), loadPage)
+		if err != nil {
+			return last, err
+		}
+		for _, r := range rows {
+			e, err := journal.Decode(r.Value)
+			if err != nil {
+				return last, fmt.Errorf("row %s: %w", r.Key, err)
+			}
+			if e.Sequence != last+1 {
+				return last, fmt.Errorf("%w: row %s follows %d", journal.ErrDamaged, r.Key, last)
+			}
+			if err := apply(s, e); err != nil {
+				return last, err
+			}
+			last = e.Sequence
+		}
+		if len(rows) < loadPage {
+			return last, nil
+		}
+	}
+}
+
+func apply(s *place.State, e journal.Entry) error {
+	for _, r := range e.Records {
+		if err := s.Apply(r); err != nil {
+			return fmt.Errorf("entry %d: %w", e.Sequence, err)
+		}
+	}
+	return nil
+}
+
+// adopt takes over the entries that the former holder could only copy to the
+// hosts of the hall, this one or another.
+func (t *tenure) adopt(s *place.State, w *journal.Writer, last spoolsill.Sequence) error {
+	best := t.h.Copies(t.epoch, last)
+	for _, h := range t.h.config.Hosts {
+		if h == t.h.config.Host {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, time.Second)
+		c, err := t.h.config.Peers.Copies(ctx, h, last)
+		cancel()
+		if err == nil && newer(c, best) {
+			best = c
+		}
+	}
+	for _, e := range best {
+		if err := apply(s, e); err != nil {
+			return err
+		}
+		w.Append(e.Records)
+	}
+	w.Cut()
+	return nil
+}
+
+// newer reports whether the copies a tell more than b.
+func newer(a, b []journal.Entry) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return len(a) > 0
+	}
+	x, y := a[len(a)-1], b[len(b)-1]
+	if x.Epoch != y.Epoch {
+		return x.Epoch > y.Epoch
+	}
+	return x.Sequence > y.Sequence
+}
--- /dev/null
+++ b/holder/snapshot.go
@@ -0,0 +1,96 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/journal"
+	"github.com/spoolsill/spoolsill/lease"
+	"github.com/spoolsill/spoolsill/table"
+)
+
+// maxDeletes is the number of journal rows deleted in one transaction.
+const maxDeletes = 500
+
+// A snapshotter remembers what of the journal a snapshot covers.
+type snapshotter struct {
+	last spoolsill.Sequence // the newest snapshot
+	busy bool
+}
+
+// maybeSnapshot writes a snapshot when enough entries came since the last
+// one. The lock is held.
+func (t *tenure) maybeSnapshot() {
+	s := t.writer.Stored()
+	if t.snap.busy || t.writer.Open() > 0 || int(s-t.snap.last) < t.h.config.SnapshotEvery {
+		return
+	}
+	e := journal.Entry{
+		Epoch:    t.epoch,
+		Sequence: s,
+		Writer:   t.h.config.Host,
+		Life:     t.h.config.Incarnation,
+		Records:  t.state.Snapshot(time.Now()),
+	}
+	t.snap.busy = true
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		err := t.snapshot(e)
+		if err != nil {
+			t.h.config.Log.WithError(err).Warn("snapshot not written")
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.snap.busy = false
+		if err == nil {
+			t.snap.last = s
+		}
+	}()
+}
+
+// snapshot writes the object, then the row that names it, and deletes the
+// entries that it covers.
+func (t *tenure) snapshot(e journal.Entry) error {
+	b, err := journal.Encode(e)
+	if err != nil {
+		return err
+	}
+	name := journal.SnapshotObject(t.h.config.Hall, e.Sequence)
+	if err := t.h.config.Objects.PutObject(t.ctx, name, b); err != nil {
+		return err
+	}
+	first := t.snap.last + 1
+	x := t.fenced()
+	x.Puts = []table.Put{{
+		Key:   journal.SnapshotKey(t.h.config.Hall),
+		Value: []byte(name),
+	}}
+	for {
+		for len(x.Deletes) < maxDeletes && first <= e.Sequence {
+			x.Deletes = append(x.Deletes, journal.Key(t.h.config.Hall, first))
+			first++
+		}
+		r, err := t.h.config.Table.Commit(t.ctx, x)
+		if err != nil {
+			return err
+		}
+		if !r.Applied {
+			return errDeposed
+		}
+		if first > e.Sequence {
+			return nil
+		}
+		x = t.fenced()
+	}
+}
+
+// fenced returns a transaction that takes effect only in this tenure.
+func (t *tenure) fenced() table.Txn {
+	return table.Txn{
+		Conditions: []table.Condition{{
+			Key:     lease.EpochKey(t.h.config.Hall),
+			Version: t.version,
+		}},
+	}
+}
--- /dev/null
+++ b/intent/intent.go
@@ -0,0 +1,67 @@
+package intent
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/place"
+)
+
+// ErrIntent is returned for an intent that can't be accepted.
+var ErrIntent = errors.New("intent: not accepted")
+
+// MaxCancel is the largest number of jobs that one intent cancels.
+const MaxCancel = 20_000
+
+// An Intent is what an operator wants. Exactly one field is set.
+type Intent struct {
+	Submit *spoolsill.Job     `msgpack:"s,omitempty"`
+	Cancel []spoolsill.JobID  `msgpack:"c,omitempty"`
+	Drain  spoolsill.WorkerID `msgpack:"d,omitempty"`
+}
+
+// Check returns [ErrIntent] with every fault of i.
+func (i Intent) Check() error {
+	n := 0
+	if i.Submit != nil {
+		n++
+	}
+	if len(i.Cancel) > 0 {
+		n++
+	}
+	if i.Drain != "" {
+		n++
+	}
+	if n != 1 {
+		return fmt.Errorf("%w: want one of submit, cancel and drain, got %d", ErrIntent, n)
+	}
+	if len(i.Cancel) > MaxCancel {
+		return fmt.Errorf("%w: cancel: %d jobs, at most %d", ErrIntent, len(i.Cancel), MaxCancel)
+	}
+	if i.Submit == nil {
+		return nil
+	}
+	var faults []string
+	for _, f := range i.Submit.Validate() {
+		faults = append(faults, f.Error())
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", ErrIntent, strings.Join(faults, "; "))
+}
+
+// Plan returns what i would change in a hall. It changes nothing.
+func (i Intent) Plan(s *place.State, now time.Time) (place.Plan, error) {
+	switch {
+	case i.Submit != nil:
+		return s.PlanSubmit(now, *i.Submit)
+	case len(i.Cancel) > 0:
+		return s.PlanCancel(now, i.Cancel)
+	default:
+		return s.PlanDrain(now, i.Drain)
+	}
+}
--- /dev/null
+++ b/internal/demo/caller.go
@@ -0,0 +1,220 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/entry"
+	"github.com/spoolsill/spoolsill/internal/standin"
+)
+
+// A balancer stands for the platform's: it knows which hosts are ready, with
+// a lag, and sends each request to one of them.
+type balancer struct {
+	fleet *fleet
+	mu    sync.Mutex
+	ready []string
+}
+
+const balancerLag = 100 * time.Millisecond
+
+func (b *balancer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		all, _ := b.fleet.web()
+		var ready []string
+		for _, a := range all {
+			if isReady(ctx, a) {
+				ready = append(ready, a)
+			}
+		}
+		b.mu.Lock()
+		b.ready = ready
+		b.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(balancerLag):
+		}
+	}
+}
+
+func (b *balancer) pick() (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return "", false
+	}
+	return b.ready[rand.IntN(len(b.ready))], true
+}
+
+// callers sends requests and checks what comes back.
+type callers struct {
+	balancer *balancer
+	truth    *standin.Truth
+	fleet    *fleet
+	service  spoolsill.ServiceID
+	halls    []spoolsill.HallID
+	client   *http.Client
+	random   func() uint64
+
+	done    atomic.Int64
+	notRun  atomic.Int64
+	unknown atomic.Int64
+	sent    atomic.Int64
+	number  atomic.Int64
+}
+
+// maxAttempts bounds how often a caller asks again.
+const maxAttempts = 4
+
+// request sends one request, and asks again with the same key when it did not
+// run or when that is not known.
+func (c *callers) request(ctx context.Context) {
+	n := c.number.Add(1)
+	r := c.random()
+	key := spoolsill.RequestKey(fmt.Sprintf("%s/q%d", c.halls[n%int64(len(c.halls))], n))
+	if n%5 == 0 {
+		key = spoolsill.RequestKey(fmt.Sprintf("q%d", n))
+	}
+	x := demoRequest{
+		key:    key,
+		once:   r%3 == 0,
+		body:   bytes.Repeat([]byte{byte('a' + n%26)}, int(r>>8%2000)+1),
+		issued: time.Now(),
+		class:  spoolsill.Class(r >> 20 % 3),
+		worth:  int(r>>24%100) + 1,
+		caller: fmt.Sprintf("team-%d", r>>32%40),
+	}
+	last := spoolsill.NotRun
+	maybe := false
+	for range maxAttempts {
+		last = c.attempt(ctx, x)
+		maybe = maybe || last == spoolsill.Unknown
+		if last == spoolsill.Done || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, 60*time.Millisecond)
+	}
+	c.settle(x, last, maybe)
+}
+
+// settle counts what became of a request, and checks it against the runners'
+// own records.
+func (c *callers) settle(x demoRequest, last spoolsill.Outcome, maybe bool) {
+	runs := c.truth.Runs(x.key)
+	if x.once && runs > 1 {
+		c.truth.Break(standin.AtMostOnce, "unrepeatable request %s ran %d times", x.key, runs)
+	}
+	switch {
+	case last == spoolsill.Done:
+		c.done.Add(1)
+		if runs == 0 {
+			c.truth.Break(standin.WholeAnswer, "request %s is done and never ran", x.key)
+		}
+	case maybe:
+		c.unknown.Add(1)
+	default:
+		c.notRun.Add(1)
+		if runs > 0 {
+			c.truth.Break(standin.TrueNotRun, "request %s is called not run and ran %d times", x.key, runs)
+		}
+	}
+}
+
+type demoRequest struct {
+	key    spoolsill.RequestKey
+	once   bool
+	body   []byte
+	issued time.Time
+	class  spoolsill.Class
+	worth  int
+	caller string
+}
+
+// attempt sends a request once and returns what became of it.
+func (c *callers) attempt(ctx context.Context, x demoRequest) spoolsill.Outcome {
+	to, ok := c.balancer.pick()
+	if !ok {
+		return spoolsill.NotRun
+	}
+	c.sent.Add(1)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/v1/call/"+string(c.service)+"/mark", bytes.NewReader(x.body))
+	if err != nil {
+		return spoolsill.NotRun
+	}
+	q.Header.Set(entry.HeaderKey, string(x.key))
+	q.Header.Set(entry.HeaderCaller, x.caller)
+	q.Header.Set(entry.HeaderDeadline, "3s")
+	q.Header.Set(entry.HeaderClass, x.class.String())
+	q.Header.Set(entry.HeaderWorth, strconv.Itoa(x.worth))
+	if x.once {
+		q.Header.Set(entry.HeaderUnrepeatable, "true")
+		q.Header.Set(entry.HeaderIssued, strconv.FormatInt(x.issued.UnixMilli(), 10))
+	}
+	r, err := c.client.Do(q)
+	if err != nil {
+		return c.broken(ctx, to, x, err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return c.broken(ctx, to, x, err)
+	}
+	return c.check(x, r, b)
+}
+
+// broken tells a request that was never taken from one that was cut off.
+func (c *callers) broken(ctx context.Context, to string, x demoRequest, err error) spoolsill.Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return spoolsill.NotRun
+	}
+	if ctx.Err() == nil && c.stoppedAsPlanned(to) {
+		c.truth.Break(standin.PlannedStop, "request %s was cut off by a planned stop: %s", x.key, err)
+	}
+	return spoolsill.Unknown
+}
+
+func (c *callers) stoppedAsPlanned(address string) bool {
+	all, states := c.fleet.web()
+	for i, a := range all {
+		if a == address {
+			return states[i] == hostStopped
+		}
+	}
+	return false
+}
+
+func (c *callers) check(x demoRequest, r *http.Response, b []byte) spoolsill.Outcome {
+	o := spoolsill.Outcome(r.Header.Get(entry.HeaderOutcome))
+	switch o {
+	case spoolsill.Done:
+		if want := standin.Answer(x.key, x.body); string(b) != want {
+			c.truth.Break(standin.WholeAnswer, "request %s got %q, want %q", x.key, b, want)
+		}
+	case spoolsill.NotRun, spoolsill.Unknown:
+	default:
+		c.truth.Break(standin.WholeAnswer, "request %s got an answer without outcome: status %d", x.key, r.StatusCode)
+		return spoolsill.Unknown
+	}
+	return o
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,222 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/agent"
+	"github.com/spoolsill/spoolsill/api"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/settings"
+)
+
+// A Config describes a run of the demo.
+type Config struct {
+	Seed uint64
+	// Callers is how many callers send at once, Requests how many requests
+	// they send in all; 0 takes the defaults.
+	Callers  int
+	Requests int
+	// Out gets the narration.
+	Out io.Writer
+	// JSON writes the result as JSON instead of a table.
+	JSON bool
+}
+
+// Defaults of [Config].
+const (
+	DefaultCallers  = 48
+	DefaultRequests = 12_000
+)
+
+// A Result is what the demo ends with.
+type Result struct {
+	Seed     uint64                   `json:"seed"`
+	Done     int64                    `json:"done"`
+	NotRun   int64                    `json:"not_run"`
+	Unknown  int64                    `json:"unknown"`
+	Attempts int64                    `json:"attempts"`
+	Jobs     map[spoolsill.JobID]int  `json:"tasks_running"`
+	Broken   map[standin.Promise]int  `json:"broken"`
+	Cases    []string                 `json:"cases,omitempty"`
+	Took     float64                  `json:"took_s"`
+	Config   spoolsill.Version        `json:"config_version"`
+	Total    int                      `json:"broken_total"`
+	Recovery map[string]time.Duration `json:"recovery_ns"`
+}
+
+// runTime bounds the whole demo.
+const runTime = 58 * time.Second
+
+// Run runs the demo and reports whether no promise was broken.
+func Run(ctx context.Context, c Config) (bool, error) {
+	if c.Callers == 0 {
+		c.Callers = DefaultCallers
+	}
+	if c.Requests == 0 {
+		c.Requests = DefaultRequests
+	}
+	ctx, cancel := context.WithTimeout(ctx, runTime)
+	defer cancel()
+	d, err := newDemo(c)
+	if err != nil {
+		return false, err
+	}
+	defer d.close()
+	if err := d.play(ctx); err != nil {
+		return false, err
+	}
+	return d.report()
+}
+
+type demo struct {
+	config  Config
+	began   time.Time
+	cell    *standin.Cell
+	fleet   *fleet
+	client  *api.Client
+	callers *callers
+	halls   []spoolsill.HallID
+	result  Result
+	say     sync.Mutex
+}
+
+func newDemo(c Config) (*demo, error) {
+	halls := []spoolsill.HallID{"vake", "saburtalo", "didube"}
+	r := rand.New(rand.NewPCG(c.Seed, 1))
+	var mu sync.Mutex
+	random := func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Uint64()
+	}
+	cell, err := standin.NewCell(standin.CellConfig{
+		Halls:    halls,
+		Workers:  50,
+		RackSize: 8,
+		Capacity: spoolsill.Resources{
+			Processors: 64 * spoolsill.Core,
+			Memory:     128 * spoolsill.GiB,
+		},
+		Service: "quizdesk",
+		Runners: 50,
+		Slots:   8,
+		Work:    func(spoolsill.RequestKey) time.Duration { return heavyTail(random()) },
+		Runtime: func(s agent.Start) (time.Duration, bool) {
+			if s.Runtime == 0 {
+				return time.Hour, false
+			}
+			return s.Runtime/2 + time.Duration(random()%uint64(s.Runtime)), false
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	f, err := newFleet(cell, halls, settings.Service{
+		ID:           "quizdesk",
+		Slots:        8,
+		Connections:  60,
+		SlotLifetime: settings.Duration(3 * time.Second),
+		MaxBody:      settings.DefaultMaxBody,
+		MaxAnswer:    settings.DefaultMaxAnswer,
+		Queue:        settings.DefaultQueue,
+	})
+	if err != nil {
+		cell.Close()
+		return nil, err
+	}
+	d := &demo{
+		config: c,
+		began:  time.Now(),
+		cell:   cell,
+		fleet:  f,
+		client: f.client(),
+		halls:  halls,
+		result: Result{
+			Seed:     c.Seed,
+			Jobs:     map[spoolsill.JobID]int{},
+			Recovery: map[string]time.Duration{},
+		},
+	}
+	d.callers = &callers{
+		balancer: &balancer{
+			fleet: f,
+		},
+		truth:   cell.Truth,
+		fleet:   f,
+		service: "quizdesk",
+		halls:   halls,
+		random:  random,
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: c.Callers,
+			},
+		},
+	}
+	return d, nil
+}
+
+// heavyTail returns a time at a runner: mostly 2 to 20 ms, one in fifty up to
+// 400 ms.
+func heavyTail(r uint64) time.Duration {
+	d := time.Duration(2+r%18) * time.Millisecond
+	if r>>16%50 == 0 {
+		d *= 20
+	}
+	return d
+}
+
+func (d *demo) close() {
+	d.fleet.close()
+	d.cell.Close()
+}
+
+func (d *demo) tell(format string, args ...any) {
+	if d.config.JSON {
+		return
+	}
+	d.say.Lock()
+	defer d.say.Unlock()
+	fmt.Fprintf(d.config.Out, "%6.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (d *demo) report() (bool, error) {
+	c := d.callers
+	d.result.Done = c.done.Load()
+	d.result.NotRun = c.notRun.Load()
+	d.result.Unknown = c.unknown.Load()
+	d.result.Attempts = c.sent.Load()
+	d.result.Broken, d.result.Cases = d.cell.Truth.Broken()
+	d.result.Total = d.cell.Truth.Total()
+	d.result.Took = time.Since(d.began).Seconds()
+	if d.config.JSON {
+		e := json.NewEncoder(d.config.Out)
+		e.SetIndent("", "  ")
+		return d.result.Total == 0, e.Encode(d.result)
+	}
+	d.table()
+	return d.result.Total == 0, nil
+}
+
+func (d *demo) table() {
+	out := d.config.Out
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "\npromise\tbroken")
+	for _, p := range standin.Promises() {
+		fmt.Fprintf(w, "%s\t%d\n", p, d.result.Broken[p])
+	}
+	_ = w.Flush()
+	for _, s := range d.result.Cases {
+		fmt.Fprintln(out, "  "+s)
+	}
+	fmt.Fprintf(out, "\n%d requests in %d attempts, %.1f s\n", d.result.Done+d.result.NotRun+d.result.Unknown, d.result.Attempts, d.result.Took)
+	fmt.Fprintf(out, "demo: %d done, %d not run, %d unknown, broken promises: %d\n", d.result.Done, d.result.NotRun, d.result.Unknown, d.result.Total)
+}
--- /dev/null
+++ b/internal/standin/cell.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/agent"
+	"github.com/spoolsill/spoolsill/member"
+)
+
+// PlatformPlace is the place of the platform in a [Network].
+const PlatformPlace = "platform"
+
+// A CellConfig describes a [Cell].
+type CellConfig struct {
+	Halls []spoolsill.HallID
+	// Workers and Runners are the numbers in the whole cell.
+	Workers  int
+	RackSize int
+	Capacity spoolsill.Resources
+	Service  spoolsill.ServiceID
+	Runners  int
+	Slots    int
+	// Work returns how long a request takes.
+	Work func(spoolsill.RequestKey) time.Duration
+	// Runtime returns how long a task runs, and whether it then fails.
+	Runtime func(agent.Start) (time.Duration, bool)
+	// Platform is the address that the platform listens on; empty means any.
+	Platform string
+}
+
+// A Cell is a platform, workers and runners on loopback.
+type Cell struct {
+	Truth    *Truth
+	Network  *Network
+	Platform *Platform
+	URL      string // of the platform
+	Workers  map[spoolsill.WorkerID]*Worker
+	Runners  map[spoolsill.RunnerID]*Runner
+
+	config  CellConfig
+	mu      sync.Mutex
+	servers []*http.Server
+}
+
+// NewCell starts a cell. Close ends it.
+func NewCell(c CellConfig) (*Cell, error) {
+	x := &Cell{
+		Truth:    &Truth{},
+		Network:  NewNetwork(),
+		Platform: NewPlatform(),
+		Workers:  map[spoolsill.WorkerID]*Worker{},
+		Runners:  map[spoolsill.RunnerID]*Runner{},
+		config:   c,
+	}
+	if err := x.start(); err != nil {
+		x.Close()
+		return nil, err
+	}
+	return x, nil
+}
+
+func (x *Cell) start() error {
+	at := x.config.Platform
+	if at == "" {
+		at = "127.0.0.1:0"
+	}
+	a, err := x.serve(at, PlatformPlace, x.Platform.Handler())
+	if err != nil {
+		return err
+	}
+	x.URL = "http://" + a
+	var l member.List
+	for i := range x.config.Workers {
+		w, err := x.startWorker(i)
+		if err != nil {
+			return err
+		}
+		l.Workers = append(l.Workers, w)
+	}
+	for i := range x.config.Runners {
+		r, err := x.startRunner(i)
+		if err != nil {
+			return err
+		}
+		l.Runners = append(l.Runners, r)
+	}
+	x.Platform.SetMembers(l)
+	return nil
+}
+
+func (x *Cell) hall(i int) spoolsill.HallID {
+	return x.config.Halls[i%len(x.config.Halls)]
+}
+
+func (x *Cell) startWorker(i int) (spoolsill.Worker, error) {
+	h := x.hall(i)
+	n := i / len(x.config.Halls)
+	w := spoolsill.Worker{
+		ID:       spoolsill.WorkerID(fmt.Sprintf("%s-w%02d", h, n)),
+		Hall:     h,
+		Rack:     spoolsill.RackID(fmt.Sprintf("%s-r%d", h, n/max(x.config.RackSize, 1))),
+		Capacity: x.config.Capacity,
+	}
+	s := NewWorker(WorkerConfig{
+		Worker:  w,
+		Truth:   x.Truth,
+		Runtime: x.config.Runtime,
+	})
+	a, err := x.serve("127.0.0.1:0", string(h), s.Handler())
+	w.Address = a
+	x.Workers[w.ID] = s
+	return w, err
+}
+
+func (x *Cell) startRunner(i int) (spoolsill.Runner, error) {
+	h := x.hall(i)
+	r := spoolsill.Runner{
+		ID:      spoolsill.RunnerID(fmt.Sprintf("%s-u%02d", h, i/len(x.config.Halls))),
+		Hall:    h,
+		Service: x.config.Service,
+	}
+	s := NewRunner(RunnerConfig{
+		Runner: r,
+		Truth:  x.Truth,
+		Slots:  x.config.Slots,
+		Work:   x.config.Work,
+	})
+	a, err := x.serve("127.0.0.1:0", string(h), s.Handler())
+	r.Address = a
+	x.Runners[r.ID] = s
+	return r, err
+}
+
+func (x *Cell) serve(address, place string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	a := l.Addr().String()
+	x.Network.Place(a, place)
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Minute,
+	}
+	x.mu.Lock()
+	x.servers = append(x.servers, s)
+	x.mu.Unlock()
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			x.Truth.Break(WholeAnswer, "stand-in at %s ended: %s", a, err)
+		}
+	}()
+	return a, nil
+}
+
+// Wait returns when ctx ends.
+func (x *Cell) Wait(ctx context.Context) {
+	<-ctx.Done()
+}
+
+// Close ends the cell.
+func (x *Cell) Close() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.servers {
+		_ = s.Close()
+	}
+	for _, w := range x.Workers {
+		w.Kill()
+	}
+}
--- /dev/null
+++ b/internal/standin/runner.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/upstream"
+)
+
+// A RunnerConfig describes a [Runner].
+type RunnerConfig struct {
+	Runner spoolsill.Runner
+	Truth  *Truth
+	Slots  int
+	// Work returns how long a request takes; nil takes no time.
+	Work func(spoolsill.RequestKey) time.Duration
+}
+
+// A Runner answers requests. It works on each to the end, also when the
+// connection is cut. It is safe for concurrent use.
+type Runner struct {
+	Fault  Fault
+	config RunnerConfig
+
+	inFlight atomic.Int64
+	most     atomic.Int64
+	begun    atomic.Int64
+
+	mu      sync.Mutex
+	fails   bool
+	leaving time.Time
+}
+
+// NewRunner returns a runner.
+func NewRunner(c RunnerConfig) *Runner {
+	return &Runner{
+		config: c,
+	}
+}
+
+// FailAll makes every request fail at once.
+func (r *Runner) FailAll(fail bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fails = fail
+}
+
+// LeavingGrace is how long a leaving runner may still get new requests.
+const LeavingGrace = 3 * time.Second
+
+// SetLeaving says that the runner is leaving from now on.
+func (r *Runner) SetLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = time.Now()
+}
+
+// Begun returns how many requests were begun, and Most the largest number at
+// once.
+func (r *Runner) Begun() int64 {
+	return r.begun.Load()
+}
+
+// Most returns the largest number of requests at once.
+func (r *Runner) Most() int64 {
+	return r.most.Load()
+}
+
+// Handler returns the runner's HTTP interface.
+func (r *Runner) Handler() http.Handler {
+	return r.Fault.wrap(http.HandlerFunc(r.serve))
+}
+
+func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	k := spoolsill.RequestKey(q.Header.Get(upstream.HeaderKey))
+	n := r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	r.begun.Add(1)
+	r.count(n)
+	r.config.Truth.Ran(k)
+	if r.failing() {
+		http.Error(w, "runner fails", http.StatusInternalServerError)
+		return
+	}
+	if r.config.Work != nil {
+		// The work goes on when the caller has gone.
+		wait(context.WithoutCancel(q.Context()), r.config.Work(k))
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, Answer(k, body))
+}
+
+func (r *Runner) count(n int64) {
+	for {
+		m := r.most.Load()
+		if n <= m || r.most.CompareAndSwap(m, n) {
+			break
+		}
+	}
+	if r.config.Slots > 0 && n > int64(r.config.Slots) {
+		r.config.Truth.Break(SlotLimit, "runner %s has %d requests in flight, %d allowed", r.config.Runner.ID, n, r.config.Slots)
+	}
+}
+
+func (r *Runner) failing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leaving.IsZero() && time.Since(r.leaving) > LeavingGrace {
+		r.config.Truth.Break(Leaving, "runner %s got a request %s after it began to leave", r.config.Runner.ID, time.Since(r.leaving))
+	}
+	return r.fails
+}
+
+// Answer returns the answer of every runner to a request, so that a caller
+// can check that it is whole and its own.
+func Answer(k spoolsill.RequestKey, body []byte) string {
+	h := fnv.New64a()
+	_, _ = h.Write(body)
+	return fmt.Sprintf("answer to %s over %d bytes %016x end", k, len(body), h.Sum64())
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,264 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/agent"
+)
+
+// A WorkerConfig describes a [Worker].
+type WorkerConfig struct {
+	Worker spoolsill.Worker
+	Truth  *Truth
+	// Runtime returns how long a task runs, and whether it then fails. Nil
+	// takes the declared run time; a task that declares none runs on.
+	Runtime func(agent.Start) (time.Duration, bool)
+	// Use returns what a task uses; nil takes its shape.
+	Use func(agent.Start) spoolsill.Resources
+}
+
+// A Worker is the agent of one worker. It has no guards: it starts whatever
+// it is told to while the lease lasts. It is safe for concurrent use.
+type Worker struct {
+	Fault  Fault
+	config WorkerConfig
+
+	mu     sync.Mutex
+	tasks  map[agent.Ref]*workerTask
+	failed bool
+	dead   bool
+}
+
+type workerTask struct {
+	start agent.Start
+	state agent.State
+	lease time.Time
+	stop  context.CancelFunc
+	then  agent.State // the state after an early stop
+}
+
+// NewWorker returns a worker without tasks.
+func NewWorker(c WorkerConfig) *Worker {
+	return &Worker{
+		config: c,
+		tasks:  map[agent.Ref]*workerTask{},
+	}
+}
+
+// FailAll makes every task that starts from now on fail at once.
+func (w *Worker) FailAll(fail bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failed = fail
+}
+
+// Kill ends all tasks without a word, as a machine that loses power.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for ref, t := range w.tasks {
+		t.stop()
+		w.end(ref, t, agent.Stopped)
+	}
+	w.tasks = map[agent.Ref]*workerTask{}
+	w.Fault.SetDown(true)
+}
+
+// Handler returns the agent's HTTP interface.
+func (w *Worker) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(w.Fault.wrap)
+	r.Post("/v1/start", w.start)
+	r.Post("/v1/renew", w.renew)
+	r.Post("/v1/signal", w.signal)
+	return r
+}
+
+func (w *Worker) start(out http.ResponseWriter, r *http.Request) {
+	var s agent.Start
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ref := agent.Ref{
+		Task:    s.Task,
+		Attempt: s.Attempt,
+	}
+	if _, ok := w.tasks[ref]; ok {
+		writeJSON(out, struct{}{})
+		return
+	}
+	end := time.UnixMilli(s.LeaseEnd)
+	if w.dead || !time.Now().Before(end) {
+		http.Error(out, "the lease is over", http.StatusConflict)
+		return
+	}
+	w.begin(ref, s, end)
+	writeJSON(out, struct{}{})
+}
+
+// begin runs a task. The lock is held.
+func (w *Worker) begin(ref agent.Ref, s agent.Start, lease time.Time) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &workerTask{
+		start: s,
+		state: agent.Running,
+		lease: lease,
+		stop:  cancel,
+		then:  agent.Stopped,
+	}
+	w.tasks[ref] = t
+	w.config.Truth.TaskBegan(s.Task, w.config.Worker.ID)
+	w.checkCapacity()
+	d, fails := w.runtime(s)
+	go w.run(ctx, ref, t, d, fails)
+}
+
+func (w *Worker) runtime(s agent.Start) (time.Duration, bool) {
+	if w.failed {
+		return time.Millisecond, true
+	}
+	if w.config.Runtime != nil {
+		return w.config.Runtime(s)
+	}
+	if s.Runtime <= 0 {
+		return 1 << 50, false
+	}
+	return s.Runtime, false
+}
+
+func (w *Worker) checkCapacity() {
+	var sum spoolsill.Resources
+	for _, t := range w.tasks {
+		if t.state == agent.Running {
+			sum = sum.Add(t.start.Shape)
+		}
+	}
+	if !sum.Fits(w.config.Worker.Capacity) {
+		w.config.Truth.Break(Capacity, "worker %s runs %s of %s", w.config.Worker.ID, sum, w.config.Worker.Capacity)
+	}
+}
+
+func (w *Worker) run(ctx context.Context, ref agent.Ref, t *workerTask, d time.Duration, fails bool) {
+	defer t.stop()
+	done := time.NewTimer(d)
+	defer done.Stop()
+	const look = 50 * time.Millisecond
+	lease := time.NewTicker(look)
+	defer lease.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			w.finish(ref, t, "")
+			return
+		case <-done.C:
+			s := agent.Exited
+			if fails {
+				s = agent.Failed
+			}
+			w.finish(ref, t, s)
+			return
+		case <-lease.C:
+			if w.expired(t) {
+				w.finish(ref, t, agent.Expired)
+				return
+			}
+		}
+	}
+}
+
+func (w *Worker) expired(t *workerTask) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !time.Now().Before(t.lease)
+}
+
+func (w *Worker) finish(ref agent.Ref, t *workerTask, s agent.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s == "" {
+		s = t.then
+	}
+	w.end(ref, t, s)
+}
+
+// end records the end of a task. The lock is held.
+func (w *Worker) end(ref agent.Ref, t *workerTask, s agent.State) {
+	if t.state != agent.Running {
+		return
+	}
+	t.state = s
+	w.config.Truth.TaskEnded(ref.Task, w.config.Worker.ID)
+}
+
+func (w *Worker) renew(out http.ResponseWriter, r *http.Request) {
+	var q agent.Renewal
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	end := time.UnixMilli(q.LeaseEnd)
+	for _, ref := range q.Tasks {
+		if t, ok := w.tasks[ref]; ok && end.After(t.lease) {
+			t.lease = end
+		}
+	}
+	for _, ref := range q.Forget {
+		if t, ok := w.tasks[ref]; ok && t.state != agent.Running {
+			delete(w.tasks, ref)
+		}
+	}
+	writeJSON(out, w.statuses())
+}
+
+func (w *Worker) statuses() []agent.Status {
+	out := make([]agent.Status, 0, len(w.tasks))
+	for ref, t := range w.tasks {
+		used := t.start.Shape
+		if w.config.Use != nil {
+			used = w.config.Use(t.start)
+		}
+		out = append(out, agent.Status{
+			Ref:   ref,
+			State: t.state,
+			Used:  used,
+		})
+	}
+	return out
+}
+
+func (w *Worker) signal(out http.ResponseWriter, r *http.Request) {
+	var q agent.Signal
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t, ok := w.tasks[q.Ref]
+	if !ok || t.state != agent.Running {
+		http.Error(out, "not running", http.StatusConflict)
+		return
+	}
+	switch q.Verb {
+	case agent.Stop:
+		t.then = agent.Stopped
+		t.stop()
+	case agent.Checkpoint:
+		t.then = agent.Checkpointed
+		t.stop()
+	}
+	writeJSON(out, struct{}{})
+}
--- /dev/null
+++ b/job.go
@@ -0,0 +1,130 @@
+package spoolsill
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// Kind tells the policies of jobs apart.
+type Kind string
+
+// The kinds of jobs.
+const (
+	Service Kind = "service" // long-running, spread over racks, kept running
+	Batch   Kind = "batch"   // packed, fair between teams
+	Gang    Kind = "gang"    // all tasks start together or none does
+)
+
+// Class orders unlike work. A smaller one goes first.
+type Class int
+
+// The classes of work.
+const (
+	Urgent  Class = iota // starts within seconds, may preempt patient work
+	Normal               // the default
+	Patient              // keeps its worth while it waits, may be preempted
+)
+
+var classNames = [...]string{"urgent", "normal", "patient"}
+
+// String returns the class as it is written in job files.
+func (c Class) String() string {
+	if c < 0 || int(c) >= len(classNames) {
+		return fmt.Sprintf("class(%d)", int(c))
+	}
+	return classNames[c]
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (c Class) MarshalText() ([]byte, error) {
+	return []byte(c.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler. The empty text is Normal.
+func (c *Class) UnmarshalText(b []byte) error {
+	if len(b) == 0 {
+		*c = Normal
+		return nil
+	}
+	for i, n := range classNames {
+		if n == string(b) {
+			*c = Class(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("class %q: want urgent, normal or patient", b)
+}
+
+// Limits of one job.
+const (
+	MaxTasks   = 10_000
+	MaxWorth   = 1_000_000
+	MaxRuntime = 30 * 24 * time.Hour
+)
+
+// A Job is what an operator asks for: some tasks of one shape.
+type Job struct {
+	ID    JobID     `msgpack:"i"`
+	Team  TeamID    `msgpack:"t"`
+	Kind  Kind      `msgpack:"k"`
+	Class Class     `msgpack:"c"`
+	Tasks int       `msgpack:"n"`
+	Shape Resources `msgpack:"s"`
+	// Runtime is the declared run time of a task; 0 says none. It may be far
+	// off. Services run until they are cancelled.
+	Runtime time.Duration `msgpack:"r"`
+	// Worth orders preemption within a class: the least is lost first.
+	Worth int `msgpack:"w"`
+	// Unrepeatable work is never preempted and never started again once it
+	// may have run.
+	Unrepeatable bool `msgpack:"u"`
+	// Command is handed to the worker as it is.
+	Command string `msgpack:"x"`
+}
+
+// A FieldError names a field that can't be accepted and what is allowed.
+type FieldError struct {
+	Field   string
+	Value   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %q is not allowed: want %s", e.Field, e.Value, e.Allowed)
+}
+
+var idPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,62})$`)
+
+// Validate returns every field of j that can't be accepted.
+func (j Job) Validate() []*FieldError {
+	var v validator
+	v.check(idPattern.MatchString(string(j.ID)), "id", j.ID, "1 to 63 of a-z, 0-9 and -")
+	v.check(idPattern.MatchString(string(j.Team)), "team", j.Team, "1 to 63 of a-z, 0-9 and -")
+	v.check(j.Kind == Service || j.Kind == Batch || j.Kind == Gang, "kind", j.Kind, "service, batch or gang")
+	v.check(j.Class >= Urgent && j.Class <= Patient, "class", j.Class, "urgent, normal or patient")
+	v.check(j.Tasks >= 1 && j.Tasks <= MaxTasks, "tasks", j.Tasks, fmt.Sprintf("1 to %d", MaxTasks))
+	v.check(j.Shape.Processors >= 1, "processors", int64(j.Shape.Processors), "at least 1 millicore")
+	v.check(j.Shape.Memory >= 1, "memory", int64(j.Shape.Memory), "at least 1 byte")
+	v.check(j.Shape.Accelerators >= 0, "accelerators", int64(j.Shape.Accelerators), "0 or more")
+	v.check(j.Runtime >= 0 && j.Runtime <= MaxRuntime, "runtime", j.Runtime, "0s to 720h")
+	v.check(j.Worth >= 0 && j.Worth <= MaxWorth, "worth", j.Worth, fmt.Sprintf("0 to %d", MaxWorth))
+	v.check(!j.Unrepeatable || j.Kind != Service, "unrepeatable", j.Unrepeatable, "false for a service: it is kept running")
+	return v.errs
+}
+
+type validator struct {
+	errs []*FieldError
+}
+
+func (v *validator) check(ok bool, field string, value any, allowed string) {
+	if ok {
+		return
+	}
+	v.errs = append(v.errs, &FieldError{
+		Field:   field,
+		Value:   fmt.Sprint(value),
+		Allowed: allowed,
+	})
+}
--- /dev/null
+++ b/journal/copies.go
@@ -0,0 +1,79 @@
+package journal
+
+import (
+	"sort"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// MaxCopies bounds the entries that a host keeps for another.
+const MaxCopies = 100_000
+
+// Copies keeps the entries that the holder of the hall has handed over while
+// the table was silent. It is not safe for concurrent use.
+type Copies struct {
+	epoch   spoolsill.Epoch
+	entries map[spoolsill.Sequence]Entry
+}
+
+// Add keeps entries of an epoch. It reports false, and keeps none, when a
+// later epoch is known or there are too many. Entries of earlier epochs are
+// dropped.
+func (c *Copies) Add(epoch spoolsill.Epoch, entries []Entry) bool {
+	if epoch < c.epoch || len(c.entries)+len(entries) > MaxCopies {
+		return false
+	}
+	c.Fence(epoch)
+	for n, e := range c.entries {
+		if e.Epoch < epoch {
+			delete(c.entries, n)
+		}
+	}
+	if c.entries == nil {
+		c.entries = map[spoolsill.Sequence]Entry{}
+	}
+	for _, e := range entries {
+		c.entries[e.Sequence] = e
+	}
+	return true
+}
+
+// Fence refuses all further copies of epochs before one.
+func (c *Copies) Fence(epoch spoolsill.Epoch) {
+	if epoch > c.epoch {
+		c.epoch = epoch
+	}
+}
+
+// Drop forgets the entries that stand in the table.
+func (c *Copies) Drop(stored spoolsill.Sequence) {
+	for s := range c.entries {
+		if s <= stored {
+			delete(c.entries, s)
+		}
+	}
+}
+
+// Len returns the number of entries kept.
+func (c *Copies) Len() int {
+	return len(c.entries)
+}
+
+// After returns the kept entries that follow on sequence s without a gap.
+func (c *Copies) After(s spoolsill.Sequence) []Entry {
+	all := make([]Entry, 0, len(c.entries))
+	for _, e := range c.entries {
+		all = append(all, e)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		return all[i].Sequence < all[j].Sequence
+	})
+	var out []Entry
+	for _, e := range all {
+		if e.Sequence == s+1 {
+			out = append(out, e)
+			s++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,15 @@
+// Package peer carries calls between the processes of a cell: TCP connections
+// with frames of msgpack, many calls at once on one connection.
+//
+// A [Node] listens for calls and makes them. One side registers a method with
+// [Handle], the other one calls it with [Call]; both name the types of request
+// and reply. Every frame carries the sender's stamp of the hybrid logical
+// clock, so that events keep their order over all processes.
+//
+// What a failed call tells is kept apart, since a caller may act on it:
+// [ErrUnreachable] says that the call was never sent, [ErrLost] that it may
+// have been received, and a [*RemoteError] that the other side answered no.
+//
+// A frame that is too long, or that is no message, ends its connection and is
+// reported; nothing else is affected.
+package peer
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/timeline"
+)
+
+// MaxFrame is the length in bytes of the longest frame that is accepted.
+const MaxFrame = 8 << 20
+
+const headerLength = 4
+
+// ErrFrame is returned for a frame that is too long or no message.
+var ErrFrame = errors.New("peer: bad frame")
+
+type messageKind uint8
+
+const (
+	messageCall messageKind = iota + 1
+	messageReply
+	messageError
+)
+
+type message struct {
+	Kind        messageKind           `msgpack:"k"`
+	ID          uint64                `msgpack:"i"`
+	Method      string                `msgpack:"m,omitempty"`
+	From        spoolsill.HostID      `msgpack:"f,omitempty"`
+	Incarnation spoolsill.Incarnation `msgpack:"n,omitempty"`
+	Stamp       timeline.Stamp        `msgpack:"s"`
+	Body        msgpack.RawMessage    `msgpack:"b,omitempty"`
+	Code        Code                  `msgpack:"c,omitempty"`
+	Text        string                `msgpack:"t,omitempty"`
+}
+
+func writeMessage(w io.Writer, m *message) error {
+	body, err := msgpack.Marshal(m)
+	if err != nil {
+		return err
+	}
+	if len(body) > MaxFrame {
+		return fmt.Errorf("%w: %d bytes, at most %d", ErrFrame, len(body), MaxFrame)
+	}
+	frame := make([]byte, headerLength, headerLength+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	_, err = w.Write(append(frame, body...))
+	return err
+}
+
+func readMessage(r io.Reader) (*message, error) {
+	var header [headerLength]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(header[:])
+	if n == 0 || n > MaxFrame {
+		return nil, fmt.Errorf("%w: length %d, want 1 to %d", ErrFrame, n, MaxFrame)
+	}
+	body, err := readBody(r, int(n))
+	if err != nil {
+		return nil, err
+	}
+	var m message
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	if m.Kind < messageCall || m.Kind > messageError {
+		return nil, fmt.Errorf("%w: kind %d", ErrFrame, m.Kind)
+	}
+	return &m, nil
+}
+
+// readBody reads n bytes. It allocates as the bytes come, so that a header
+// alone can't claim memory.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	const step = 64 << 10
+	body := make([]byte, 0, min(n, step))
+	for len(body) < n {
+		l := len(body)
+		body = append(body, make([]byte, min(n-l, step))...)
+		if _, err := io.ReadFull(r, body[l:]); err != nil {
+			return nil, io.ErrUnexpectedEOF
+		}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// A link makes the calls to one host over one connection, which is opened
+// when it is needed.
+type link struct {
+	node    *Node
+	host    spoolsill.HostID
+	address string
+
+	dialing sync.Mutex // held while a connection is opened
+	mu      sync.Mutex
+	conn    *connWriter
+	waiting map[uint64]chan *message
+}
+
+func (l *link) call(ctx context.Context, method string, body []byte) (*message, error) {
+	w, err := l.open(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, l.host, err)
+	}
+	id := l.node.ids.Add(1)
+	reply := l.expect(w, id)
+	if reply == nil {
+		return nil, fmt.Errorf("%w: %s: connection closed", ErrUnreachable, l.host)
+	}
+	defer l.forget(id)
+	err = w.write(&message{
+		Kind:   messageCall,
+		ID:     id,
+		Method: method,
+		Body:   body,
+	})
+	if err != nil {
+		l.drop(w)
+		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, err)
+	}
+	select {
+	case m, ok := <-reply:
+		if !ok {
+			return nil, fmt.Errorf("%w: %s: connection closed", ErrLost, l.host)
+		}
+		return m, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, ctx.Err())
+	}
+}
+
+// open returns the connection, and opens it first when there is none.
+func (l *link) open(ctx context.Context) (*connWriter, error) {
+	if w := l.current(); w != nil {
+		return w, nil
+	}
+	l.dialing.Lock()
+	defer l.dialing.Unlock()
+	if w := l.current(); w != nil {
+		return w, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, DefaultDialTimeout)
+	defer cancel()
+	c, err := l.node.config.Dial(ctx, l.address)
+	if err != nil {
+		return nil, err
+	}
+	w := &connWriter{
+		node: l.node,
+		conn: c,
+	}
+	l.mu.Lock()
+	l.conn = w
+	l.waiting = map[uint64]chan *message{}
+	l.mu.Unlock()
+	go l.read(w)
+	return w, nil
+}
+
+func (l *link) current() *connWriter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// expect returns the channel for the reply to a call, or nil when w is no
+// longer the connection.
+func (l *link) expect(w *connWriter, id uint64) chan *message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != w {
+		return nil
+	}
+	c := make(chan *message, 1)
+	l.waiting[id] = c
+	return c
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, id)
+}
+
+func (l *link) read(w *connWriter) {
+	r := bufio.NewReader(&countingReader{
+		node: l.node,
+		from: w.conn,
+	})
+	for {
+		m, err := readMessage(r)
+		if err != nil {
+			l.node.reportRead(w.conn, err)
+			l.drop(w)
+			return
+		}
+		l.node.config.Clock.Observe(m.Stamp)
+		l.deliver(w, m)
+	}
+}
+
+func (l *link) deliver(w *connWriter, m *message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != w {
+		return
+	}
+	c, ok := l.waiting[m.ID]
+	if !ok {
+		return
+	}
+	delete(l.waiting, m.ID)
+	c <- m
+}
+
+// drop closes w and tells all who wait on it.
+func (l *link) drop(w *connWriter) {
+	_ = w.conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != w {
+		return
+	}
+	l.conn = nil
+	for _, c := range l.waiting {
+		close(c)
+	}
+	l.waiting = nil
+}
+
+func (l *link) close() {
+	w := l.current()
+	if w == nil {
+		return
+	}
+	l.drop(w)
+}
--- /dev/null
+++ b/place/plan.go
@@ -0,0 +1,340 @@
+package place
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// Verb says what a change does to a task.
+type Verb string
+
+// The verbs of changes.
+const (
+	VerbStart   Verb = "start"
+	VerbQueue   Verb = "queue"
+	VerbPreempt Verb = "preempt"
+	VerbStop    Verb = "stop"
+	VerbCancel  Verb = "cancel"
+	VerbMove    Verb = "move"
+)
+
+// A Change is one thing that a plan would do.
+type Change struct {
+	Verb   Verb               `json:"verb"             msgpack:"v"`
+	Task   string             `json:"task"             msgpack:"t"`
+	Worker spoolsill.WorkerID `json:"worker,omitempty" msgpack:"w"`
+	Why    string             `json:"why,omitempty"    msgpack:"y"`
+}
+
+// Totals are the amounts that a plan shows before and after.
+type Totals struct {
+	Capacity  spoolsill.Resources `json:"capacity"   msgpack:"c"`
+	Free      spoolsill.Resources `json:"free"       msgpack:"f"`
+	TeamUsed  spoolsill.Resources `json:"team_used"  msgpack:"u"`
+	TeamQuota spoolsill.Resources `json:"team_quota" msgpack:"q"`
+	Queued    int                 `json:"queued"     msgpack:"n"`
+}
+
+// A Plan is exactly what confirming it would change.
+type Plan struct {
+	Changes []Change
+	Before  Totals
+	After   Totals
+	// Records bring the plan about.
+	Records []Record
+}
+
+// A StaleError says why a plan no longer holds.
+type StaleError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return "plan is stale: " + e.Text
+}
+
+func stale(format string, args ...any) *StaleError {
+	return &StaleError{
+		Text: fmt.Sprintf(format, args...),
+	}
+}
+
+// PlanSubmit returns what submitting a job would change. It changes nothing.
+// Cost: O(tasks + waiting jobs) for the copy that it tries the job on.
+func (s *State) PlanSubmit(now time.Time, j spoolsill.Job) (Plan, error) {
+	if _, ok := s.jobs[j.ID]; ok {
+		return Plan{}, stale("job %s is known already", j.ID)
+	}
+	c := s.Clone()
+	p := Plan{
+		Before: c.totals(j.Team),
+	}
+	r := Record{
+		Kind: JobAdded,
+		At:   now.UnixMicro(),
+		Job:  &j,
+	}
+	mustApply(c, r)
+	p.Records = append(p.Records, r)
+	p.Records = append(p.Records, c.startJob(j.ID, now)...)
+	p.After = c.totals(j.Team)
+	p.Changes = c.changes(p.Records, j.ID)
+	return p, nil
+}
+
+// startJob starts what it can of one job alone.
+func (s *State) startJob(id spoolsill.JobID, now time.Time) []Record {
+	d := decider{
+		state: s,
+		now:   now,
+	}
+	j := s.jobs[id]
+	for j.inQueue && d.start(j) {
+	}
+	return d.records
+}
+
+// PlanCancel returns what cancelling jobs would change. It changes nothing.
+func (s *State) PlanCancel(now time.Time, ids []spoolsill.JobID) (Plan, error) {
+	for _, id := range ids {
+		if _, ok := s.jobs[id]; !ok {
+			return Plan{}, stale("job %s is not known in this hall", id)
+		}
+	}
+	c := s.Clone()
+	var t spoolsill.TeamID
+	if len(ids) > 0 {
+		t = s.jobs[ids[0]].spec.Team
+	}
+	p := Plan{
+		Before: c.totals(t),
+	}
+	p.Records = c.Cancel(now, ids)
+	p.After = c.totals(t)
+	p.Changes = c.changes(p.Records, "")
+	return p, nil
+}
+
+// PlanDrain returns what draining a worker would change. It changes nothing.
+func (s *State) PlanDrain(now time.Time, id spoolsill.WorkerID) (Plan, error) {
+	if _, ok := s.workers[id]; !ok {
+		return Plan{}, stale("worker %s is not known in this hall", id)
+	}
+	c := s.Clone()
+	p := Plan{
+		Before: c.totals(""),
+	}
+	p.Records = c.DrainWorker(now, id)
+	p.After = c.totals("")
+	p.Changes = c.changes(p.Records, "")
+	return p, nil
+}
+
+// Confirm applies a plan as it was shown, or changes nothing and returns a
+// [*StaleError]. A plan confirmed before is applied no second time.
+func (s *State) Confirm(now time.Time, id spoolsill.PlanID, p Plan) ([]Record, error) {
+	if s.plans.has(id) {
+		return nil, nil
+	}
+	if err := s.stillHolds(now, p); err != nil {
+		return nil, err
+	}
+	records := make([]Record, 0, len(p.Records)+1)
+	for _, r := range p.Records {
+		r.At = now.UnixMicro()
+		mustApply(s, r)
+		records = append(records, r)
+	}
+	r := Record{
+		Kind: PlanApplied,
+		At:   now.UnixMicro(),
+		Plan: id,
+	}
+	mustApply(s, r)
+	return append(records, r), nil
+}
+
+// Confirmed reports whether a plan was confirmed, as far back as is kept.
+func (s *State) Confirmed(id spoolsill.PlanID) bool {
+	return s.plans.has(id)
+}
+
+// stillHolds reports why the records of a plan can't all be applied as they
+// were shown.
+func (s *State) stillHolds(now time.Time, p Plan) error {
+	var job *spoolsill.Job
+	need := map[spoolsill.WorkerID]spoolsill.Resources{}
+	for _, r := range p.Records {
+		switch r.Kind {
+		case JobAdded:
+			job = r.Job
+			if _, ok := s.jobs[job.ID]; ok {
+				return stale("job %s was added by another plan", job.ID)
+			}
+		case TaskPlaced:
+			need[r.Worker] = need[r.Worker].Add(job.Shape)
+		case JobCancelled:
+			if j := s.jobs[r.Task.Job]; j == nil || j.cancelled || !j.finished.IsZero() {
+				return stale("job %s has ended", r.Task.Job)
+			}
+		case TaskStopping, TaskCheckpointing:
+			if err := s.stillHeld(r); err != nil {
+				return err
+			}
+		}
+	}
+	if err := s.nothingNew(p); err != nil {
+		return err
+	}
+	return s.stillFree(now, job, need)
+}
+
+// nothingNew reports a task that a cancelled job got since the plan was made:
+// the plan did not show that it would be stopped.
+func (s *State) nothingNew(p Plan) error {
+	shown := map[spoolsill.TaskID]bool{}
+	for _, r := range p.Records {
+		shown[r.Task] = true
+	}
+	for _, r := range p.Records {
+		if r.Kind != JobCancelled {
+			continue
+		}
+		for i := range s.jobs[r.Task.Job].tasks {
+			t := &s.jobs[r.Task.Job].tasks[i]
+			if t.state.Holds() && t.state != spoolsill.TaskStopping && !shown[t.id] {
+				return stale("task %s has started since", t.id)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *State) stillHeld(r Record) error {
+	t := s.task(r.Task)
+	if t == nil || t.worker == nil || t.worker.ID != r.Worker || t.attempt != r.Attempt {
+		return stale("task %s is no longer on worker %s", r.Task, r.Worker)
+	}
+	if t.state == spoolsill.TaskStopping {
+		return stale("task %s is being stopped already", r.Task)
+	}
+	return nil
+}
+
+func (s *State) stillFree(now time.Time, j *spoolsill.Job, need map[spoolsill.WorkerID]spoolsill.Resources) error {
+	var sum spoolsill.Resources
+	for id, n := range need {
+		sum = sum.Add(n)
+		w, ok := s.workers[id]
+		if !ok || !w.known || w.Leaving || w.silent || !w.health.takes(w, now) {
+			return stale("worker %s takes no new work any more", id)
+		}
+		if !n.Fits(w.free.Sub(w.promised)) {
+			return stale("worker %s has no room for %s any more", id, n)
+		}
+	}
+	if j == nil || sum.IsZero() || j.Class == spoolsill.Patient {
+		return nil
+	}
+	t := s.team(j.Team)
+	if t.limited && !sum.Fits(t.quota.Sub(t.used)) {
+		return stale("the quota of team %s has only %s left", j.Team, t.quota.Sub(t.used))
+	}
+	return nil
+}
+
+func (s *State) totals(id spoolsill.TeamID) Totals {
+	t := Totals{
+		Capacity: s.total,
+		Free:     s.Free(),
+	}
+	if x, ok := s.teams[id]; ok {
+		t.TeamUsed = x.used
+		t.TeamQuota = x.quota
+	}
+	for _, x := range s.active {
+		for c := range x.queues {
+			for _, j := range x.queues[c].jobs {
+				t.Queued += len(j.pending)
+			}
+		}
+	}
+	return t
+}
+
+var verbs = map[RecordKind]Verb{
+	TaskPlaced:        VerbStart,
+	TaskStopping:      VerbStop,
+	TaskCheckpointing: VerbPreempt,
+	JobCancelled:      VerbCancel,
+}
+
+// changes puts records into words; the tasks of a job that stay queued come
+// last.
+func (s *State) changes(records []Record, id spoolsill.JobID) []Change {
+	out := []Change{}
+	for _, r := range records {
+		v, ok := verbs[r.Kind]
+		if !ok {
+			continue
+		}
+		c := Change{
+			Verb:   v,
+			Task:   r.Task.String(),
+			Worker: r.Worker,
+			Why:    r.Cause.String(),
+		}
+		if r.Kind == JobCancelled {
+			c.Task = string(r.Task.Job)
+		}
+		if r.Cause == CauseDrained {
+			c.Verb = VerbMove
+		}
+		out = append(out, c)
+	}
+	j, ok := s.jobs[id]
+	if !ok {
+		return out
+	}
+	for i := range j.tasks {
+		if j.tasks[i].state.Holds() {
+			continue
+		}
+		out = append(out, Change{
+			Verb: VerbQueue,
+			Task: j.tasks[i].id.String(),
+			Why:  j.why.text(j.spec),
+		})
+	}
+	return out
+}
+
+// planRing remembers the newest confirmed plans.
+type planRing struct {
+	known map[spoolsill.PlanID]bool
+	order []spoolsill.PlanID
+}
+
+const keptPlans = 4096
+
+func (p *planRing) add(id spoolsill.PlanID) {
+	if p.known == nil {
+		p.known = map[spoolsill.PlanID]bool{}
+	}
+	if p.known[id] {
+		return
+	}
+	p.known[id] = true
+	p.order = append(p.order, id)
+	if len(p.order) > keptPlans {
+		delete(p.known, p.order[0])
+		p.order = p.order[1:]
+	}
+}
+
+func (p *planRing) has(id spoolsill.PlanID) bool {
+	return p.known[id]
+}
--- /dev/null
+++ b/route/heap.go
@@ -0,0 +1,72 @@
+package route
+
+// A heap orders items by one of several orders. Every item knows its place in
+// each, so that it can be removed from all of them.
+type heap struct {
+	order int
+	less  func(a, b *item) bool
+	items []*item
+}
+
+func (h *heap) len() int {
+	return len(h.items)
+}
+
+func (h *heap) first() *item {
+	if len(h.items) == 0 {
+		return nil
+	}
+	return h.items[0]
+}
+
+func (h *heap) push(x *item) {
+	x.at[h.order] = len(h.items)
+	h.items = append(h.items, x)
+	h.up(len(h.items) - 1)
+}
+
+func (h *heap) remove(x *item) {
+	i := x.at[h.order]
+	last := len(h.items) - 1
+	h.swap(i, last)
+	h.items[last] = nil
+	h.items = h.items[:last]
+	if i < last {
+		h.down(i)
+		h.up(i)
+	}
+}
+
+func (h *heap) up(i int) {
+	for i > 0 {
+		p := (i - 1) / 2
+		if !h.less(h.items[i], h.items[p]) {
+			return
+		}
+		h.swap(i, p)
+		i = p
+	}
+}
+
+func (h *heap) down(i int) {
+	for {
+		c := 2*i + 1
+		if c >= len(h.items) {
+			return
+		}
+		if c+1 < len(h.items) && h.less(h.items[c+1], h.items[c]) {
+			c++
+		}
+		if !h.less(h.items[c], h.items[i]) {
+			return
+		}
+		h.swap(i, c)
+		i = c
+	}
+}
+
+func (h *heap) swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].at[h.order] = i
+	h.items[j].at[h.order] = j
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"fmt"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+const nameAllowed = "1 to 63 of a-z, 0-9 and -"
+
+// A checker finds the first value that can't work.
+type checker struct {
+	file string
+	text []byte
+	err  error
+}
+
+func (c *checker) need(ok bool, key string, value any, allowed string) {
+	if ok || c.err != nil {
+		return
+	}
+	c.err = &Error{
+		File: c.file,
+		Line: lineOf(c.text, key),
+		Key:  key,
+		Text: fmt.Sprintf("%v is not allowed: want %s", quoted(value), allowed),
+	}
+}
+
+func quoted(v any) string {
+	switch x := v.(type) {
+	case Duration:
+		return time.Duration(x).String()
+	case int, int64:
+		return fmt.Sprint(x)
+	default:
+		return fmt.Sprintf("%q", fmt.Sprint(x))
+	}
+}
+
+func (c *checker) check(s Settings) {
+	c.name("host.id", string(s.Host.ID))
+	c.address("host.http", s.Host.HTTP)
+	c.address("host.peer", s.Host.Peer)
+	c.between("host.drain_delay", s.Host.DrainDelay, 0, time.Minute)
+	c.between("host.stop_within", s.Host.StopWithin, time.Second, 10*time.Minute)
+	u, err := url.Parse(s.Platform.URL)
+	c.need(err == nil && u.Scheme == "http" && IsAddress(u.Host), "platform.url", s.Platform.URL, "http:// with an IP number and port")
+	c.between("platform.timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute)
+	c.count("platform.reads_per_second", s.Platform.Reads, 1, 10_000)
+	c.count("platform.writes_per_second", s.Platform.Writes, 1, 10_000)
+	c.between("lease.hall", s.Lease.Hall, 500*time.Millisecond, time.Minute)
+	c.between("lease.task", s.Lease.Task, time.Second, 10*time.Minute)
+	_, err = logrus.ParseLevel(s.Log.Level)
+	c.need(err == nil, "log.level", s.Log.Level, "debug, info, warn or error")
+	c.halls(s)
+	c.services(s.Services)
+}
+
+func (c *checker) name(key, v string) {
+	c.need(namePattern.MatchString(v), key, v, nameAllowed)
+}
+
+func (c *checker) address(key, v string) {
+	c.need(IsAddress(v), key, v, "an IP number and port, as in 127.0.0.1:7001")
+}
+
+func (c *checker) between(key string, v Duration, low, high time.Duration) {
+	d := time.Duration(v)
+	c.need(d >= low && d <= high, key, v, fmt.Sprintf("%s to %s", low, high))
+}
+
+func (c *checker) count(key string, v, low, high int) {
+	c.need(v >= low && v <= high, key, v, fmt.Sprintf("%d to %d", low, high))
+}
+
+// maxHosts is the largest number of entry hosts of a hall.
+const maxHosts = 3
+
+func (c *checker) halls(s Settings) {
+	halls := map[spoolsill.HallID]bool{}
+	hosts := map[spoolsill.HostID]bool{}
+	for i, h := range s.Halls {
+		key := fmt.Sprintf("hall[%d]", i)
+		c.name(key+".id", string(h.ID))
+		c.need(!halls[h.ID], key+".id", h.ID, "a hall that is listed once")
+		c.count(key+".host", len(h.Hosts), 1, maxHosts)
+		halls[h.ID] = true
+		for j, p := range h.Hosts {
+			key := fmt.Sprintf("hall[%d].host[%d]", i, j)
+			c.name(key+".id", string(p.ID))
+			c.need(!hosts[p.ID], key+".id", p.ID, "a host that is listed once")
+			c.address(key+".peer", p.Peer)
+			c.address(key+".http", p.HTTP)
+			hosts[p.ID] = true
+		}
+	}
+	c.need(hosts[s.Host.ID], "host.id", s.Host.ID, "one of the hosts listed under hall")
+}
+
+func (c *checker) services(list []Service) {
+	seen := map[spoolsill.ServiceID]bool{}
+	c.need(len(list) > 0, "service", "none", "at least one service")
+	for i, v := range list {
+		key := fmt.Sprintf("service[%d]", i)
+		c.name(key+".id", string(v.ID))
+		c.need(!seen[v.ID], key+".id", v.ID, "a service that is listed once")
+		c.count(key+".slots", v.Slots, 1, 1024)
+		c.count(key+".connections", v.Connections, v.Slots, 10_000)
+		c.between(key+".slot_lifetime", v.SlotLifetime, 100*time.Millisecond, time.Hour)
+		c.count(key+".max_body_bytes", int(v.MaxBody), 1, 1<<30)
+		c.count(key+".max_answer_bytes", int(v.MaxAnswer), 1, 1<<30)
+		c.count(key+".queue", v.Queue, 1, 1_000_000)
+		seen[v.ID] = true
+	}
+}
+
+// lineOf returns the line on which a key such as "hall[1].host[0].id" is set,
+// or the line of its table, or 0.
+func lineOf(text []byte, key string) int {
+	at := strings.LastIndexByte(key, '.')
+	if at < 0 {
+		return 0
+	}
+	section, name := key[:at], key[at+1:]
+	counts := map[string]int{}
+	current, line := "", 0
+	for i, l := range strings.Split(string(text), "\n") {
+		l = strings.TrimSpace(l)
+		if strings.HasPrefix(l, "[") {
+			current = sectionName(l, counts)
+			if current == section {
+				line = i + 1
+			}
+			continue
+		}
+		k, _, ok := strings.Cut(l, "=")
+		if ok && current == section && strings.TrimSpace(k) == name {
+			return i + 1
+		}
+	}
+	return line
+}
+
+// sectionName returns a table header with the indexes of its arrays.
+func sectionName(header string, counts map[string]int) string {
+	name := strings.Trim(strings.Fields(header)[0], "[]")
+	if !strings.HasPrefix(header, "[[") {
+		return name
+	}
+	parts := strings.Split(name, ".")
+	path := ""
+	for i, p := range parts {
+		if path != "" {
+			path += "."
+		}
+		path += p
+		if i == len(parts)-1 {
+			counts[path]++
+		}
+		path = fmt.Sprintf("%s[%d]", path, max(counts[path]-1, 0))
+	}
+	return path
+}
--- /dev/null
+++ b/timeline/ring.go
@@ -0,0 +1,93 @@
+package timeline
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// DefaultSize is the number of events that a ring keeps by default.
+const DefaultSize = 8192
+
+// A Config describes a [Ring].
+type Config struct {
+	Host  spoolsill.HostID
+	Hall  spoolsill.HallID
+	Clock *Clock
+	// Size is the number of events kept; 0 means DefaultSize.
+	Size int
+}
+
+// A Ring keeps the newest events of one process. It is safe for concurrent
+// use.
+type Ring struct {
+	config Config
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+}
+
+// NewRing returns an empty ring.
+func NewRing(c Config) *Ring {
+	if c.Size <= 0 {
+		c.Size = DefaultSize
+	}
+	if c.Clock == nil {
+		c.Clock = &Clock{}
+	}
+	return &Ring{
+		config: c,
+	}
+}
+
+// Add stamps e, names the ring's host and hall in it, and keeps it in place
+// of the oldest event.
+func (r *Ring) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.At = r.config.Clock.Tick()
+	e.Host = r.config.Host
+	e.Hall = r.config.Hall
+	if len(r.events) < r.config.Size {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Select returns up to limit of the newest events that f selects, oldest
+// first. A limit of 0 or less returns all.
+func (r *Ring) Select(f Filter, limit int) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := []Event{}
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if f.Match(e) {
+			out = append(out, e)
+		}
+	}
+	if limit > 0 && len(out) > limit {
+		out = out[len(out)-limit:]
+	}
+	return out
+}
+
+// Merge returns the events of several rings in the order of their stamps.
+// Events with equal stamps are ordered by host.
+func Merge(rings ...[]Event) []Event {
+	out := []Event{}
+	for _, r := range rings {
+		out = append(out, r...)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		if c := out[i].At.Compare(out[j].At); c != 0 {
+			return c < 0
+		}
+		return out[i].Host < out[j].Host
+	})
+	return out
+}
