--- a/cmd/spoolsill/main.go
+++ b/cmd/spoolsill/main.go
@@ -24,6 +24,10 @@
 }
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	var f flags
 	k := kong.Parse(&f, kong.Name("spoolsill"))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -31,8 +35,9 @@
 	k.BindTo(ctx, (*context.Context)(nil))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "spoolsill:", err)
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 // Run runs the demo.
--- a/entry/cell.go
+++ b/entry/cell.go
@@ -104,11 +104,11 @@
 		return wireAnswer{}, badInput(fmt.Errorf("hall %q is not known", q.Hall))
 	}
 	q.Hops++
-	err := error(peer.ErrUnreachable)
+	var err = peer.ErrUnreachable
 	for _, p := range x.IDs() {
 		var a wireAnswer
 		a, err = peer.Call[wireAnswer](ctx, h.node, p, methodCell, q)
-		if err == nil || !(errors.Is(err, peer.ErrUnreachable) || peer.IsCode(err, codeNotHolder)) {
+		if !errors.Is(err, peer.ErrUnreachable) && !peer.IsCode(err, codeNotHolder) {
 			return a, err
 		}
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -192,6 +192,7 @@
 			Peers:    (*slotPeers)(h),
 			Events:   h.ring,
 			Saw:      h.sawRunner,
+			Leaves:   h.runnerLeaves,
 		}),
 	}
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -135,3 +135,15 @@
 	defer h.mu.Unlock()
 	h.view.Saw(string(id), answered)
 }
+
+// runnerLeaves takes in a runner's own word that it is leaving. The hall's
+// other hosts learn of it with the next heartbeat.
+func (h *Host) runnerLeaves(id spoolsill.RunnerID) {
+	h.mu.Lock()
+	news := h.view.SetLeaving(time.Now(), string(id))
+	h.mu.Unlock()
+	if news {
+		h.event(timeline.KindMembership, "runner "+string(id)+" says that it is leaving")
+		h.applyMembers()
+	}
+}
--- a/entry/operate.go
+++ b/entry/operate.go
@@ -336,7 +336,6 @@
 // getHosts asks every host of the cell for its status.
 func (h *Host) getHosts(w http.ResponseWriter, q *http.Request) {
 	type result struct {
-		id  spoolsill.HostID
 		s   api.Host
 		err error
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -135,10 +135,9 @@
 		return unknown(route.CauseClaimed)
 	}
 	p := h.route(ctx, s, c)
-	switch {
-	case p.Outcome == spoolsill.NotRun:
+	if p.Outcome == spoolsill.NotRun {
 		h.giveUp(ctx, k)
-	default:
+	} else {
 		go h.tell(ctx, k, claim.Answer{
 			Outcome: p.Outcome,
 			Status:  p.Answer.Status,
--- a/holder/call.go
+++ b/holder/call.go
@@ -104,8 +104,11 @@
 	p, err := t.book.Take(time.Now(), id)
 	known := t.ready && t.state.Confirmed(id)
 	t.mu.Unlock()
-	if err != nil || known {
-		return nil // confirm says what there is to say
+	if known {
+		return nil
+	}
+	if err != nil {
+		return err
 	}
 	for _, r := range p.Records {
 		if r.Kind == place.JobAdded {
--- a/holder/driver.go
+++ b/holder/driver.go
@@ -151,7 +151,7 @@
 			Text:   "worker does not answer",
 		})
 	}
-	if d.fails < silentAfter || !(d.lapsed() || d.t.h.config.Break.Lapse) {
+	if d.fails < silentAfter || (!d.lapsed() && !d.t.h.config.Break.Lapse) {
 		return
 	}
 	for _, h := range d.t.state.Holds(d.id) {
--- a/internal/demo/cell.go
+++ b/internal/demo/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -235,7 +236,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("hosts are not ready: %v", err)
+			return fmt.Errorf("hosts are not ready: %w", errors.Join(ctx.Err(), err))
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -89,6 +89,9 @@
 	r.begun.Add(1)
 	r.count(n)
 	r.config.Truth.Ran(k)
+	if r.isLeaving() {
+		w.Header().Set(upstream.HeaderLeaving, "true")
+	}
 	if r.failing() {
 		http.Error(w, "runner fails", http.StatusInternalServerError)
 		return
@@ -113,6 +116,12 @@
 	}
 }
 
+func (r *Runner) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.leaving.IsZero()
+}
+
 func (r *Runner) failing() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/place/apply.go
+++ b/place/apply.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -249,7 +250,7 @@
 			t.job.pending = p[1:]
 			return
 		}
-		t.job.pending = append(p[:i:i], p[i+1:]...)
+		t.job.pending = slices.Delete(p, i, i+1)
 		return
 	}
 	s.undelay(t)
--- a/route/state.go
+++ b/route/state.go
@@ -44,7 +44,6 @@
 	turn     float64                        // the turn of the request dispatched last
 	arrived  uint64
 	next     int // where the search for a runner starts
-	free     int // own free slots, over all runners
 	credit   float64
 	load     load
 	loans    loans
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,8 @@
 	Events   *timeline.Ring
 	// Saw is told whether a runner answered; nil drops it.
 	Saw func(r spoolsill.RunnerID, answered bool)
+	// Leaves is told that a runner says it is leaving; nil drops it.
+	Leaves func(r spoolsill.RunnerID)
 }
 
 // A Call is a request with what goes to the runner.
@@ -74,6 +76,9 @@
 	if c.Saw == nil {
 		c.Saw = func(spoolsill.RunnerID, bool) {}
 	}
+	if c.Leaves == nil {
+		c.Leaves = func(spoolsill.RunnerID) {}
+	}
 	return &Router{
 		config:    c,
 		due:       make(chan struct{}, 1),
@@ -400,6 +405,9 @@
 		Until:   a.Until,
 	})
 	r.config.Saw(a.Runner, err == nil)
+	if p.Leaving {
+		r.config.Leaves(a.Runner)
+	}
 	switch {
 	case errors.Is(err, upstream.ErrRefused):
 		return p, route.Refused
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,6 +21,9 @@
 // became of a request.
 const HeaderOutcome = "Spoolsill-Outcome"
 
+// HeaderLeaving is the header in which a runner says that it is leaving.
+const HeaderLeaving = "Spoolsill-Leaving"
+
 // HeaderKey is the header that carries the request key.
 const HeaderKey = "Spoolsill-Key"
 
@@ -61,6 +64,8 @@
 	Status int
 	Type   string
 	Body   []byte
+	// Leaving says that the runner wants no further requests.
+	Leaving bool
 }
 
 // A Client sends requests to runners. It is safe for concurrent use.
@@ -156,9 +161,10 @@
 		return Answer{}, fmt.Errorf("%w: by the runner: status %d", ErrRefused, r.StatusCode)
 	}
 	return Answer{
-		Status: r.StatusCode,
-		Type:   r.Header.Get("Content-Type"),
-		Body:   b,
+		Status:  r.StatusCode,
+		Type:    r.Header.Get("Content-Type"),
+		Body:    b,
+		Leaving: r.Header.Get(HeaderLeaving) == "true",
 	}, nil
 }
 
