place: differential tests against plain scans, and what they found

Cause: nothing checked the decisions. Rapid sequences against internal/naive found a gang task placed where it had failed (it looked only at the first task's list), and a task left waiting behind one that avoids the only free worker; focused tests found a reservation whose time slips with wrong run times, a promise of room on a reserved worker, and a cancel plan that did not notice a task started since.

--- /dev/null
+++ b/internal/naive/ledger.go
@@ -0,0 +1,237 @@
+package naive
+
+import (
+	"fmt"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/place"
+)
+
+// A Ledger checks the records of package place, one after another, by adding
+// everything up anew each time.
+type Ledger struct {
+	workers map[spoolsill.WorkerID]spoolsill.Worker
+	jobs    map[spoolsill.JobID]spoolsill.Job
+	tasks   map[spoolsill.TaskID]*Task
+	stopped map[spoolsill.JobID]bool
+}
+
+// A Task is what the ledger knows of one task.
+type Task struct {
+	State   spoolsill.TaskState
+	Worker  spoolsill.WorkerID
+	Attempt spoolsill.Attempt
+	Ran     bool // a start was confirmed
+	Ready   int64
+	Avoid   map[spoolsill.WorkerID]bool
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		workers: map[spoolsill.WorkerID]spoolsill.Worker{},
+		jobs:    map[spoolsill.JobID]spoolsill.Job{},
+		tasks:   map[spoolsill.TaskID]*Task{},
+		stopped: map[spoolsill.JobID]bool{},
+	}
+}
+
+// SetWorkers takes the list of workers.
+func (l *Ledger) SetWorkers(list []spoolsill.Worker) {
+	l.workers = map[spoolsill.WorkerID]spoolsill.Worker{}
+	for _, w := range list {
+		l.workers[w.ID] = w
+	}
+}
+
+// Task returns what is known of a task.
+func (l *Ledger) Task(id spoolsill.TaskID) Task {
+	return *l.tasks[id]
+}
+
+// Tasks returns all tasks.
+func (l *Ledger) Tasks() map[spoolsill.TaskID]*Task {
+	return l.tasks
+}
+
+// Used adds up what the tasks on a worker hold.
+func (l *Ledger) Used(w spoolsill.WorkerID) spoolsill.Resources {
+	var sum spoolsill.Resources
+	for id, t := range l.tasks {
+		if t.State.Holds() && t.Worker == w {
+			sum = sum.Add(l.jobs[id.Job].Shape)
+		}
+	}
+	return sum
+}
+
+// TeamUsed adds up what the tasks of a team hold.
+func (l *Ledger) TeamUsed(team spoolsill.TeamID) spoolsill.Resources {
+	var sum spoolsill.Resources
+	for id, t := range l.tasks {
+		if t.State.Holds() && l.jobs[id.Job].Team == team {
+			sum = sum.Add(l.jobs[id.Job].Shape)
+		}
+	}
+	return sum
+}
+
+// Apply takes in the records of one decision and returns the first thing that
+// must not be.
+func (l *Ledger) Apply(records []place.Record) error {
+	gangs := map[spoolsill.JobID]bool{}
+	for _, r := range records {
+		if err := l.apply(r); err != nil {
+			return err
+		}
+		if r.Kind == place.TaskPlaced && l.jobs[r.Task.Job].Kind == spoolsill.Gang {
+			gangs[r.Task.Job] = true
+		}
+	}
+	for id := range gangs {
+		if err := l.checkGang(id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) apply(r place.Record) error {
+	switch r.Kind {
+	case place.JobAdded:
+		l.jobs[r.Job.ID] = *r.Job
+		for i := range r.Job.Tasks {
+			l.tasks[spoolsill.TaskID{
+				Job:   r.Job.ID,
+				Index: i,
+			}] = &Task{
+				State: spoolsill.TaskQueued,
+				Avoid: map[spoolsill.WorkerID]bool{},
+			}
+		}
+		return nil
+	case place.JobCancelled:
+		l.cancel(r.Task.Job)
+		return nil
+	case place.PlanApplied, place.Learned:
+		return nil
+	default:
+		return l.applyTask(r)
+	}
+}
+
+func (l *Ledger) cancel(id spoolsill.JobID) {
+	l.stopped[id] = true
+	for tid, t := range l.tasks {
+		if tid.Job == id && t.State == spoolsill.TaskQueued {
+			t.State = spoolsill.TaskCancelled
+		}
+	}
+}
+
+func (l *Ledger) applyTask(r place.Record) error {
+	t := l.tasks[r.Task]
+	if t == nil {
+		return fmt.Errorf("%s: no such task", r.Task)
+	}
+	if t.State.Final() {
+		return fmt.Errorf("%s: is %s and changes", r.Task, t.State)
+	}
+	j := l.jobs[r.Task.Job]
+	switch r.Kind {
+	case place.TaskPlaced:
+		return l.place(r, t, j)
+	case place.TaskRunning:
+		t.State = spoolsill.TaskRunning
+		t.Ran = true
+	case place.TaskCheckpointing:
+		if j.Unrepeatable || j.Kind == spoolsill.Gang && r.Cause == place.CausePreempted {
+			return fmt.Errorf("%s: must not be preempted", r.Task)
+		}
+		t.State = spoolsill.TaskCheckpointing
+	case place.TaskStopping:
+		t.State = spoolsill.TaskStopping
+	case place.TaskRequeued:
+		if j.Unrepeatable && r.Cause != place.CauseRefused {
+			return fmt.Errorf("%s: is unrepeatable, may have run, and waits again", r.Task)
+		}
+		t.State = spoolsill.TaskQueued
+		t.Worker = ""
+		t.Ready = r.Ready
+		if r.Cause == place.CauseFailed || r.Cause == place.CauseRefused {
+			t.Avoid[r.Worker] = true
+		}
+	case place.TaskEnded:
+		t.State = r.State
+		t.Worker = ""
+	}
+	return nil
+}
+
+func (l *Ledger) place(r place.Record, t *Task, j spoolsill.Job) error {
+	w, ok := l.workers[r.Worker]
+	switch {
+	case t.State.Holds():
+		return fmt.Errorf("%s: placed on %s and on %s", r.Task, t.Worker, r.Worker)
+	case l.stopped[r.Task.Job]:
+		return fmt.Errorf("%s: placed after its job was cancelled", r.Task)
+	case !ok:
+		return fmt.Errorf("%s: placed on %s, which is not listed", r.Task, r.Worker)
+	case w.Leaving:
+		return fmt.Errorf("%s: placed on %s, which is leaving", r.Task, r.Worker)
+	case t.Avoid[r.Worker]:
+		return fmt.Errorf("%s: placed on %s, where it failed", r.Task, r.Worker)
+	case r.Attempt != t.Attempt+1:
+		return fmt.Errorf("%s: attempt %d follows %d", r.Task, r.Attempt, t.Attempt)
+	}
+	t.State = spoolsill.TaskPlaced
+	t.Worker = r.Worker
+	t.Attempt = r.Attempt
+	if u := l.Used(r.Worker); !u.Fits(w.Capacity) {
+		return fmt.Errorf("%s: %s is given %s of %s", r.Task, r.Worker, u, w.Capacity)
+	}
+	return nil
+}
+
+// checkGang verifies that no task of a gang waits while another one has a
+// worker.
+func (l *Ledger) checkGang(id spoolsill.JobID) error {
+	waiting, holding := 0, 0
+	for tid, t := range l.tasks {
+		if tid.Job != id {
+			continue
+		}
+		if t.State == spoolsill.TaskQueued {
+			waiting++
+		}
+		if t.State.Holds() {
+			holding++
+		}
+	}
+	if waiting > 0 && holding > 0 {
+		return fmt.Errorf("gang %s: %d tasks have workers, %d wait", id, holding, waiting)
+	}
+	return nil
+}
+
+// Startable returns the waiting tasks of jobs other than gangs that fit on
+// some worker now, by looking at every worker for every task.
+func (l *Ledger) Startable(now int64) []spoolsill.TaskID {
+	free := map[spoolsill.WorkerID]spoolsill.Resources{}
+	for id, w := range l.workers {
+		free[id] = w.Capacity.Sub(l.Used(id))
+	}
+	var out []spoolsill.TaskID
+	for id, t := range l.tasks {
+		if t.State != spoolsill.TaskQueued || t.Ready > now || l.stopped[id.Job] || l.jobs[id.Job].Kind == spoolsill.Gang {
+			continue
+		}
+		for w, f := range free {
+			if !l.workers[w].Leaving && !t.Avoid[w] && l.jobs[id.Job].Shape.Fits(f) {
+				out = append(out, id)
+				break
+			}
+		}
+	}
+	return out
+}
--- a/place/decide.go
+++ b/place/decide.go
@@ -68,11 +68,7 @@
 	if d.startPromised(j) {
 		return true
 	}
-	t := &j.tasks[j.pending[0]]
-	w, y := d.state.pick(t, d.now)
-	j.why = y
-	if w != nil {
-		d.add(d.state.placed(t, w, d.now, CauseFits))
+	if d.startOne(j) {
 		return true
 	}
 	for _, i := range j.pending[:min(len(j.pending), maxRooms)] {
@@ -81,6 +77,25 @@
 	return false
 }
 
+// startOne places the first waiting task of j that fits. Tasks of a job differ
+// only in the workers that they avoid: when one that avoids none does not fit,
+// no other does.
+func (d *decider) startOne(j *job) bool {
+	for _, i := range j.pending[:min(len(j.pending), maxRooms)] {
+		t := &j.tasks[i]
+		w, y := d.state.pick(t, d.now)
+		j.why = y
+		if w != nil {
+			d.add(d.state.placed(t, w, d.now, CauseFits))
+			return true
+		}
+		if len(t.avoid) == 0 {
+			return false
+		}
+	}
+	return false
+}
+
 // startPromised places a task of j whose room has been made.
 func (d *decider) startPromised(j *job) bool {
 	for _, t := range d.state.promised {
--- a/place/gang.go
+++ b/place/gang.go
@@ -45,6 +45,9 @@
 	var open []*worker
 	for _, w := range s.order {
 		o := s.obstacle(tasks[0], w, now)
+		if o == obstacleNone && anyAvoids(tasks, w) {
+			o = obstacleAvoided
+		}
 		counts[o]++
 		if o == obstacleNone {
 			open = append(open, w)
@@ -74,13 +77,24 @@
 	return nil, y
 }
 
+func anyAvoids(tasks []*task, w *worker) bool {
+	for _, t := range tasks {
+		if t.avoids(w) {
+			return true
+		}
+	}
+	return false
+}
+
 // A reserve keeps workers for the oldest waiting gang: others may use them
 // only for work that is expected to end before at.
 type reserve struct {
 	job     *job
 	at      time.Time
 	workers map[*worker]bool
-	freed   uint64
+	// planned is the gang that was planned for last, also when the hall can't
+	// be expected to hold it, and made when.
+	planned *job
 	made    time.Time
 }
 
@@ -115,16 +129,31 @@
 	if j == nil {
 		return
 	}
-	r := &s.reserve
-	if r.job == j && (r.freed == s.freed || now.Sub(r.made) < reserveEvery) && now.Before(r.at) {
+	old := s.reserve
+	if old.planned == j && (s.stands(old, now) || now.Sub(old.made) < reserveEvery) {
 		return
 	}
-	old := r.workers
 	s.reserve = s.planReserve(j, now)
-	if !sameWorkers(old, s.reserve.workers) {
+	s.reserve.planned = j
+	s.reserve.made = now
+	if old.job == j && old.at.Before(s.reserve.at) {
+		s.reserve.at = old.at
+	}
+	if old.job != nil || s.reserve.job != nil {
 		s.freed++
 	}
-	s.reserve.freed = s.freed
+}
+
+// stands reports whether the workers of a reservation still take work. Such a
+// reservation is kept as it is, and so is its time: when run times were
+// declared too short, a later time would let others in again and again.
+func (s *State) stands(r reserve, now time.Time) bool {
+	for w := range r.workers {
+		if !w.known || w.Leaving || w.silent || !w.health.takes(w, now) {
+			return false
+		}
+	}
+	return len(r.workers) > 0
 }
 
 func (s *State) oldestBlockedGang() *job {
@@ -140,18 +169,6 @@
 	return oldest
 }
 
-func sameWorkers(a, b map[*worker]bool) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for w := range a {
-		if !b[w] {
-			return false
-		}
-	}
-	return true
-}
-
 // A departure is the expected end of a task.
 type departure struct {
 	at    time.Time
@@ -190,7 +207,6 @@
 		job:     j,
 		at:      at,
 		workers: s.chosen(j, free),
-		made:    now,
 	}
 }
 
--- a/place/plan.go
+++ b/place/plan.go
@@ -197,7 +197,9 @@
 func (s *State) nothingNew(p Plan) error {
 	shown := map[spoolsill.TaskID]bool{}
 	for _, r := range p.Records {
-		shown[r.Task] = true
+		if r.Kind != JobCancelled {
+			shown[r.Task] = true
+		}
 	}
 	for _, r := range p.Records {
 		if r.Kind != JobCancelled {
--- a/place/preempt.go
+++ b/place/preempt.go
@@ -143,6 +143,7 @@
 	return w.known && !w.Leaving && !w.silent &&
 		w.health.takes(w, d.now) &&
 		!t.avoids(w) &&
+		!d.state.reserve.bars(t.job, w, d.now, d.state.learnt) &&
 		t.job.spec.Shape.Fits(w.Capacity)
 }
 
