route: a request that may have run is never called not run

Change: an item remembers that a dispatch may have run. Tests with two mechanisms switched off (the wait of a new life, the lifetime of a slot) find the slot limit broken.

--- /dev/null
+++ b/internal/seed/fails.go
@@ -0,0 +1,61 @@
+package seed
+
+import (
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Fails reports whether a property fails for some sequence. Tests use it to
+// show that a property does find the fault that a mechanism is for, with the
+// mechanism switched off.
+func Fails(t *testing.T, property func(*rapid.T)) bool {
+	t.Helper()
+	r := &recorder{
+		T: t,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		rapid.Check(r, property)
+	}()
+	<-done
+	return r.failed
+}
+
+// A recorder is a test that takes note of a failure in place of failing.
+type recorder struct {
+	*testing.T
+	failed bool
+}
+
+// Errorf implements rapid.TB.
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+
+// Error implements rapid.TB.
+func (r *recorder) Error(...any) { r.failed = true }
+
+// Fatalf implements rapid.TB.
+func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
+
+// Fatal implements rapid.TB.
+func (r *recorder) Fatal(...any) { r.FailNow() }
+
+// Fail implements rapid.TB.
+func (r *recorder) Fail() { r.failed = true }
+
+// Failed implements rapid.TB.
+func (r *recorder) Failed() bool { return r.failed }
+
+// FailNow implements rapid.TB.
+func (r *recorder) FailNow() {
+	r.failed = true
+	runtime.Goexit()
+}
+
+// Logf implements rapid.TB.
+func (r *recorder) Logf(string, ...any) {}
+
+// Log implements rapid.TB.
+func (r *recorder) Log(...any) {}
--- a/route/dispatch.go
+++ b/route/dispatch.go
@@ -225,6 +225,7 @@
 	if res != Unsent {
 		x.failed = append(x.failed, r.id)
 	}
+	x.mayHave = x.mayHave || (res != Unsent && res != Refused)
 	if s.mayRetry(x, res, now) {
 		s.push(x)
 		return
--- a/route/rapid_test.go
+++ b/route/rapid_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/seed"
 	"github.com/spoolsill/spoolsill/route"
 )
 
@@ -25,6 +27,7 @@
 	settled map[string]bool
 	wanted  []wanted
 	config  route.Config
+	reopen  time.Duration // a new life waits so long for its own slots
 }
 
 // A flight is a request that occupies a runner.
@@ -68,6 +71,7 @@
 		asks:    map[spoolsill.HostID]map[route.Ticket]spoolsill.Request{},
 		settled: map[string]bool{},
 		config:  c,
+		reopen:  testLifetime,
 	}
 	for i := range hosts {
 		h.hosts = append(h.hosts, spoolsill.HostID(fmt.Sprintf("h%d", i)))
@@ -84,7 +88,9 @@
 	c.Host = id
 	c.Hosts = h.hosts
 	c.Slots = testSlots
-	c.SlotLifetime = testLifetime
+	if c.SlotLifetime == 0 {
+		c.SlotLifetime = testLifetime
+	}
 	c.Loan = testLoan
 	h.lives[id]++
 	c.FirstLoan = uint64(h.lives[id]) << 32
@@ -268,7 +274,7 @@
 // die ends a life of a host; the next one does not know that its own slots
 // are empty.
 func (h *hall) die(t *rapid.T) {
-	h.begin(h.host(t), h.now.Add(testLifetime))
+	h.begin(h.host(t), h.now.Add(h.reopen))
 }
 
 func (h *hall) check(t *rapid.T) {
@@ -282,9 +288,11 @@
 	}
 }
 
-func TestSlotsAndOutcomesHoldOverHostsThatDie(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+// slotsAndOutcomesHold is what no sequence of events may break.
+func slotsAndOutcomesHold(change func(*hall)) func(*rapid.T) {
+	return func(t *rapid.T) {
 		h := newHall(rapid.IntRange(1, 3).Draw(t, "hosts"), route.Config{})
+		change(h)
 		t.Repeat(map[string]func(*rapid.T){
 			"":        h.check,
 			"arrive":  h.arrive,
@@ -296,5 +304,26 @@
 			"pass":    h.pass,
 			"die":     h.die,
 		})
-	})
+	}
+}
+
+func TestSlotsAndOutcomesHoldOverHostsThatDie(t *testing.T) {
+	rapid.Check(t, slotsAndOutcomesHold(func(*hall) {}))
+}
+
+func TestSlotLimitNeedsTheWaitOfANewLife(t *testing.T) {
+	qt.Assert(t, seed.Fails(t, slotsAndOutcomesHold(func(h *hall) {
+		h.reopen = 0
+	})), qt.IsTrue)
+}
+
+// TestSlotLimitNeedsTheLifetime has hosts count lost requests and lent slots
+// as over before the runner is done with them.
+func TestSlotLimitNeedsTheLifetime(t *testing.T) {
+	qt.Assert(t, seed.Fails(t, slotsAndOutcomesHold(func(h *hall) {
+		h.config.SlotLifetime = time.Millisecond
+		for _, id := range h.hosts {
+			h.begin(id, time.Time{})
+		}
+	})), qt.IsTrue)
 }
--- a/route/state.go
+++ b/route/state.go
@@ -31,6 +31,7 @@
 	runner  *runner
 	loan    LoanID
 	waits   bool
+	mayHave bool // an earlier dispatch may have run
 }
 
 // A State holds the queue of one service on one host.
@@ -186,7 +187,12 @@
 	}
 }
 
+// settle gives a request its outcome. One that was dispatched before and may
+// have run is never called not run, whatever becomes of it later.
 func (s *State) settle(x *item, o spoolsill.Outcome, c Cause) {
+	if x.mayHave && o == spoolsill.NotRun {
+		o = spoolsill.Unknown
+	}
 	if x.waits {
 		s.pull(x)
 	}
