--- a/cmd/spoolsilld/main.go
+++ b/cmd/spoolsilld/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 
+	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/entry"
 	"github.com/spoolsill/spoolsill/settings"
 )
@@ -25,8 +26,9 @@
 )
 
 type flags struct {
-	Settings string `help:"The settings file (TOML)." required:"" type:"existingfile"`
-	Check    bool   `help:"Check the settings and start nothing."`
+	Settings string           `help:"The settings file (TOML)." required:"" type:"existingfile"`
+	Host     spoolsill.HostID `help:"Which host of the file this is, in place of host.id." env:"SPOOLSILL_HOST"`
+	Check    bool             `help:"Check the settings and start nothing."`
 }
 
 func main() {
@@ -39,7 +41,7 @@
 		kong.Name("spoolsilld"),
 		kong.Description("The entry host of Spoolsill: serves callers and operators, routes requests and places the tasks of its hall."),
 	)
-	s, err := settings.Load(f.Settings)
+	s, err := settings.Load(f.Settings, f.Host)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -29,9 +29,10 @@
 // is a broken invariant: names and units are constants.
 func newMetrics(h *Host) *metrics {
 	r := prometheus.NewRegistry()
-	e, err := otelprom.New(otelprom.WithRegisterer(r))
+	e, err := otelprom.New(otelprom.WithRegisterer(r), otelprom.WithoutScopeInfo())
 	must(err)
 	m := sdk.NewMeterProvider(sdk.WithReader(e)).Meter("spoolsill")
+	buckets := metric.WithExplicitBucketBoundaries(0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 	x := &metrics{
 		registry: r,
 	}
@@ -39,9 +40,9 @@
 	must(err)
 	x.refusals, err = m.Int64Counter("spoolsill.requests.refused", metric.WithDescription("requests that could not be accepted, by status"))
 	must(err)
-	x.seconds, err = m.Float64Histogram("spoolsill.request.duration", metric.WithUnit("s"), metric.WithDescription("time from arrival to answer"))
+	x.seconds, err = m.Float64Histogram("spoolsill.request.duration", metric.WithUnit("s"), buckets, metric.WithDescription("time from arrival to answer"))
 	must(err)
-	x.waited, err = m.Float64Histogram("spoolsill.request.wait", metric.WithUnit("s"), metric.WithDescription("time in the queue"))
+	x.waited, err = m.Float64Histogram("spoolsill.request.wait", metric.WithUnit("s"), buckets, metric.WithDescription("time in the queue"))
 	must(err)
 	h.observe(m)
 	return x
--- a/holder/call.go
+++ b/holder/call.go
@@ -48,6 +48,7 @@
 		return Plan{}, ErrNotHolder
 	}
 	now := time.Now()
+	t.state.SetQuotas(h.config.Quotas())
 	p, err := i.Plan(t.state, now)
 	if err != nil {
 		return Plan{}, err
--- /dev/null
+++ b/internal/cli/call.go
@@ -0,0 +1,172 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/entry"
+)
+
+type callCommand struct {
+	Service      spoolsill.ServiceID  `arg:"" help:"Service to call."`
+	Path         string               `help:"Path at the runner." default:"/"`
+	Body         string               `help:"Body of the request, or @FILE." default:""`
+	Key          spoolsill.RequestKey `help:"Request key; made up when empty. HALL/NAME has the hall keep the claim."`
+	Caller       string               `help:"Who calls." default:"cli"`
+	Deadline     time.Duration        `help:"Time until the answer is wanted." default:"10s"`
+	Fade         time.Duration        `help:"Time after the deadline in which the worth falls to nothing."`
+	Class        string               `help:"Class of the request." enum:"urgent,normal,patient" default:"normal"`
+	Worth        int                  `help:"Worth of the answer." default:"1"`
+	Unrepeatable bool                 `help:"Run at most once."`
+	Issued       int64                `help:"When the key was made, in Unix milliseconds; for a call that is asked again."`
+}
+
+type callResult struct {
+	Outcome  spoolsill.Outcome    `json:"outcome"`
+	Key      spoolsill.RequestKey `json:"key"`
+	Status   int                  `json:"status"`
+	Runner   string               `json:"runner,omitempty"`
+	Replayed bool                 `json:"replayed,omitempty"`
+	Cause    string               `json:"cause,omitempty"`
+	Retry    string               `json:"retry_after_s,omitempty"`
+	Body     string               `json:"body"`
+	TookMS   float64              `json:"took_ms"`
+}
+
+// maxBody bounds the answer that is read.
+const maxBody = 64 << 20
+
+// Run sends one request and prints what became of it.
+func (c *callCommand) Run(s *session) error {
+	if c.Key == "" {
+		c.Key = spoolsill.RequestKey(fmt.Sprintf("cli-%016x", rand.Uint64()))
+	}
+	if c.Issued == 0 {
+		c.Issued = time.Now().UnixMilli()
+	}
+	body, err := c.body()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	r, err := c.send(s, body)
+	if err != nil {
+		return err
+	}
+	r.TookMS = float64(time.Since(began).Microseconds()) / 1000
+	if err := s.print(r, func(w io.Writer) { r.print(w) }); err != nil {
+		return err
+	}
+	switch r.Outcome {
+	case spoolsill.Done:
+		return nil
+	case spoolsill.NotRun:
+		return exitWith(ExitNotRun, "request %s did not run", c.Key)
+	default:
+		return exitWith(ExitUnknown, "request %s may have run; ask again with --key %s --issued %d", c.Key, c.Key, c.Issued)
+	}
+}
+
+func (c *callCommand) body() ([]byte, error) {
+	if len(c.Body) == 0 || c.Body[0] != '@' {
+		return []byte(c.Body), nil
+	}
+	b, err := os.ReadFile(c.Body[1:])
+	if err != nil {
+		return nil, exitWith(ExitUsage, "%w", err)
+	}
+	return b, nil
+}
+
+// send sends the request to the first host that a connection can be opened to.
+func (c *callCommand) send(s *session, body []byte) (callResult, error) {
+	var err error
+	for _, h := range s.client.Hosts {
+		var q *http.Request
+		q, err = http.NewRequestWithContext(s.ctx(), http.MethodPost, "http://"+h+"/v1/call/"+string(c.Service)+c.Path, bytes.NewReader(body))
+		if err != nil {
+			return callResult{}, exitWith(ExitUsage, "%w", err)
+		}
+		c.setHeaders(q.Header)
+		var r *http.Response
+		r, err = http.DefaultClient.Do(q)
+		if err == nil {
+			return c.read(r)
+		}
+		var op *net.OpError
+		if !errors.As(err, &op) || op.Op != "dial" {
+			return callResult{
+				Outcome: spoolsill.Unknown,
+				Key:     c.Key,
+				Cause:   err.Error(),
+			}, nil
+		}
+	}
+	return callResult{}, exitWith(ExitUnreachable, "no entry host can be reached: %w", err)
+}
+
+func (c *callCommand) setHeaders(h http.Header) {
+	h.Set(entry.HeaderKey, string(c.Key))
+	h.Set(entry.HeaderCaller, c.Caller)
+	h.Set(entry.HeaderDeadline, c.Deadline.String())
+	h.Set(entry.HeaderFade, c.Fade.String())
+	h.Set(entry.HeaderClass, c.Class)
+	h.Set(entry.HeaderWorth, strconv.Itoa(c.Worth))
+	h.Set(entry.HeaderIssued, strconv.FormatInt(c.Issued, 10))
+	h.Set(entry.HeaderUnrepeatable, strconv.FormatBool(c.Unrepeatable))
+}
+
+func (c *callCommand) read(r *http.Response) (callResult, error) {
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	x := callResult{
+		Outcome:  spoolsill.Outcome(r.Header.Get(entry.HeaderOutcome)),
+		Key:      c.Key,
+		Status:   r.StatusCode,
+		Runner:   r.Header.Get(entry.HeaderRunner),
+		Replayed: r.Header.Get(entry.HeaderReplayed) == "true",
+		Cause:    r.Header.Get(entry.HeaderCause),
+		Retry:    r.Header.Get("Retry-After"),
+		Body:     string(b),
+	}
+	if err != nil || x.Outcome == "" {
+		x.Outcome = spoolsill.Unknown
+		x.Cause = "the answer did not come whole"
+	}
+	return x, nil
+}
+
+func (r callResult) print(w io.Writer) {
+	fmt.Fprintf(w, "%s (status %d, %.1f ms)", r.Outcome, r.Status, r.TookMS)
+	if r.Runner != "" {
+		fmt.Fprintf(w, " by runner %s", r.Runner)
+	}
+	if r.Replayed {
+		fmt.Fprint(w, ", the answer of the first request with this key")
+	}
+	fmt.Fprintln(w)
+	if r.Outcome != spoolsill.Done {
+		var f struct {
+			Text string `json:"text"`
+		}
+		if json.Unmarshal([]byte(r.Body), &f) == nil && f.Text != "" {
+			r.Body = f.Text
+		}
+		fmt.Fprintf(w, "%s: %s\n", r.Cause, r.Body)
+		if r.Retry != "" {
+			fmt.Fprintf(w, "ask again after %s s\n", r.Retry)
+		}
+		return
+	}
+	fmt.Fprintln(w, r.Body)
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,206 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/spoolsill/spoolsill/api"
+)
+
+// The exit codes of all commands.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // the command failed, or a promise was broken
+	ExitUsage       = 2 // flags, settings, job file or request can't be accepted
+	ExitStale       = 3 // a plan or configuration is stale: look again
+	ExitNotRun      = 4 // a request certainly did not run
+	ExitUnknown     = 5 // it is not known whether it took effect
+	ExitUnreachable = 6 // no entry host, or no holder, can be reached
+	ExitNotFound    = 7 // there is no such thing
+)
+
+// A Command is the command line.
+type Command struct {
+	Hosts []string `help:"Entry hosts, as IP:port, tried in order." default:"127.0.0.1:7101" env:"SPOOLSILL_HOSTS" placeholder:"IP:PORT"`
+	JSON  bool     `help:"Print JSON instead of tables." name:"json"`
+
+	Check    checkCommand    `cmd:"" help:"Check settings, configuration and job files without touching anything."`
+	Plan     planCommand     `cmd:"" help:"Show exactly what an intent would change. Changes nothing."`
+	Confirm  confirmCommand  `cmd:"" help:"Have a plan applied as it was shown. Safe to repeat after a lost answer."`
+	Submit   submitCommand   `cmd:"" help:"Plan a job and, after a yes, confirm the plan."`
+	Cancel   cancelCommand   `cmd:"" help:"Plan the end of jobs and, after a yes, confirm the plan."`
+	Drain    drainCommand    `cmd:"" help:"Move all work off a worker, or keep new requests from a runner."`
+	Status   statusCommand   `cmd:"" help:"List jobs with the states of their tasks."`
+	Explain  explainCommand  `cmd:"" help:"Say why a job, task or request is where it is."`
+	Workers  workersCommand  `cmd:"" help:"List workers."`
+	HostList hostsCommand    `cmd:"" name:"hosts" help:"List entry hosts."`
+	Config   configCommand   `cmd:"" help:"Read and change the configuration of the cell."`
+	Timeline timelineCommand `cmd:"" help:"Merge the events of all hosts, causes before effects."`
+	Call     callCommand     `cmd:"" help:"Send one request to a service."`
+	Bench    benchCommand    `cmd:"" help:"Measure the decisions and what carries them."`
+	Demo     demoCommand     `cmd:"" help:"Run the whole path with stand-ins, failures included, in one process."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+}
+
+const description = `Command line of Spoolsill, the scheduler of services, batch runs, gang jobs and single requests.
+
+Nothing changes until a plan is confirmed: "plan" shows what would change, "confirm" applies just that or says that the plan is stale. "submit", "cancel" and "drain" do both, with a question between (or --yes).`
+
+// An Env is what commands use of their surroundings.
+type Env struct {
+	Context context.Context //nolint:containedctx // handed to kong commands, which take no context
+	In      io.Reader
+	Out     io.Writer
+	Err     io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+func Main(e Env, args []string) int {
+	var c Command
+	code := -1
+	k, err := kong.New(&c,
+		kong.Name("spoolsill"),
+		kong.Description(description),
+		kong.Writers(e.Out, e.Err),
+		kong.Exit(func(n int) { code = n }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		panic(err)
+	}
+	x, err := k.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintln(e.Err, "spoolsill:", err)
+		return ExitUsage
+	}
+	s := &session{
+		env:  e,
+		json: c.JSON,
+		client: &api.Client{
+			Hosts: c.Hosts,
+		},
+	}
+	if err := x.Run(s); err != nil {
+		fmt.Fprintln(e.Err, "spoolsill:", err)
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+// A session is what a command runs with.
+type session struct {
+	env    Env
+	json   bool
+	client *api.Client
+}
+
+func (s *session) ctx() context.Context {
+	return s.env.Context
+}
+
+// print writes v as JSON, or what table writes.
+func (s *session) print(v any, table func(w io.Writer)) error {
+	if !s.json {
+		table(s.env.Out)
+		return nil
+	}
+	e := json.NewEncoder(s.env.Out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// An exitError is an error with its exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error.
+func (e *exitError) Unwrap() error { return e.err }
+
+func exitWith(code int, format string, args ...any) error {
+	return &exitError{
+		code: code,
+		err:  fmt.Errorf(format, args...),
+	}
+}
+
+var refusedCodes = map[string]int{
+	"stale":       ExitStale,
+	"bad-input":   ExitUsage,
+	"intent":      ExitUsage,
+	"no-job":      ExitNotFound,
+	"not-holder":  ExitUnreachable,
+	"unreachable": ExitUnreachable,
+	"not-lasting": ExitUnknown,
+	"unknown":     ExitUnknown,
+}
+
+func exitCode(err error) int {
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	var r *api.RefusedError
+	if errors.As(err, &r) {
+		if c, ok := refusedCodes[r.Code]; ok {
+			return c
+		}
+		return ExitFailed
+	}
+	if errors.Is(err, api.ErrNoHost) {
+		return ExitUnreachable
+	}
+	return ExitFailed
+}
+
+type versionCommand struct{}
+
+// Run prints the version.
+func (c *versionCommand) Run(s *session) error {
+	v := version()
+	return s.print(map[string]string{
+		"version": v,
+	}, func(w io.Writer) {
+		fmt.Fprintln(w, "spoolsill", v)
+	})
+}
+
+func version() string {
+	b, ok := debug.ReadBuildInfo()
+	if !ok || b.Main.Version == "" {
+		return "(devel)"
+	}
+	return b.Main.Version
+}
+
+func readFile(name string) (string, error) {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return "", exitWith(ExitUsage, "%w", err)
+	}
+	return string(b), nil
+}
+
+// ask asks a question and reports whether the answer is yes.
+func (s *session) ask(question string) bool {
+	fmt.Fprintf(s.env.Err, "%s [y/N] ", question)
+	var a string
+	_, _ = fmt.Fscanln(s.env.In, &a)
+	a = strings.ToLower(strings.TrimSpace(a))
+	return a == "y" || a == "yes"
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -48,8 +48,6 @@
 
 func (c *checker) check(s Settings) {
 	c.name("host.id", string(s.Host.ID))
-	c.address("host.http", s.Host.HTTP)
-	c.address("host.peer", s.Host.Peer)
 	c.between("host.drain_delay", s.Host.DrainDelay, 0, time.Minute)
 	c.between("host.stop_within", s.Host.StopWithin, time.Second, 10*time.Minute)
 	u, err := url.Parse(s.Platform.URL)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,11 +68,12 @@
 
 // A Host is the process itself.
 type Host struct {
+	// ID is one of the hosts listed under hall. All hosts of a deployment can
+	// share one file in which it is left out, and get it from the command line.
 	ID spoolsill.HostID `toml:"id"`
-	// HTTP is the IP and port for callers and operators, Peer the one for the
-	// other entry hosts.
-	HTTP string `toml:"http"`
-	Peer string `toml:"peer"`
+	// HTTP and Peer are the host's own addresses, from its entry under hall.
+	HTTP string `toml:"-"`
+	Peer string `toml:"-"`
 	// DrainDelay is the time between readiness off and the end of accepting,
 	// for the balancer to notice.
 	DrainDelay Duration `toml:"drain_delay"`
@@ -96,7 +97,8 @@
 	Hosts  []Peer           `toml:"host"`
 }
 
-// A Peer is one entry host as others reach it.
+// A Peer is one entry host: its IP and port for other entry hosts, and the one
+// for callers and operators.
 type Peer struct {
 	ID   spoolsill.HostID `toml:"id"`
 	Peer string           `toml:"peer"`
@@ -151,8 +153,10 @@
 	}
 }
 
-// Load reads and checks a settings file. It fails with an [*Error].
-func Load(file string) (Settings, error) {
+// Load reads and checks a settings file, for the host that it names, or for
+// another one of the deployment when id is not empty. It fails with an
+// [*Error].
+func Load(file string, id spoolsill.HostID) (Settings, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, &Error{
@@ -160,12 +164,12 @@
 			Text: err.Error(),
 		}
 	}
-	return Parse(file, b)
+	return Parse(file, b, id)
 }
 
 // Parse reads and checks the text of a settings file. It fails with an
 // [*Error]; file only names the text in it.
-func Parse(file string, text []byte) (Settings, error) {
+func Parse(file string, text []byte, id spoolsill.HostID) (Settings, error) {
 	if len(text) > MaxFile {
 		return Settings{}, &Error{
 			File: file,
@@ -176,6 +180,9 @@
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&s); err != nil {
 		return Settings{}, decodeError(file, err)
 	}
+	if id != "" {
+		s.Host.ID = id
+	}
 	s.fill()
 	c := checker{
 		file: file,
@@ -226,6 +233,14 @@
 )
 
 func (s *Settings) fill() {
+	for _, h := range s.Halls {
+		for _, p := range h.Hosts {
+			if p.ID == s.Host.ID {
+				s.Host.HTTP = p.HTTP
+				s.Host.Peer = p.Peer
+			}
+		}
+	}
 	for i := range s.Services {
 		v := &s.Services[i]
 		setDefault(&v.Slots, DefaultSlots)
