lease: each write of the lease row carries a number of its own

A renewal whose answer was lost arrived late, and the next renewal, refused, took the row for its own since it carried the same beat: the holder then counted its lease from the later asking, while others counted from the earlier write.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -108,6 +108,7 @@
 	looked  Reading // when the last read or write was begun
 	busy    bool    // a read or write is under way
 	wrote   *attempt
+	beat    uint64 // of the last write
 
 	held     bool
 	epoch    spoolsill.Epoch
@@ -281,19 +282,27 @@
 		now.surely(k.started) >= k.config.Promise+k.config.Margin
 }
 
+// nextBeat returns a number that no row had before and no other write of this
+// keeper carries, also one that was lost and may arrive yet: a row with it is
+// this very write, asked for at a known time.
+func (k *Keeper) nextBeat() uint64 {
+	k.beat = max(k.beat, k.row.Beat) + 1
+	return k.beat
+}
+
 func (k *Keeper) takenRow() Row {
 	return Row{
 		Holder:      k.config.Host,
 		Incarnation: k.config.Incarnation,
 		Epoch:       k.row.Epoch + 1,
-		Beat:        1,
+		Beat:        k.nextBeat(),
 		Roster:      k.config.Hosts,
 	}
 }
 
 func (k *Keeper) renewedRow() Row {
 	r := k.row
-	r.Beat++
+	r.Beat = k.nextBeat()
 	r.Roster = k.config.Hosts
 	return r
 }
--- a/lease/row.go
+++ b/lease/row.go
@@ -17,7 +17,7 @@
 	Holder      spoolsill.HostID      `msgpack:"h"`
 	Incarnation spoolsill.Incarnation `msgpack:"i"`
 	Epoch       spoolsill.Epoch       `msgpack:"e"`
-	// Beat grows with each renewal, so that the row changes.
+	// Beat grows with each write and tells the writes of one holder apart.
 	Beat uint64 `msgpack:"b"`
 	// Roster lists the hosts that may take the lease over.
 	Roster []spoolsill.HostID `msgpack:"r"`
