--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -66,6 +66,17 @@
 	owner  Owner
 	at     time.Time
 	answer Answer
+	// unsure says that the key was made before this host started: it may
+	// have been claimed in an earlier life, whatever became of this claim.
+	unsure bool
+}
+
+// grant returns the verdict for the owner of e.
+func (e *entry) grant() Verdict {
+	if e.unsure {
+		return Unsure
+	}
+	return Granted
 }
 
 // A Ledger is what one host remembers of claimed keys. It is not safe for
@@ -104,7 +115,7 @@
 	l.forget(now)
 	if e, ok := l.entries[c.Key]; ok {
 		if e.owner == c.Owner && e.answer.Outcome == "" {
-			return Granted, Answer{}
+			return e.grant(), Answer{}
 		}
 		return l.taken(c, e)
 	}
@@ -114,11 +125,7 @@
 	if len(l.entries) >= l.config.Entries {
 		return Full, Answer{}
 	}
-	l.add(now, c)
-	if c.Issued.Add(-l.config.Skew).Before(l.config.Started) {
-		return Unsure, Answer{}
-	}
-	return Granted, Answer{}
+	return l.add(now, c).grant(), Answer{}
 }
 
 // taken answers a claim of a key that is known. A request that certainly did
@@ -127,17 +134,20 @@
 	if e.answer.Outcome == spoolsill.NotRun {
 		e.owner = c.Owner
 		e.answer = Answer{}
-		return Granted, Answer{}
+		return e.grant(), Answer{}
 	}
 	return Taken, e.answer
 }
 
-func (l *Ledger) add(now time.Time, c Claim) {
-	l.entries[c.Key] = &entry{
-		owner: c.Owner,
-		at:    now,
+func (l *Ledger) add(now time.Time, c Claim) *entry {
+	e := &entry{
+		owner:  c.Owner,
+		at:     now,
+		unsure: !c.Issued.Add(-l.config.Skew).After(l.config.Started),
 	}
+	l.entries[c.Key] = e
 	l.queue = append(l.queue, c.Key)
+	return e
 }
 
 // Settle records what became of a claimed request. Only its owner's word
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -75,15 +75,9 @@
 	return best
 }
 
-// take claims the key of an unrepeatable request. With Granted the request
-// may be dispatched; see package claim for the rest.
-//
-// Every host of the home hall is asked, the first one first, so that two who
-// claim at once don't each win one. A key that all of them grant was never
-// granted before, or one of them would know. When some can't be reached or
-// have restarted since the key was made, a row of the table decides besides;
-// when none of them can know, nobody can.
-func (h *Host) take(ctx context.Context, r spoolsill.Request) (claimed, claim.Verdict, claim.Answer) {
+// take claims the key of an unrepeatable request; see package claim. Used
+// comes with what became of the first request.
+func (h *Host) take(ctx context.Context, r spoolsill.Request) (claimed, claim.Judgement, claim.Answer) {
 	c := claimed{
 		home: h.homeHall(r.Key),
 		claim: claim.Claim{
@@ -97,32 +91,30 @@
 		},
 	}
 	if h.config.Break.Claim {
-		return c, claim.Granted, claim.Answer{}
+		return c, claim.Dispatch, claim.Answer{}
 	}
-	granted, unsure := 0, 0
+	tally := claim.Tally{
+		Hosts: len(c.home.Hosts),
+	}
+	var first claim.Answer
 	for _, x := range c.home.IDs() {
 		v, err := h.claimAt(ctx, x, c.claim)
-		switch {
-		case err != nil:
-		case v.Verdict == claim.Granted:
-			granted++
-		case v.Verdict == claim.Unsure:
-			unsure++
-		default:
-			h.giveUp(ctx, c)
-			return c, v.Verdict, v.Answer
+		if err != nil {
+			continue
+		}
+		first = v.Answer
+		if !tally.Add(v.Verdict) {
+			break
 		}
 	}
-	switch {
-	case granted == len(c.home.Hosts):
-		return c, claim.Granted, claim.Answer{}
-	case granted > 0:
-		return h.takeRow(ctx, c)
-	case unsure > 0:
-		return c, claim.Unsure, claim.Answer{}
-	default:
-		return c, claim.Full, claim.Answer{}
+	j := tally.Judge()
+	if j == claim.AskTable {
+		j = h.takeRow(ctx, &c)
 	}
+	if j != claim.Dispatch {
+		h.giveUp(ctx, c)
+	}
+	return c, j, first
 }
 
 func (h *Host) claimAt(ctx context.Context, x spoolsill.HostID, q claim.Claim) (wireVerdict, error) {
@@ -134,12 +126,11 @@
 
 // takeRow has the table decide a claim that not every host of the home hall
 // could grant.
-func (h *Host) takeRow(ctx context.Context, c claimed) (claimed, claim.Verdict, claim.Answer) {
+func (h *Host) takeRow(ctx context.Context, c *claimed) claim.Judgement {
 	key := claimPrefix + string(c.claim.Key)
 	value, err := msgpack.Marshal(&c.claim.Owner)
 	if err != nil {
-		h.giveUp(ctx, c)
-		return c, claim.Full, claim.Answer{}
+		return claim.NoHost
 	}
 	r, err := h.platform.Commit(ctx, table.Txn{
 		Conditions: []table.Condition{{
@@ -154,16 +145,14 @@
 		r, err = h.readClaim(ctx, key)
 	}
 	if err != nil {
-		h.giveUp(ctx, c)
-		return c, claim.Full, claim.Answer{}
+		return claim.NoHost
 	}
-	if r.Applied || h.owns(r.Conflicts, c) {
-		c.row = true
-		h.forgetRow(key)
-		return c, claim.Granted, claim.Answer{}
+	if !r.Applied && !h.owns(r.Conflicts, *c) {
+		return claim.Used
 	}
-	h.giveUp(ctx, c)
-	return c, claim.Taken, claim.Answer{}
+	c.row = true
+	h.forgetRow(key)
+	return claim.Dispatch
 }
 
 // readClaim settles a claim whose answer was lost.
--- a/entry/request.go
+++ b/entry/request.go
@@ -124,12 +124,12 @@
 // serveOnce serves an unrepeatable request.
 func (h *Host) serveOnce(ctx context.Context, s *service, c router.Call) reply {
 	ctx = context.WithoutCancel(ctx)
-	k, v, a := h.take(ctx, c.Request)
-	switch v {
-	case claim.Granted:
-	case claim.Taken:
+	k, j, a := h.take(ctx, c.Request)
+	switch j {
+	case claim.Dispatch:
+	case claim.Used:
 		return replay(a)
-	case claim.TooOld, claim.Full:
+	case claim.NoHost:
 		return notRun(route.CauseNoRecord, time.Second)
 	default:
 		return unknown(route.CauseClaimed)
