--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,65 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/member"
+)
+
+func list(leaving bool) member.List {
+	return member.List{
+		Workers: []spoolsill.Worker{{
+			ID:      "w",
+			Hall:    "h",
+			Leaving: leaving,
+		}},
+		Runners: []spoolsill.Runner{{
+			ID:   "r",
+			Hall: "h",
+		}},
+	}
+}
+
+func TestLeavingHoldsFromTheFirstSign(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMicro(1_000_000)
+	v := member.NewView(member.Config{})
+	v.SetList(now, list(false))
+	c.Assert(v.State("r"), qt.Equals, member.Live)
+	c.Assert(v.SetLeaving(now, "r"), qt.IsTrue)
+	c.Assert(v.SetLeaving(now, "r"), qt.IsFalse)
+	// A list that lags behind does not take the sign back.
+	v.SetList(now.Add(time.Second), list(false))
+	c.Assert(v.Runners("h")[0].Leaving, qt.IsTrue)
+	c.Assert(v.State("r"), qt.Equals, member.Leaving)
+	// One that still does not show it after a while does.
+	v.SetList(now.Add(2*member.DefaultHoldLeaving), list(false))
+	c.Assert(v.Runners("h")[0].Leaving, qt.IsFalse)
+}
+
+func TestDrainedMachinesAreLeavingUntilUndone(t *testing.T) {
+	c := qt.New(t)
+	v := member.NewView(member.Config{})
+	v.SetList(time.UnixMicro(1), list(false))
+	v.SetDrained([]string{"w"})
+	c.Assert(v.Workers("h")[0].Leaving, qt.IsTrue)
+	v.SetDrained(nil)
+	c.Assert(v.Workers("h")[0].Leaving, qt.IsFalse)
+}
+
+func TestFailedCallsMakeSuspect(t *testing.T) {
+	c := qt.New(t)
+	v := member.NewView(member.Config{})
+	v.SetList(time.UnixMicro(1), list(false))
+	for range member.DefaultSuspectAfter {
+		v.Saw("w", false)
+	}
+	c.Assert(v.State("w"), qt.Equals, member.Suspect)
+	v.Saw("w", true)
+	c.Assert(v.State("w"), qt.Equals, member.Live)
+	c.Assert(v.State("x"), qt.Equals, member.Gone)
+}
