fleet: hosts, callers and cuts in one place, over sockets or in memory

Cause: the demo owned what tests of failures need too. Change: internal/fleet and a network of the stand-ins that can run in memory, cut any two nodes or halls and pause a node.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/agent"
 	"github.com/spoolsill/spoolsill/api"
+	"github.com/spoolsill/spoolsill/internal/fleet"
 	"github.com/spoolsill/spoolsill/internal/standin"
 	"github.com/spoolsill/spoolsill/settings"
 )
@@ -78,15 +78,16 @@
 }
 
 type demo struct {
-	config  Config
-	began   time.Time
-	cell    *standin.Cell
-	fleet   *fleet
-	client  *api.Client
-	callers *callers
-	halls   []spoolsill.HallID
-	result  Result
-	say     sync.Mutex
+	config   Config
+	began    time.Time
+	cell     *standin.Cell
+	fleet    *fleet.Fleet
+	client   *api.Client
+	balancer *fleet.Balancer
+	callers  *fleet.Callers
+	halls    []spoolsill.HallID
+	result   Result
+	say      sync.Mutex
 }
 
 func newDemo(c Config) (*demo, error) {
@@ -120,14 +121,21 @@
 	if err != nil {
 		return nil, err
 	}
-	f, err := newFleet(cell, halls, settings.Service{
-		ID:           "quizdesk",
-		Slots:        8,
-		Connections:  60,
-		SlotLifetime: settings.Duration(3 * time.Second),
-		MaxBody:      settings.DefaultMaxBody,
-		MaxAnswer:    settings.DefaultMaxAnswer,
-		Queue:        settings.DefaultQueue,
+	f, err := fleet.New(fleet.Config{
+		Cell:         cell,
+		Halls:        halls,
+		HostsPerHall: 2,
+		HallLease:    2 * time.Second,
+		TaskLease:    6 * time.Second,
+		Service: settings.Service{
+			ID:           "quizdesk",
+			Slots:        8,
+			Connections:  60,
+			SlotLifetime: settings.Duration(3 * time.Second),
+			MaxBody:      settings.DefaultMaxBody,
+			MaxAnswer:    settings.DefaultMaxAnswer,
+			Queue:        settings.DefaultQueue,
+		},
 	})
 	if err != nil {
 		cell.Close()
@@ -138,7 +146,7 @@
 		began:  time.Now(),
 		cell:   cell,
 		fleet:  f,
-		client: f.client(),
+		client: f.Client(),
 		halls:  halls,
 		result: Result{
 			Seed:     c.Seed,
@@ -146,21 +154,8 @@
 			Recovery: map[string]time.Duration{},
 		},
 	}
-	d.callers = &callers{
-		balancer: &balancer{
-			fleet: f,
-		},
-		truth:   cell.Truth,
-		fleet:   f,
-		service: "quizdesk",
-		halls:   halls,
-		random:  random,
-		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: c.Callers,
-			},
-		},
-	}
+	d.balancer = fleet.NewBalancer(f)
+	d.callers = fleet.NewCallers(f, d.balancer, random)
 	return d, nil
 }
 
@@ -175,7 +170,8 @@
 }
 
 func (d *demo) close() {
-	d.fleet.close()
+	d.callers.Close()
+	d.fleet.Close()
 	d.cell.Close()
 }
 
@@ -190,10 +186,10 @@
 
 func (d *demo) report() (bool, error) {
 	c := d.callers
-	d.result.Done = c.done.Load()
-	d.result.NotRun = c.notRun.Load()
-	d.result.Unknown = c.unknown.Load()
-	d.result.Attempts = c.sent.Load()
+	d.result.Done = c.Done.Load()
+	d.result.NotRun = c.NotRun.Load()
+	d.result.Unknown = c.Unknown.Load()
+	d.result.Attempts = c.Sent.Load()
 	d.result.Broken, d.result.Cases = d.cell.Truth.Broken()
 	d.result.Total = d.cell.Truth.Total()
 	d.result.Took = time.Since(d.began).Seconds()
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -60,7 +60,7 @@
 
 // play runs the story.
 func (d *demo) play(ctx context.Context) error {
-	if err := d.fleet.waitReady(ctx, len(d.halls)); err != nil {
+	if err := d.fleet.WaitReady(ctx); err != nil {
 		return err
 	}
 	d.tell("6 entry hosts in 3 halls are ready, each hall has a holder")
@@ -105,7 +105,7 @@
 	began := time.Now()
 	for {
 		late := spoolsill.HostID("")
-		for id, x := range d.fleet.versions() {
+		for id, x := range d.fleet.Versions() {
 			if x < v {
 				late = id
 			}
@@ -144,15 +144,15 @@
 // is called, which waits for the last ones.
 func (d *demo) startCallers(ctx context.Context) (stop func()) {
 	work, end := context.WithCancel(ctx)
-	go d.callers.balancer.run(ctx)
-	pause(ctx, 3*balancerLag)
+	go d.balancer.Run(ctx)
+	pause(ctx, 300*time.Millisecond)
 	var wg sync.WaitGroup
 	for range d.config.Callers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for work.Err() == nil && d.callers.number.Load() < int64(d.config.Requests) {
-				d.callers.request(ctx)
+			for work.Err() == nil && d.callers.Begun.Load() < int64(d.config.Requests) {
+				d.callers.Request(ctx)
 				pause(work, 40*time.Millisecond)
 			}
 		}()
@@ -166,27 +166,32 @@
 
 func (d *demo) progress() {
 	c := d.callers
-	d.tell("so far %d done, %d not run, %d unknown", c.done.Load(), c.notRun.Load(), c.unknown.Load())
+	d.tell("so far %d done, %d not run, %d unknown", c.Done.Load(), c.NotRun.Load(), c.Unknown.Load())
 }
 
 // fail brings about the failures, one after another and some together.
 func (d *demo) fail(ctx context.Context) error {
 	pause(ctx, 2*time.Second)
 	d.progress()
-	killed := d.holderIndex(ctx, d.halls[0])
-	d.tell("host %s, which holds hall %s, dies", d.fleet.kill(killed), d.halls[0])
+	killed, _ := d.fleet.Holder(d.halls[0])
+	d.fleet.Kill(killed)
+	d.tell("host %s, which held hall %s, has died", d.fleet.ID(killed), d.halls[0])
 	if err := d.waitHolder(ctx, d.halls[0]); err != nil {
 		return err
 	}
-	drained := d.holderIndex(ctx, d.halls[1])
-	id, clean := d.fleet.drain(ctx, drained)
+	drained, _ := d.fleet.Holder(d.halls[1])
+	id := d.fleet.ID(drained)
+	clean := d.fleet.Stop(ctx, drained)
 	d.tell("host %s was stopped as planned (clean: %t)", id, clean)
 	if !clean {
 		d.cell.Truth.Break(standin.PlannedStop, "host %s did not finish its work in time", id)
 	}
 	d.progress()
-	d.fleet.restart(killed)
-	d.fleet.restart(drained)
+	for _, i := range []int{killed, drained} {
+		if err := d.fleet.Restart(i); err != nil {
+			return err
+		}
+	}
 	d.tell("both hosts are started again")
 	pause(ctx, time.Second)
 	d.leave(ctx)
@@ -209,9 +214,9 @@
 func (d *demo) outage(ctx context.Context) error {
 	d.cell.Platform.Fault.SetDown(true)
 	d.tell("the platform is down")
-	before := d.callers.done.Load()
+	before := d.callers.Done.Load()
 	pause(ctx, 5*time.Second)
-	d.tell("%d requests were served without it", d.callers.done.Load()-before)
+	d.tell("%d requests were served without it", d.callers.Done.Load()-before)
 	if err := d.submit(ctx, d.halls[2], "id = \"didube-late\"\nteam = \"decks\"\nkind = \"batch\"\ntasks = 3\nprocessors = \"1\"\nmemory = \"1GiB\"\nruntime = \"1s\"\n"); err != nil {
 		d.tell("a job can't be added without it: %s", err)
 	}
@@ -249,22 +254,6 @@
 	return d.waitHolder(ctx, d.halls[2])
 }
 
-// holderIndex returns the index of the host that holds a hall.
-func (d *demo) holderIndex(ctx context.Context, hall spoolsill.HallID) int {
-	hosts, err := d.client.ListHosts(ctx)
-	if err != nil {
-		return 0
-	}
-	for i, u := range d.fleet.hosts {
-		for _, h := range hosts.Hosts {
-			if h.ID == u.settings.Host.ID && h.Hall == hall && h.Holds {
-				return i
-			}
-		}
-	}
-	return 0
-}
-
 // waitHolder waits until a hall has a holder that answers.
 func (d *demo) waitHolder(ctx context.Context, hall spoolsill.HallID) error {
 	began := time.Now()
@@ -306,3 +295,12 @@
 	}
 	return nil
 }
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/demo/caller.go
+++ b/internal/fleet/caller.go
@@ -1,4 +1,4 @@
-package demo
+package fleet
 
 import (
 	"bytes"
@@ -19,36 +19,45 @@
 	"github.com/spoolsill/spoolsill/internal/standin"
 )
 
-// A balancer stands for the platform's: it knows which hosts are ready, with
+// A Balancer stands for the platform's: it knows which hosts are ready, with
 // a lag, and sends each request to one of them.
-type balancer struct {
-	fleet *fleet
+type Balancer struct {
+	fleet *Fleet
+	http  *http.Client
 	mu    sync.Mutex
 	ready []string
 }
 
+// NewBalancer returns a balancer that knows of no host before Run.
+func NewBalancer(f *Fleet) *Balancer {
+	return &Balancer{
+		fleet: f,
+		http:  f.HTTP(),
+	}
+}
+
+// balancerLag is how long the balancer takes to notice.
 const balancerLag = 100 * time.Millisecond
 
-func (b *balancer) run(ctx context.Context) {
+// Run looks at the readiness of all hosts until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	defer b.http.CloseIdleConnections()
 	for ctx.Err() == nil {
-		all, _ := b.fleet.web()
+		all, _ := b.fleet.States()
 		var ready []string
 		for _, a := range all {
-			if isReady(ctx, a) {
+			if b.isReady(ctx, a) {
 				ready = append(ready, a)
 			}
 		}
 		b.mu.Lock()
 		b.ready = ready
 		b.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(balancerLag):
-		}
+		pause(ctx, balancerLag)
 	}
 }
 
-func (b *balancer) pick() (string, bool) {
+func (b *Balancer) pick() (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ready) == 0 {
@@ -57,36 +66,69 @@
 	return b.ready[rand.IntN(len(b.ready))], true
 }
 
-// callers sends requests and checks what comes back.
-type callers struct {
-	balancer *balancer
+func (b *Balancer) isReady(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	r, err := b.http.Do(q)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// Callers send requests and check what comes back. They are safe for
+// concurrent use.
+type Callers struct {
+	balancer *Balancer
 	truth    *standin.Truth
-	fleet    *fleet
-	service  spoolsill.ServiceID
-	halls    []spoolsill.HallID
+	fleet    *Fleet
 	client   *http.Client
 	random   func() uint64
 
-	done    atomic.Int64
-	notRun  atomic.Int64
-	unknown atomic.Int64
-	sent    atomic.Int64
-	number  atomic.Int64
+	// Done, NotRun, Unknown count the requests by what became of them, Sent
+	// the attempts, Begun the requests.
+	Done    atomic.Int64
+	NotRun  atomic.Int64
+	Unknown atomic.Int64
+	Sent    atomic.Int64
+	Begun   atomic.Int64
+}
+
+// NewCallers returns callers whose choices follow from random.
+func NewCallers(f *Fleet, b *Balancer, random func() uint64) *Callers {
+	return &Callers{
+		balancer: b,
+		truth:    f.config.Cell.Truth,
+		fleet:    f,
+		client:   f.HTTP(),
+		random:   random,
+	}
+}
+
+// Close ends the callers' connections.
+func (c *Callers) Close() {
+	c.client.CloseIdleConnections()
 }
 
 // maxAttempts bounds how often a caller asks again.
 const maxAttempts = 4
 
-// request sends one request, and asks again with the same key when it did not
+// Request sends one request, and asks again with the same key when it did not
 // run or when that is not known.
-func (c *callers) request(ctx context.Context) {
-	n := c.number.Add(1)
+func (c *Callers) Request(ctx context.Context) {
+	n := c.Begun.Add(1)
 	r := c.random()
-	key := spoolsill.RequestKey(fmt.Sprintf("%s/q%d", c.halls[n%int64(len(c.halls))], n))
+	key := spoolsill.RequestKey(fmt.Sprintf("%s/q%d", c.halls()[n%int64(len(c.halls()))], n))
 	if n%5 == 0 {
 		key = spoolsill.RequestKey(fmt.Sprintf("q%d", n))
 	}
-	x := demoRequest{
+	x := request{
 		key:    key,
 		once:   r%3 == 0,
 		body:   bytes.Repeat([]byte{byte('a' + n%26)}, int(r>>8%2000)+1),
@@ -110,28 +152,28 @@
 
 // settle counts what became of a request, and checks it against the runners'
 // own records.
-func (c *callers) settle(x demoRequest, last spoolsill.Outcome, maybe bool) {
+func (c *Callers) settle(x request, last spoolsill.Outcome, maybe bool) {
 	runs := c.truth.Runs(x.key)
 	if x.once && runs > 1 {
 		c.truth.Break(standin.AtMostOnce, "unrepeatable request %s ran %d times", x.key, runs)
 	}
 	switch {
 	case last == spoolsill.Done:
-		c.done.Add(1)
+		c.Done.Add(1)
 		if runs == 0 {
 			c.truth.Break(standin.WholeAnswer, "request %s is done and never ran", x.key)
 		}
 	case maybe:
-		c.unknown.Add(1)
+		c.Unknown.Add(1)
 	default:
-		c.notRun.Add(1)
+		c.NotRun.Add(1)
 		if runs > 0 {
 			c.truth.Break(standin.TrueNotRun, "request %s is called not run and ran %d times", x.key, runs)
 		}
 	}
 }
 
-type demoRequest struct {
+type request struct {
 	key    spoolsill.RequestKey
 	once   bool
 	body   []byte
@@ -142,13 +184,13 @@
 }
 
 // attempt sends a request once and returns what became of it.
-func (c *callers) attempt(ctx context.Context, x demoRequest) spoolsill.Outcome {
+func (c *Callers) attempt(ctx context.Context, x request) spoolsill.Outcome {
 	to, ok := c.balancer.pick()
 	if !ok {
 		return spoolsill.NotRun
 	}
-	c.sent.Add(1)
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/v1/call/"+string(c.service)+"/mark", bytes.NewReader(x.body))
+	c.Sent.Add(1)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/v1/call/"+string(c.fleet.config.Service.ID)+"/mark", bytes.NewReader(x.body))
 	if err != nil {
 		return spoolsill.NotRun
 	}
@@ -174,7 +216,7 @@
 }
 
 // broken tells a request that was never taken from one that was cut off.
-func (c *callers) broken(ctx context.Context, to string, x demoRequest, err error) spoolsill.Outcome {
+func (c *Callers) broken(ctx context.Context, to string, x request, err error) spoolsill.Outcome {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return spoolsill.NotRun
@@ -185,17 +227,17 @@
 	return spoolsill.Unknown
 }
 
-func (c *callers) stoppedAsPlanned(address string) bool {
-	all, states := c.fleet.web()
+func (c *Callers) stoppedAsPlanned(address string) bool {
+	all, states := c.fleet.States()
 	for i, a := range all {
 		if a == address {
-			return states[i] == hostStopped
+			return states[i] == Stopped
 		}
 	}
 	return false
 }
 
-func (c *callers) check(x demoRequest, r *http.Response, b []byte) spoolsill.Outcome {
+func (c *Callers) check(x request, r *http.Response, b []byte) spoolsill.Outcome {
 	o := spoolsill.Outcome(r.Header.Get(entry.HeaderOutcome))
 	switch o {
 	case spoolsill.Done:
@@ -210,6 +252,10 @@
 	return o
 }
 
+func (c *Callers) halls() []spoolsill.HallID {
+	return c.fleet.config.Halls
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,330 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/api"
+	"github.com/spoolsill/spoolsill/entry"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/settings"
+)
+
+// A unit is one entry host and what is needed to end it and start it again.
+type unit struct {
+	settings settings.Settings
+	host     *entry.Host
+	cancel   context.CancelFunc
+	ended    chan struct{}
+	state    State
+}
+
+// State says whether a host runs.
+type State int
+
+// The states of a host.
+const (
+	Up State = iota
+	Dead
+	Stopped // as planned
+)
+
+// A Config describes a [Fleet].
+type Config struct {
+	Cell         *standin.Cell
+	Halls        []spoolsill.HallID
+	HostsPerHall int
+	Service      settings.Service
+	HallLease    time.Duration
+	TaskLease    time.Duration
+	Break        entry.Breaks
+}
+
+// A Fleet is the entry hosts of a deployment. It is safe for concurrent use.
+type Fleet struct {
+	config Config
+	log    logrus.FieldLogger
+
+	mu    sync.Mutex
+	units []*unit
+}
+
+// New starts the entry hosts of all halls. Close ends them.
+func New(c Config) (*Fleet, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &Fleet{
+		config: c,
+		log:    log,
+	}
+	base, listeners, err := f.layout()
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range base.Halls {
+		for _, p := range h.Hosts {
+			s := base
+			s.Host.ID = p.ID
+			s.Host.HTTP = p.HTTP
+			s.Host.Peer = p.Peer
+			u := &unit{
+				settings: s,
+			}
+			f.units = append(f.units, u)
+			f.run(u, listeners[p.HTTP], listeners[p.Peer])
+		}
+	}
+	return f, nil
+}
+
+// layout lays out the addresses of all hosts and listens on them.
+func (f *Fleet) layout() (settings.Settings, map[string]net.Listener, error) {
+	s := settings.Settings{
+		Host: settings.Host{
+			DrainDelay: settings.Duration(300 * time.Millisecond),
+			StopWithin: settings.Duration(20 * time.Second),
+		},
+		Platform: settings.Platform{
+			URL:     f.config.Cell.URL,
+			Timeout: settings.Duration(500 * time.Millisecond),
+			Reads:   100,
+			Writes:  100,
+		},
+		Services: []settings.Service{f.config.Service},
+		Lease: settings.Lease{
+			Hall: settings.Duration(f.config.HallLease),
+			Task: settings.Duration(f.config.TaskLease),
+		},
+	}
+	listeners := map[string]net.Listener{}
+	for _, id := range f.config.Halls {
+		h := settings.Hall{
+			ID: id,
+		}
+		for i := range f.config.HostsPerHall {
+			p := settings.Peer{
+				ID: spoolsill.HostID(fmt.Sprintf("%s-%d", id, i+1)),
+			}
+			for _, a := range []*string{&p.HTTP, &p.Peer} {
+				l, err := f.config.Cell.Network.Listen(node(p.ID, id), "")
+				if err != nil {
+					return s, nil, err
+				}
+				*a = l.Addr().String()
+				listeners[*a] = l
+			}
+			h.Hosts = append(h.Hosts, p)
+		}
+		s.Halls = append(s.Halls, h)
+	}
+	return s, listeners, nil
+}
+
+func node(id spoolsill.HostID, hall spoolsill.HallID) standin.Node {
+	return standin.Node{
+		Name:  string(id),
+		Place: string(hall),
+	}
+}
+
+func (f *Fleet) run(u *unit, web, inner net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	u.cancel = cancel
+	u.ended = make(chan struct{})
+	u.state = Up
+	u.host = entry.New(entry.Config{
+		Settings: u.settings,
+		Log:      f.log,
+		Dial:     f.config.Cell.Network.Dialer(node(u.settings.Host.ID, u.settings.Own().ID)),
+		HTTP:     web,
+		Peer:     inner,
+		Break:    f.config.Break,
+	})
+	h := u.host
+	ended := u.ended
+	go func() {
+		defer close(ended)
+		if err := h.Run(ctx); err != nil {
+			f.config.Cell.Truth.Break(standin.PlannedStop, "host %s could not run: %s", u.settings.Host.ID, err)
+		}
+	}()
+}
+
+// Len returns the number of hosts.
+func (f *Fleet) Len() int {
+	return len(f.units)
+}
+
+// ID returns the id of the host with an index.
+func (f *Fleet) ID(i int) spoolsill.HostID {
+	return f.units[i].settings.Host.ID
+}
+
+// Hall returns the hall of the host with an index.
+func (f *Fleet) Hall(i int) spoolsill.HallID {
+	return f.units[i].settings.Own().ID
+}
+
+// Host returns the host with an index.
+func (f *Fleet) Host(i int) *entry.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.units[i].host
+}
+
+// Kill ends a host as if its process had died.
+func (f *Fleet) Kill(i int) {
+	u := f.mark(i, Dead)
+	u.cancel()
+	<-u.ended
+}
+
+func (f *Fleet) mark(i int, s State) *unit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.units[i]
+	u.state = s
+	return u
+}
+
+// Stop ends a host as planned, and reports whether all its work finished.
+func (f *Fleet) Stop(ctx context.Context, i int) bool {
+	u := f.mark(i, Stopped)
+	clean := u.host.Stop(ctx)
+	<-u.ended
+	u.cancel()
+	return clean
+}
+
+// Restart starts a host that has ended, as a new life.
+func (f *Fleet) Restart(i int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.units[i]
+	at := node(u.settings.Host.ID, u.settings.Own().ID)
+	web, err := f.config.Cell.Network.Listen(at, u.settings.Host.HTTP)
+	if err != nil {
+		return err
+	}
+	inner, err := f.config.Cell.Network.Listen(at, u.settings.Host.Peer)
+	if err != nil {
+		_ = web.Close()
+		return err
+	}
+	f.run(u, web, inner)
+	return nil
+}
+
+// Close ends all hosts.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	units := append([]*unit(nil), f.units...)
+	f.mu.Unlock()
+	for _, u := range units {
+		u.cancel()
+		<-u.ended
+	}
+}
+
+// States returns the HTTP addresses and states of all hosts.
+func (f *Fleet) States() ([]string, []State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var a []string
+	var s []State
+	for _, u := range f.units {
+		a = append(a, u.settings.Host.HTTP)
+		s = append(s, u.state)
+	}
+	return a, s
+}
+
+// Versions returns the version of the configuration in force at each host
+// that runs.
+func (f *Fleet) Versions() map[spoolsill.HostID]spoolsill.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[spoolsill.HostID]spoolsill.Version{}
+	for _, u := range f.units {
+		if u.state == Up {
+			out[u.settings.Host.ID] = u.host.ConfigVersion()
+		}
+	}
+	return out
+}
+
+// OutsideNode is where callers, operators and the balancer are.
+var OutsideNode = standin.Node{
+	Name:  "outside",
+	Place: "outside",
+}
+
+// HTTP returns a client that calls from outside.
+func (f *Fleet) HTTP() *http.Client {
+	const idle = 64
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         f.config.Cell.Network.Dialer(OutsideNode),
+			MaxIdleConnsPerHost: idle,
+		},
+	}
+}
+
+// Client returns an operators' client that tries all hosts.
+func (f *Fleet) Client() *api.Client {
+	a, _ := f.States()
+	return &api.Client{
+		Hosts: a,
+		HTTP:  f.HTTP(),
+	}
+}
+
+// WaitReady waits until every hall has a holder and every host is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	c := f.Client()
+	defer c.HTTP.CloseIdleConnections()
+	for {
+		hosts, err := c.ListHosts(ctx)
+		if err == nil && f.ready(hosts) {
+			return nil
+		}
+		pause(ctx, 50*time.Millisecond)
+		if ctx.Err() != nil {
+			return fmt.Errorf("hosts are not ready: %w", errors.Join(ctx.Err(), err))
+		}
+	}
+}
+
+func (f *Fleet) ready(h api.Hosts) bool {
+	holders := 0
+	for _, x := range h.Hosts {
+		if x.Unreachable != "" || !x.Members {
+			return false
+		}
+		if x.Holds {
+			holders++
+		}
+	}
+	return holders == len(f.config.Halls)
+}
+
+// Holder returns the index of the host that holds a hall, if one does.
+func (f *Fleet) Holder(hall spoolsill.HallID) (int, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, u := range f.units {
+		if u.state == Up && u.settings.Own().ID == hall && u.host.Holds() {
+			return i, true
+		}
+	}
+	return 0, false
+}
--- a/internal/standin/cell.go
+++ b/internal/standin/cell.go
@@ -33,6 +33,9 @@
 	Runtime func(agent.Start) (time.Duration, bool)
 	// Platform is the address that the platform listens on; empty means any.
 	Platform string
+	// Memory keeps all connections in memory, so that the cell can run on
+	// virtual time.
+	Memory bool
 }
 
 // A Cell is a platform, workers and runners on loopback.
@@ -53,7 +56,7 @@
 func NewCell(c CellConfig) (*Cell, error) {
 	x := &Cell{
 		Truth:    &Truth{},
-		Network:  NewNetwork(),
+		Network:  NewNetwork(c.Memory),
 		Platform: NewPlatform(),
 		Workers:  map[spoolsill.WorkerID]*Worker{},
 		Runners:  map[spoolsill.RunnerID]*Runner{},
@@ -67,11 +70,10 @@
 }
 
 func (x *Cell) start() error {
-	at := x.config.Platform
-	if at == "" {
-		at = "127.0.0.1:0"
-	}
-	a, err := x.serve(at, PlatformPlace, x.Platform.Handler())
+	a, err := x.serve(Node{
+		Name:  PlatformPlace,
+		Place: PlatformPlace,
+	}, x.config.Platform, x.Platform.Handler())
 	if err != nil {
 		return err
 	}
@@ -113,7 +115,10 @@
 		Truth:   x.Truth,
 		Runtime: x.config.Runtime,
 	})
-	a, err := x.serve("127.0.0.1:0", string(h), s.Handler())
+	a, err := x.serve(Node{
+		Name:  string(w.ID),
+		Place: string(h),
+	}, "", s.Handler())
 	w.Address = a
 	x.Workers[w.ID] = s
 	return w, err
@@ -132,19 +137,21 @@
 		Slots:  x.config.Slots,
 		Work:   x.config.Work,
 	})
-	a, err := x.serve("127.0.0.1:0", string(h), s.Handler())
+	a, err := x.serve(Node{
+		Name:  string(r.ID),
+		Place: string(h),
+	}, "", s.Handler())
 	r.Address = a
 	x.Runners[r.ID] = s
 	return r, err
 }
 
-func (x *Cell) serve(address, place string, h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", address)
+func (x *Cell) serve(at Node, address string, h http.Handler) (string, error) {
+	l, err := x.Network.Listen(at, address)
 	if err != nil {
 		return "", err
 	}
 	a := l.Addr().String()
-	x.Network.Place(a, place)
 	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: time.Minute,
@@ -153,7 +160,7 @@
 	x.servers = append(x.servers, s)
 	x.mu.Unlock()
 	go func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			x.Truth.Break(WholeAnswer, "stand-in at %s ended: %s", a, err)
 		}
 	}()
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 )
@@ -10,77 +11,181 @@
 // ErrCut is returned when a connection is refused since the way is cut.
 var ErrCut = errors.New("standin: the way is cut")
 
-// A Network opens connections between named places and can cut the way
-// between any two. It is safe for concurrent use.
+// A Node is one process or machine, and the place that it stands in: a hall,
+// or [PlatformPlace].
+type Node struct {
+	Name  string
+	Place string
+}
+
+// A Network carries connections between nodes, over loopback or in memory,
+// cuts the way between any two nodes or places, and pauses nodes. It is safe
+// for concurrent use.
 type Network struct {
-	mu    sync.Mutex
-	place map[string]string // address -> place
-	cut   map[[2]string]bool
-	conns map[*cutConn]bool
+	memory bool
+
+	mu        sync.Mutex
+	nodes     map[string]Node // address -> node
+	listeners map[string]*memoryListener
+	cut       map[[2]string]bool
+	paused    map[string]chan struct{} // node name -> closed when it goes on
+	conns     map[*conn]bool
+	next      int
 }
 
-// NewNetwork returns a network without cuts.
-func NewNetwork() *Network {
+// NewNetwork returns a network without cuts. One in memory opens no sockets,
+// so that it can run on virtual time.
+func NewNetwork(memory bool) *Network {
 	return &Network{
-		place: map[string]string{},
-		cut:   map[[2]string]bool{},
-		conns: map[*cutConn]bool{},
+		memory:    memory,
+		nodes:     map[string]Node{},
+		listeners: map[string]*memoryListener{},
+		cut:       map[[2]string]bool{},
+		paused:    map[string]chan struct{}{},
+		conns:     map[*conn]bool{},
 	}
 }
 
-// Place says where an address is.
-func (n *Network) Place(address, place string) {
+// Listen listens for a node on an address; an empty one means any.
+func (n *Network) Listen(at Node, address string) (net.Listener, error) {
+	if n.memory {
+		return n.listenMemory(at, address)
+	}
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.place[address] = place
+	n.nodes[l.Addr().String()] = at
+	return l, nil
 }
 
-// SetCut cuts the way between two places, or mends it. Open connections
-// between them break.
-func (n *Network) SetCut(a, b string, cut bool) {
+func (n *Network) listenMemory(at Node, address string) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if address == "" {
+		n.next++
+		address = fmt.Sprintf("127.9.0.1:%d", n.next)
+	}
+	if _, ok := n.listeners[address]; ok {
+		return nil, fmt.Errorf("standin: %s is in use", address)
+	}
+	l := &memoryListener{
+		network: n,
+		address: address,
+		conns:   make(chan net.Conn),
+		closed:  make(chan struct{}),
+	}
+	n.listeners[address] = l
+	n.nodes[address] = at
+	return l, nil
+}
+
+// SetCut cuts the way between two nodes or places, or mends it. Open
+// connections between them break.
+func (n *Network) SetCut(a, b string, cut bool) {
+	n.mu.Lock()
 	n.cut[[2]string{a, b}] = cut
 	n.cut[[2]string{b, a}] = cut
-	if !cut {
-		return
-	}
+	var broken []*conn
 	for c := range n.conns {
-		if (c.from == a && c.to == b) || (c.from == b && c.to == a) {
-			_ = c.Conn.Close()
+		if n.isCut(c.from, c.to) {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close()
+	}
+}
+
+func (n *Network) isCut(a, b Node) bool {
+	for _, x := range []string{a.Name, a.Place} {
+		for _, y := range []string{b.Name, b.Place} {
+			if n.cut[[2]string{x, y}] {
+				return true
+			}
 		}
 	}
+	return false
 }
 
-// Dialer returns a function that opens connections from a place.
-func (n *Network) Dialer(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
+// SetPaused has a node neither send nor receive until it goes on. What it was
+// about to send is sent then, late.
+func (n *Network) SetPaused(name string, paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c, ok := n.paused[name]
+	if paused && !ok {
+		n.paused[name] = make(chan struct{})
+	}
+	if !paused && ok {
+		close(c)
+		delete(n.paused, name)
+	}
+}
+
+// wait returns when a node is not paused.
+func (n *Network) wait(name string) {
+	for {
+		n.mu.Lock()
+		c, ok := n.paused[name]
+		n.mu.Unlock()
+		if !ok {
+			return
+		}
+		<-c
+	}
+}
+
+// Dialer returns a function that opens connections from a node.
+func (n *Network) Dialer(from Node) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n.wait(from.Name)
 		n.mu.Lock()
-		to := n.place[address]
-		cut := n.cut[[2]string{from, to}]
+		to := n.nodes[address]
+		cut := n.isCut(from, to)
+		l := n.listeners[address]
 		n.mu.Unlock()
 		if cut {
-			return nil, &net.OpError{
-				Op:  "dial",
-				Net: network,
-				Err: ErrCut,
+			return nil, dialError(network, ErrCut)
+		}
+		if !n.memory {
+			var d net.Dialer
+			c, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
 			}
+			return n.track(c, from, to, from), nil
 		}
-		var d net.Dialer
-		c, err := d.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
+		if l == nil {
+			return nil, dialError(network, errors.New("connection refused"))
 		}
-		return n.track(c, from, to), nil
+		return l.dial(ctx, network, from, to)
+	}
+}
+
+func dialError(network string, err error) error {
+	return &net.OpError{
+		Op:  "dial",
+		Net: network,
+		Err: err,
 	}
 }
 
-func (n *Network) track(c net.Conn, from, to string) net.Conn {
-	x := &cutConn{
+// track keeps a connection so that a cut can break it. The end belongs to
+// owner, whose pause holds it up.
+func (n *Network) track(c net.Conn, from, to, owner Node) net.Conn {
+	x := &conn{
 		Conn:    c,
 		network: n,
 		from:    from,
 		to:      to,
+		owner:   owner,
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -88,15 +193,30 @@
 	return x
 }
 
-type cutConn struct {
+// A conn is one end of a connection.
+type conn struct {
 	net.Conn
 	network *Network
-	from    string
-	to      string
+	from    Node
+	to      Node
+	owner   Node
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	k, err := c.Conn.Read(b)
+	c.network.wait(c.owner.Name)
+	return k, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.network.wait(c.owner.Name)
+	return c.Conn.Write(b)
 }
 
 // Close implements net.Conn.
-func (c *cutConn) Close() error {
+func (c *conn) Close() error {
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
 	c.network.mu.Unlock()
--- /dev/null
+++ b/internal/standin/pipe.go
@@ -0,0 +1,204 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// A pipe is one end of a connection in memory with a buffer for each
+// direction, as the kernel has for sockets: a write returns before the other
+// end reads, and what was written before a close is still read.
+type pipe struct {
+	address memoryAddr
+	in, out *stream
+	read    deadline
+	write   deadline
+}
+
+func newPipe(address string) (near, far net.Conn) {
+	a, b := newStream(), newStream()
+	return &pipe{
+			address: memoryAddr(address),
+			in:      a,
+			out:     b,
+		}, &pipe{
+			address: memoryAddr(address),
+			in:      b,
+			out:     a,
+		}
+}
+
+// pipeBuffer is the number of bytes that a direction holds.
+const pipeBuffer = 256 << 10
+
+// A stream is one direction of a pipe.
+type stream struct {
+	mu     sync.Mutex
+	data   []byte
+	closed bool
+	change chan struct{} // closed at the next change
+}
+
+func newStream() *stream {
+	return &stream{
+		change: make(chan struct{}),
+	}
+}
+
+// changed wakes all who wait. The lock is held.
+func (s *stream) changed() {
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+func (s *stream) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.changed()
+}
+
+// Read implements net.Conn.
+func (p *pipe) Read(b []byte) (int, error) {
+	for {
+		late := p.read.wait()
+		p.in.mu.Lock()
+		if len(p.in.data) > 0 {
+			k := copy(b, p.in.data)
+			p.in.data = p.in.data[k:]
+			p.in.changed()
+			p.in.mu.Unlock()
+			return k, nil
+		}
+		closed, change := p.in.closed, p.in.change
+		p.in.mu.Unlock()
+		if closed {
+			return 0, io.EOF
+		}
+		select {
+		case <-change:
+		case <-late:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (p *pipe) Write(b []byte) (int, error) {
+	done := 0
+	for {
+		late := p.write.wait()
+		p.out.mu.Lock()
+		if p.out.closed {
+			p.out.mu.Unlock()
+			return done, io.ErrClosedPipe
+		}
+		k := min(len(b)-done, pipeBuffer-len(p.out.data))
+		if k > 0 {
+			p.out.data = append(p.out.data, b[done:done+k]...)
+			done += k
+			p.out.changed()
+		}
+		change := p.out.change
+		p.out.mu.Unlock()
+		if done == len(b) {
+			return done, nil
+		}
+		select {
+		case <-change:
+		case <-late:
+			return done, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (p *pipe) Close() error {
+	p.in.close()
+	p.out.close()
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (p *pipe) LocalAddr() net.Addr { return p.address }
+
+// RemoteAddr implements net.Conn.
+func (p *pipe) RemoteAddr() net.Addr { return p.address }
+
+// SetDeadline implements net.Conn.
+func (p *pipe) SetDeadline(t time.Time) error {
+	p.read.set(t)
+	p.write.set(t)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (p *pipe) SetReadDeadline(t time.Time) error {
+	p.read.set(t)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (p *pipe) SetWriteDeadline(t time.Time) error {
+	p.write.set(t)
+	return nil
+}
+
+// A deadline is a channel that closes at a time that can be changed. Whoever
+// waits on the channel sees later changes too.
+type deadline struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	late  chan struct{}
+}
+
+func (d *deadline) wait() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.late == nil {
+		d.late = make(chan struct{})
+	}
+	return d.late
+}
+
+func (d *deadline) set(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.late == nil {
+		d.late = make(chan struct{})
+	}
+	if d.timer != nil && !d.timer.Stop() {
+		<-d.late // the timer has fired: its function closes the channel
+	}
+	d.timer = nil
+	passed := isClosed(d.late)
+	wait := time.Until(t)
+	if !t.IsZero() && wait <= 0 {
+		if !passed {
+			close(d.late)
+		}
+		return
+	}
+	if passed {
+		d.late = make(chan struct{})
+	}
+	if !t.IsZero() {
+		late := d.late
+		d.timer = time.AfterFunc(wait, func() { close(late) })
+	}
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
