fault: random sequences of failures over the real hosts on virtual time

Cause: failures that come together were not tested. Locks of package peer that were held while a connection blocks can now be given up on.

--- a/entry/host.go
+++ b/entry/host.go
@@ -354,6 +354,12 @@
 	return h.holder.Holds()
 }
 
+// Check verifies what must hold at all times over the hall's state. It fails
+// with [holder.ErrNotHolder] at a host that does not hold the hall's lease.
+func (h *Host) Check() error {
+	return h.holder.Check()
+}
+
 // ConfigVersion returns the version of the configuration in force.
 func (h *Host) ConfigVersion() spoolsill.Version {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/fault/run.go
@@ -0,0 +1,284 @@
+package fault
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/agent"
+	"github.com/spoolsill/spoolsill/entry"
+	"github.com/spoolsill/spoolsill/internal/fleet"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/settings"
+)
+
+// A Config describes one sequence.
+type Config struct {
+	Seed uint64
+	// Duration is the virtual time in which failures begin; 0 means
+	// DefaultDuration.
+	Duration time.Duration
+	// Break switches mechanisms off.
+	Break entry.Breaks
+}
+
+// DefaultDuration is the virtual time in which failures begin.
+const DefaultDuration = 40 * time.Second
+
+// A Result is what became of a sequence.
+type Result struct {
+	Faults   map[string]int
+	Broken   map[standin.Promise]int
+	Cases    []string
+	Done     int64
+	NotRun   int64
+	Unknown  int64
+	Recovery map[string][]time.Duration // by kind of failure
+	Err      error                      // the sequence could not be run to its end
+}
+
+// The sizes of a sequence's cell.
+const (
+	hosts     = 2
+	workers   = 8
+	runners   = 6
+	slots     = 4
+	callers   = 6
+	lifetime  = 2 * time.Second
+	hallLease = 2 * time.Second
+	taskLease = 4 * time.Second
+	settling  = 40 * time.Second // after the last failure
+	bound     = 5 * time.Minute  // of virtual time
+)
+
+var halls = []spoolsill.HallID{"east", "west"}
+
+// Run runs a sequence. It must be called in a bubble of testing/synctest.
+func Run(c Config) Result {
+	if c.Duration == 0 {
+		c.Duration = DefaultDuration
+	}
+	w := &world{
+		config: c,
+		random: rand.New(rand.NewPCG(c.Seed, 7)),
+		result: Result{
+			Faults:   map[string]int{},
+			Recovery: map[string][]time.Duration{},
+		},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	if err := w.start(); err != nil {
+		w.result.Err = err
+		return w.result
+	}
+	w.result.Err = w.play(ctx)
+	w.end()
+	return w.result
+}
+
+// A world is one cell that failures befall.
+type world struct {
+	config   Config
+	cell     *standin.Cell
+	fleet    *fleet.Fleet
+	balancer *fleet.Balancer
+	callers  *fleet.Callers
+	operator *operator
+	result   Result
+
+	mu     sync.Mutex // guards random and result.Faults
+	random *rand.Rand
+	heals  sync.WaitGroup
+}
+
+// rand returns a number from 0 to n-1.
+func (w *world) rand(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(n)
+}
+
+func (w *world) uint64() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Uint64()
+}
+
+// between returns a random time.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rand(int(high-low)))
+}
+
+func (w *world) start() error {
+	cell, err := standin.NewCell(standin.CellConfig{
+		Halls:    halls,
+		Workers:  workers,
+		RackSize: 2,
+		Capacity: spoolsill.Resources{
+			Processors: 8 * spoolsill.Core,
+			Memory:     16 * spoolsill.GiB,
+		},
+		Service: "quizdesk",
+		Runners: runners,
+		Slots:   slots,
+		Memory:  true,
+		Work: func(spoolsill.RequestKey) time.Duration {
+			d := time.Duration(w.rand(40)) * time.Millisecond
+			if w.rand(60) == 0 {
+				d = lifetime * 9 / 10
+			}
+			return d
+		},
+		Runtime: func(s agent.Start) (time.Duration, bool) {
+			if s.Runtime == 0 {
+				return time.Hour, false
+			}
+			return s.Runtime/2 + time.Duration(w.rand(int(s.Runtime))), w.rand(12) == 0
+		},
+	})
+	if err != nil {
+		return err
+	}
+	w.cell = cell
+	w.fleet, err = fleet.New(fleet.Config{
+		Cell:         cell,
+		Halls:        halls,
+		HostsPerHall: hosts,
+		HallLease:    hallLease,
+		TaskLease:    taskLease,
+		Break:        w.config.Break,
+		Service: settings.Service{
+			ID:           "quizdesk",
+			Slots:        slots,
+			Connections:  settings.DefaultConnections,
+			SlotLifetime: settings.Duration(lifetime),
+			MaxBody:      settings.DefaultMaxBody,
+			MaxAnswer:    settings.DefaultMaxAnswer,
+			Queue:        settings.DefaultQueue,
+		},
+	})
+	if err != nil {
+		cell.Close()
+		return err
+	}
+	w.balancer = fleet.NewBalancer(w.fleet)
+	w.callers = fleet.NewCallers(w.fleet, w.balancer, w.uint64)
+	w.operator = newOperator(w)
+	return nil
+}
+
+// play has callers and operators work while failures come and go, then lets
+// everything heal and settle, and checks what must be true in the end.
+func (w *world) play(ctx context.Context) error {
+	if err := w.fleet.WaitReady(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	work, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	spawn := func(f func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(work)
+		}()
+	}
+	background, quiet := context.WithCancel(ctx)
+	defer quiet()
+	var watchers sync.WaitGroup
+	for _, f := range []func(context.Context){w.balancer.Run, w.watchConfig} {
+		watchers.Add(1)
+		go func() {
+			defer watchers.Done()
+			f(background)
+		}()
+	}
+	for range callers {
+		spawn(func(work context.Context) { w.call(ctx, work) })
+	}
+	spawn(w.operator.run)
+	w.fail(ctx)
+	w.heals.Wait()
+	pause(ctx, 2*time.Second)
+	stop()
+	wg.Wait()
+	pause(ctx, settling)
+	err := w.checkEnd(ctx)
+	quiet()
+	watchers.Wait()
+	return err
+}
+
+func (w *world) call(ctx, work context.Context) {
+	for work.Err() == nil {
+		w.callers.Request(ctx)
+		pause(work, w.between(20*time.Millisecond, 200*time.Millisecond))
+	}
+}
+
+func (w *world) end() {
+	w.callers.Close()
+	w.operator.close()
+	w.fleet.Close()
+	w.cell.Close()
+	w.result.Broken, w.result.Cases = w.cell.Truth.Broken()
+	w.result.Done = w.callers.Done.Load()
+	w.result.NotRun = w.callers.NotRun.Load()
+	w.result.Unknown = w.callers.Unknown.Load()
+}
+
+// watchConfig verifies that no host goes back to a lower version, neither in
+// one life nor below what its hall has in force.
+func (w *world) watchConfig(ctx context.Context) {
+	last := map[spoolsill.HostID]spoolsill.Version{}
+	for ctx.Err() == nil {
+		for id, v := range w.fleet.Versions() {
+			if v < last[id] && v != 0 {
+				w.cell.Truth.Break(standin.ConfigOnly, "host %s goes from configuration %d back to %d", id, last[id], v)
+			}
+			last[id] = v
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+}
+
+// checkEnd verifies the cell after everything has healed.
+func (w *world) checkEnd(ctx context.Context) error {
+	if err := w.fleet.WaitReady(ctx); err != nil {
+		return err
+	}
+	for i := range w.fleet.Len() {
+		if h := w.fleet.Host(i); h.Holds() {
+			if err := h.Check(); err != nil {
+				w.cell.Truth.Break(standin.Capacity, "hall %s: %s", w.fleet.Hall(i), err)
+			}
+		}
+	}
+	newest := w.operator.newest()
+	for id, v := range w.fleet.Versions() {
+		if v < newest {
+			w.cell.Truth.Break(standin.ConfigOnly, "host %s has configuration %d, %d was accepted", id, v, newest)
+		}
+	}
+	return w.operator.check(ctx)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// String returns the result for people.
+func (r Result) String() string {
+	return fmt.Sprintf("done %d, not run %d, unknown %d, faults %v, broken %v, cases %v, err %v", r.Done, r.NotRun, r.Unknown, r.Faults, r.Broken, r.Cases, r.Err)
+}
--- a/internal/standin/truth.go
+++ b/internal/standin/truth.go
@@ -22,11 +22,12 @@
 	PlannedStop Promise = "planned-stop" // a planned stop cuts off nothing
 	ConfigOnly  Promise = "config"       // an accepted configuration never reverts
 	SlotLimit   Promise = "slot-limit"   // no runner gets more than its slots
+	NothingLost Promise = "nothing-lost" // what was confirmed is not forgotten
 )
 
 // Promises returns all promises, in order.
 func Promises() []Promise {
-	return []Promise{Capacity, OnePlace, WholeAnswer, TrueNotRun, AtMostOnce, Leaving, PlannedStop, ConfigOnly, SlotLimit}
+	return []Promise{Capacity, OnePlace, WholeAnswer, TrueNotRun, AtMostOnce, Leaving, PlannedStop, ConfigOnly, SlotLimit, NothingLost}
 }
 
 // Truth collects what really happened and which promises it broke. It is safe
--- a/peer/link.go
+++ b/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -16,7 +17,7 @@
 	host    spoolsill.HostID
 	address string
 
-	dialing sync.Mutex // held while a connection is opened
+	dialing gate // held while a connection is opened
 	mu      sync.Mutex
 	conn    *connWriter
 	waiting map[uint64]chan *message
@@ -33,12 +34,15 @@
 		return nil, fmt.Errorf("%w: %s: connection closed", ErrUnreachable, l.host)
 	}
 	defer l.forget(id)
-	err = w.write(&message{
+	err = w.write(ctx, &message{
 		Kind:   messageCall,
 		ID:     id,
 		Method: method,
 		Body:   body,
 	})
+	if errors.Is(err, errNotWritten) {
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, l.host, err)
+	}
 	if err != nil {
 		l.drop(w)
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, err)
@@ -59,8 +63,10 @@
 	if w := l.current(); w != nil {
 		return w, nil
 	}
-	l.dialing.Lock()
-	defer l.dialing.Unlock()
+	if err := l.dialing.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer l.dialing.leave()
 	if w := l.current(); w != nil {
 		return w, nil
 	}
@@ -70,10 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &connWriter{
-		node: l.node,
-		conn: c,
-	}
+	w := newConnWriter(l.node, c)
 	l.mu.Lock()
 	l.conn = w
 	l.waiting = map[uint64]chan *message{}
--- a/peer/node.go
+++ b/peer/node.go
@@ -79,6 +79,7 @@
 			node:    n,
 			host:    h,
 			address: a,
+			dialing: newGate(),
 		}
 	}
 	return n
--- a/peer/server.go
+++ b/peer/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -20,10 +21,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	w := &connWriter{
-		node: n,
-		conn: c,
-	}
+	w := newConnWriter(n, c)
 	r := bufio.NewReader(&countingReader{
 		node: n,
 		from: c,
@@ -42,7 +40,7 @@
 		select {
 		case slots <- struct{}{}:
 		default:
-			w.reply(m, nil, &RemoteError{
+			w.reply(ctx, m, nil, &RemoteError{
 				Code: CodeBusy,
 				Text: "too many calls at once",
 			})
@@ -53,7 +51,7 @@
 			defer wg.Done()
 			defer func() { <-slots }()
 			v, err := n.handle(ctx, m)
-			w.reply(m, v, err)
+			w.reply(ctx, m, v, err)
 		}()
 	}
 }
@@ -80,17 +78,30 @@
 	n.config.Report(c.RemoteAddr().String(), err)
 }
 
+// errNotWritten is returned when nothing of a message was written.
+var errNotWritten = errors.New("peer: not written")
+
 // A connWriter writes whole messages to a connection, one at a time.
 type connWriter struct {
 	node *Node
-	mu   sync.Mutex
+	gate gate
 	conn net.Conn
 }
 
-func (w *connWriter) write(m *message) error {
+func newConnWriter(n *Node, c net.Conn) *connWriter {
+	return &connWriter{
+		node: n,
+		gate: newGate(),
+		conn: c,
+	}
+}
+
+func (w *connWriter) write(ctx context.Context, m *message) error {
+	if err := w.gate.enter(ctx); err != nil {
+		return fmt.Errorf("%w: %w", errNotWritten, err)
+	}
+	defer w.gate.leave()
 	w.node.stamp(m)
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	_ = w.conn.SetWriteDeadline(time.Now().Add(DefaultWriteLimit))
 	return writeMessage(&countingWriter{
 		node: w.node,
@@ -98,9 +109,9 @@
 	}, m)
 }
 
-func (w *connWriter) reply(to *message, v any, err error) {
+func (w *connWriter) reply(ctx context.Context, to *message, v any, err error) {
 	m := replyMessage(to.ID, v, err)
-	if err := w.write(m); err != nil {
+	if err := w.write(ctx, m); err != nil {
 		_ = w.conn.Close()
 	}
 }
