--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -1,8 +1,60 @@
 package cli
 
-type benchCommand struct{}
+import (
+	"fmt"
+	"io"
+	"sort"
+	"time"
 
-// Run is replaced by the measurements.
-func (c *benchCommand) Run(*session) error {
-	return exitWith(ExitUsage, "no measurement yet")
+	"github.com/spoolsill/spoolsill/internal/bench/event"
+	"github.com/spoolsill/spoolsill/internal/bench/placebench"
+)
+
+type benchCommand struct {
+	Place benchPlace `cmd:"" help:"Placement against plain schedulers and a bound."`
+}
+
+type benchPlace struct {
+	Seed     uint64        `help:"Seed of the input." default:"1"`
+	Workers  int           `help:"Workers in one state: 110 is a hall at letter 1's size, 2100 the whole cell." default:"110"`
+	Load     float64       `help:"Share of the processors that is asked for." default:"0.85"`
+	Failing  float64       `help:"Share of workers that fail everything." default:"0.04"`
+	Duration time.Duration `help:"Virtual time." default:"4m"`
+}
+
+// Run measures placement.
+func (c *benchPlace) Run(s *session) error {
+	r := placebench.Run(placebench.Config{
+		Seed:     c.Seed,
+		Workers:  c.Workers,
+		Load:     c.Load,
+		Failing:  c.Failing,
+		Duration: c.Duration,
+	})
+	return s.print(r, func(w io.Writer) {
+		fmt.Fprintf(w, "seed %d, %d workers, load %.2f, %.1f starts a second, %.0f%% of the workers fail everything\n\n", r.Seed, r.Workers, r.Load, r.Starts, 100*r.Failing)
+		t := newTable(w, "policy", "work", "starts", "wait p50 ms", "p99 ms", "p999 ms")
+		for _, p := range r.Policies {
+			waitRows(t, p.Name, p.WaitMS)
+		}
+		t.flush()
+		fmt.Fprintln(w)
+		t = newTable(w, "policy", "worth in time", "packing", "violations", "lost twice", "preempted core s", "unstarted", "decision p50 us", "p99 us", "decisions/s")
+		for _, p := range r.Policies {
+			t.row(p.Name, fmt.Sprintf("%.3f", p.WorthInTime), fmt.Sprintf("%.3f", p.Packing), fmt.Sprint(p.Violations), fmt.Sprintf("%.4f", p.LostTwice), fmt.Sprintf("%.1f", p.Preempted), fmt.Sprint(p.Unstarted), fmt.Sprintf("%.1f", p.DecisionUS.P50), fmt.Sprintf("%.1f", p.DecisionUS.P99), fmt.Sprintf("%.0f", p.PerSecond))
+		}
+		t.flush()
+	})
+}
+
+func waitRows(t table, policy string, waits map[string]event.Quantiles) {
+	kinds := make([]string, 0, len(waits))
+	for k := range waits {
+		kinds = append(kinds, k)
+	}
+	sort.Strings(kinds)
+	for _, k := range kinds {
+		q := waits[k]
+		t.row(policy, k, fmt.Sprint(q.Count), fmt.Sprintf("%.1f", q.P50), fmt.Sprintf("%.1f", q.P99), fmt.Sprintf("%.1f", q.P999))
+	}
 }
