place: a gang gathers room piece by piece, and makes it after half a second

Cause: gangs waited behind patient batch when the hall was full: reserved workers stood fixed while freed pieces elsewhere went to others. Change: room is gathered on the workers with the most free, room for a task is kept elsewhere; a normal gang that waited 500 ms has patient work checkpointed for all its tasks at once, searched for at most four times a second.

--- a/place/fit.go
+++ b/place/fit.go
@@ -66,14 +66,16 @@
 }
 
 // room returns the capacity of w that t may take: what is promised to other
-// tasks is left out.
+// tasks is left out, but not to tasks of its own gang.
 func (s *State) room(t *task, w *worker) spoolsill.Resources {
 	if w.promised.IsZero() {
 		return w.free
 	}
 	f := w.free.Sub(w.promised)
-	if t.target == w {
-		f = f.Add(t.job.spec.Shape)
+	for _, x := range s.promised {
+		if x.target == w && (x == t || t.job.spec.Kind == spoolsill.Gang && x.job == t.job) {
+			f = f.Add(x.job.spec.Shape)
+		}
 	}
 	return f
 }
--- a/place/gang.go
+++ b/place/gang.go
@@ -86,8 +86,10 @@
 	return false
 }
 
-// A reserve keeps workers for the oldest waiting gang: others may use them
-// only for work that is expected to end before at.
+// A reserve keeps room for the oldest waiting gang: on some workers, all room
+// that comes free, so that pieces add up to room for its tasks; elsewhere,
+// room that would hold one. Others may take it only for work that is expected
+// to end before at.
 type reserve struct {
 	job     *job
 	at      time.Time
@@ -103,13 +105,14 @@
 
 // bars reports whether a reservation keeps a task of j off w.
 func (r *reserve) bars(j *job, w *worker, now time.Time, l learnt) bool {
-	if r.job == nil || r.job == j || !r.workers[w] || j.spec.Class == spoolsill.Urgent {
+	if r.job == nil || r.job == j || j.spec.Class == spoolsill.Urgent {
 		return false
 	}
-	if j.spec.Kind == spoolsill.Service {
-		return true
+	seat := r.job.spec.Shape
+	if !r.workers[w] && times(seat, w.free.Sub(j.spec.Shape)) == times(seat, w.free) {
+		return false
 	}
-	return now.Add(l.runtime(&j.spec, mostly)).After(r.at)
+	return j.spec.Kind == spoolsill.Service || now.Add(l.runtime(&j.spec, mostly)).After(r.at)
 }
 
 func (s *State) dropReserve(j *job) {
@@ -130,30 +133,49 @@
 		return
 	}
 	old := s.reserve
-	if old.planned == j && (s.stands(old, now) || now.Sub(old.made) < reserveEvery) {
+	if old.planned == j && now.Sub(old.made) < reserveEvery {
 		return
 	}
-	s.reserve = s.planReserve(j, now)
-	s.reserve.planned = j
-	s.reserve.made = now
-	if old.job == j && old.at.Before(s.reserve.at) {
-		s.reserve.at = old.at
+	s.reserve = reserve{
+		planned: j,
+		made:    now,
 	}
-	if old.job != nil || s.reserve.job != nil {
-		s.freed++
+	at, ok := s.planReserve(j, now)
+	if !ok {
+		return
 	}
+	if old.job == j && old.at.Before(at) {
+		at = old.at
+	}
+	s.reserve.job = j
+	s.reserve.at = at
+	s.reserve.workers = s.gatherOn(j, now)
+	s.freed++
 }
 
-// stands reports whether the workers of a reservation still take work. Such a
-// reservation is kept as it is, and so is its time: when run times were
-// declared too short, a later time would let others in again and again.
-func (s *State) stands(r reserve, now time.Time) bool {
-	for w := range r.workers {
-		if !w.known || w.Leaving || w.silent || !w.health.takes(w, now) {
-			return false
+// gatherOn returns the workers on which room is gathered for a gang: those
+// with the most free, as many as hold it when each gets room for one task more
+// than it has now.
+func (s *State) gatherOn(j *job, now time.Time) map[*worker]bool {
+	var list []*worker
+	for _, w := range s.order {
+		if w.known && !w.Leaving && !w.silent && w.health.takes(w, now) && j.spec.Shape.Fits(w.Capacity) {
+			list = append(list, w)
+		}
+	}
+	sort.SliceStable(list, func(a, b int) bool {
+		return leftover(list[a], j.spec.Shape) > leftover(list[b], j.spec.Shape)
+	})
+	out := map[*worker]bool{}
+	seats := 0
+	for _, w := range list {
+		if seats >= len(j.pending) {
+			break
 		}
+		out[w] = true
+		seats += times(j.spec.Shape, w.free) + 1
 	}
-	return len(r.workers) > 0
+	return out
 }
 
 func (s *State) oldestBlockedGang() *job {
@@ -177,9 +199,10 @@
 }
 
 // planReserve finds the earliest time at which all tasks of a gang are
-// expected to fit, and the workers that they would use then.
+// expected to fit. The time is kept until the gang starts: when run times were
+// declared too short, a later one would let others in again and again.
 // Cost: O(tasks log tasks).
-func (s *State) planReserve(j *job, now time.Time) reserve {
+func (s *State) planReserve(j *job, now time.Time) (time.Time, bool) {
 	t := j.waiting()[0]
 	free := map[*worker]spoolsill.Resources{}
 	seats := 0
@@ -200,14 +223,7 @@
 		seats += times(j.spec.Shape, free[d.w]) - before
 		at = d.at
 	}
-	if seats < len(j.pending) {
-		return reserve{}
-	}
-	return reserve{
-		job:     j,
-		at:      at,
-		workers: s.chosen(j, free),
-	}
+	return at, seats >= len(j.pending)
 }
 
 // departures returns the expected ends of the tasks on some workers, in order.
@@ -240,26 +256,3 @@
 	})
 	return out
 }
-
-// chosen returns the workers that offer the most seats, just enough of them.
-func (s *State) chosen(j *job, free map[*worker]spoolsill.Resources) map[*worker]bool {
-	var list []*worker
-	for _, w := range s.order {
-		if f, ok := free[w]; ok && j.spec.Shape.Fits(f) {
-			list = append(list, w)
-		}
-	}
-	sort.SliceStable(list, func(a, b int) bool {
-		return times(j.spec.Shape, free[list[a]]) > times(j.spec.Shape, free[list[b]])
-	})
-	out := map[*worker]bool{}
-	seats := 0
-	for _, w := range list {
-		if seats >= len(j.pending) {
-			break
-		}
-		out[w] = true
-		seats += times(j.spec.Shape, free[w])
-	}
-	return out
-}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -132,6 +132,7 @@
 			c := qt.New(t)
 			s := newHall(place.Config{
 				NoReservation: off,
+				GangPatience:  -1,
 			}, 2)
 			add(c, s, start, job("first", 4, 4))
 			running := decide(c, s, start, place.TaskPlaced)
@@ -160,6 +161,30 @@
 	}
 }
 
+// TestAGangThatWaitedMakesRoom has patient work checkpointed for a normal gang
+// only after its patience, and then for all its tasks at once.
+func TestAGangThatWaitedMakesRoom(t *testing.T) {
+	c := qt.New(t)
+	s := newHall(place.Config{}, 2)
+	p := job("patient", 4, 4)
+	p.Class = spoolsill.Patient
+	add(c, s, start, p)
+	run(s, start, decide(c, s, start, place.TaskPlaced))
+	g := job("gang", 2, 8)
+	g.Kind = spoolsill.Gang
+	add(c, s, start, g)
+	c.Assert(decide(c, s, start, place.TaskCheckpointing), qt.HasLen, 0)
+	now := start.Add(place.DefaultGangPatience)
+	out := decide(c, s, now, place.TaskCheckpointing)
+	c.Assert(out, qt.HasLen, 4)
+	for _, r := range out {
+		end(s, now, r, place.Checkpointed)
+	}
+	placed := decide(c, s, now, place.TaskPlaced)
+	c.Assert(placed, qt.HasLen, 2)
+	c.Assert(placed[0].Task.Job, qt.Equals, spoolsill.JobID("gang"))
+}
+
 func TestUrgentWorkPreemptsTheLeastWorth(t *testing.T) {
 	c := qt.New(t)
 	s := newHall(place.Config{}, 2)
@@ -483,7 +508,9 @@
 
 func TestLearntRunTimesDecideWhatMayBackfill(t *testing.T) {
 	c := qt.New(t)
-	s := newHall(place.Config{}, 2)
+	s := newHall(place.Config{
+		GangPatience: -1,
+	}, 2)
 	// The team's runs take ten times what it declares.
 	for i := range 20 {
 		j := job(fmt.Sprintf("past%d", i), 1, 1)
--- a/place/preempt.go
+++ b/place/preempt.go
@@ -57,16 +57,7 @@
 		rooms = append(rooms, r)
 	}
 	for _, r := range rooms {
-		for _, v := range r.victims {
-			d.add(Record{
-				Kind:    TaskCheckpointing,
-				At:      d.now.UnixMicro(),
-				Task:    v.id,
-				Worker:  r.w.ID,
-				Attempt: v.attempt,
-				Cause:   CausePreempted,
-			})
-		}
+		d.checkpoint(r)
 	}
 	if len(rooms) > 0 {
 		j.why.Code = WhyMakingRoom
@@ -74,10 +65,110 @@
 	}
 }
 
+// roomEvery is the least time between two searches for room for one gang.
+const roomEvery = 250 * time.Millisecond
+
+// roomForGang makes room for a gang: at once for an urgent one, for another
+// after it has waited for a while. Room that is gathered piece by piece comes
+// slowly when the hall is full, and holds up others meanwhile.
 func (d *decider) roomForGang(j *job) {
-	if j.spec.Class == spoolsill.Urgent {
-		d.makeRoom(j.waiting())
+	if d.state.config.NoPreemption || (j.spec.Class != spoolsill.Urgent && !d.patienceOver(j)) {
+		return
+	}
+	if j.promised() || d.now.Sub(j.roomSought) < roomEvery {
+		return
+	}
+	j.roomSought = d.now
+	var seats []room
+	for _, w := range d.state.order {
+		seats = append(seats, d.gangSeats(j, w)...)
+	}
+	sort.SliceStable(seats, func(a, b int) bool { return seats[a].less(seats[b]) })
+	tasks := j.waiting()
+	if len(seats) < len(tasks) {
+		return
+	}
+	for i, t := range tasks {
+		d.promise(t, seats[i].w)
+		d.checkpoint(seats[i])
 	}
+	j.why.Code = WhyMakingRoom
+	j.why.Worker = seats[0].w.ID
+}
+
+// promised reports whether room is being made for j.
+func (j *job) promised() bool {
+	for _, i := range j.pending {
+		if j.tasks[i].target != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// gangSeats returns the room for each further task of a gang on w, with the
+// victims that each costs, the cheapest first.
+func (d *decider) gangSeats(j *job, w *worker) []room {
+	t := j.waiting()[0]
+	if !d.mayMakeRoom(t, w) || anyAvoids(j.waiting(), w) {
+		return nil
+	}
+	free := d.state.room(t, w).Add(leavingRoom(w))
+	victims := d.victims(t, w, nil)
+	var out []room
+	for range j.pending {
+		r := room{
+			w: w,
+		}
+		for !j.spec.Shape.Fits(free) {
+			if len(victims) == 0 {
+				return out
+			}
+			v := victims[0]
+			victims = victims[1:]
+			free = free.Add(v.job.spec.Shape)
+			r.add(v, d.now)
+		}
+		free = free.Sub(j.spec.Shape)
+		out = append(out, r)
+	}
+	return out
+}
+
+// leavingRoom returns what the tasks that are leaving w hold.
+func leavingRoom(w *worker) spoolsill.Resources {
+	var sum spoolsill.Resources
+	for _, v := range w.tasks {
+		if v.state == spoolsill.TaskCheckpointing || v.state == spoolsill.TaskStopping {
+			sum = sum.Add(v.job.spec.Shape)
+		}
+	}
+	return sum
+}
+
+// add counts one more victim.
+func (r *room) add(v *task, now time.Time) {
+	r.victims = append(r.victims, v)
+	r.worth += v.job.spec.Worth
+	r.lost += now.Sub(v.since)
+}
+
+func (d *decider) checkpoint(r room) {
+	for _, v := range r.victims {
+		d.add(Record{
+			Kind:    TaskCheckpointing,
+			At:      d.now.UnixMicro(),
+			Task:    v.id,
+			Worker:  r.w.ID,
+			Attempt: v.attempt,
+			Cause:   CausePreempted,
+		})
+	}
+}
+
+func (d *decider) patienceOver(j *job) bool {
+	p := d.state.config.GangPatience
+	return p > 0 && j.spec.Kind == spoolsill.Gang && j.spec.Class == spoolsill.Normal && d.now.Sub(j.added) >= p
 }
 
 func (d *decider) promise(t *task, w *worker) {
@@ -158,19 +249,13 @@
 			free = free.Add(v.job.spec.Shape)
 		}
 	}
-	for _, v := range w.tasks {
-		if v.state == spoolsill.TaskCheckpointing || v.state == spoolsill.TaskStopping {
-			free = free.Add(v.job.spec.Shape)
-		}
-	}
+	free = free.Add(leavingRoom(w))
 	for _, v := range d.victims(t, w, taken) {
 		if t.job.spec.Shape.Fits(free) {
 			break
 		}
 		free = free.Add(v.job.spec.Shape)
-		r.victims = append(r.victims, v)
-		r.worth += v.job.spec.Worth
-		r.lost += d.now.Sub(v.since)
+		r.add(v, d.now)
 	}
 	return r, t.job.spec.Shape.Fits(free)
 }
@@ -180,7 +265,7 @@
 func (d *decider) victims(t *task, w *worker, taken map[*task]bool) []*task {
 	var out []*task
 	for _, v := range w.tasks {
-		if !taken[v] && preemptible(t.job, v) {
+		if !taken[v] && d.preemptible(t.job, v) {
 			out = append(out, v)
 		}
 	}
@@ -199,10 +284,10 @@
 
 // preemptible reports whether v may be checkpointed for work of j. Work that
 // can't be repeated and the tasks of a gang never are.
-func preemptible(j *job, v *task) bool {
+func (d *decider) preemptible(j *job, v *task) bool {
 	p := &v.job.spec
 	if v.state != spoolsill.TaskRunning || p.Class != spoolsill.Patient || p.Unrepeatable || p.Kind == spoolsill.Gang {
 		return false
 	}
-	return j.spec.Class == spoolsill.Urgent || v.job.team.overQuota()
+	return j.spec.Class == spoolsill.Urgent || d.patienceOver(j) || v.job.team.overQuota()
 }
--- a/place/state.go
+++ b/place/state.go
@@ -16,6 +16,7 @@
 	DefaultQuarantined  = 100 // of 1000 workers
 	DefaultFinishedJobs = 1000
 	DefaultDecisions    = 512
+	DefaultGangPatience = 500 * time.Millisecond
 )
 
 // A Config describes a [State]. The zero value is usable.
@@ -31,6 +32,9 @@
 	Quarantine time.Duration
 	// QuarantinedPerMille bounds the share of workers in quarantine at once.
 	QuarantinedPerMille int
+	// GangPatience is how long a normal gang waits before patient work is
+	// checkpointed for it; below 0 means for ever.
+	GangPatience time.Duration
 	// FinishedJobs is how many finished jobs are remembered.
 	FinishedJobs int
 	// Decisions bounds the records of one Decide call.
@@ -49,6 +53,7 @@
 	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
 	setDefault(&c.Quarantine, DefaultQuarantine)
 	setDefault(&c.QuarantinedPerMille, DefaultQuarantined)
+	setDefault(&c.GangPatience, DefaultGangPatience)
 	setDefault(&c.FinishedJobs, DefaultFinishedJobs)
 	setDefault(&c.Decisions, DefaultDecisions)
 	return c
@@ -101,24 +106,25 @@
 }
 
 type job struct {
-	spec      spoolsill.Job
-	team      *team
-	number    uint64
-	added     time.Time
-	tasks     []task
-	pending   []int // indexes of tasks that wait and are ready
-	live      int   // tasks that are not final
-	held      int   // tasks that hold capacity
-	cancelled bool
-	inQueue   bool
-	never     bool
-	why       Why
-	blocked   uint64 // the value of State.freed at which it last did not fit
-	spread    *spread
-	failedOn  []spoolsill.WorkerID
-	exits     int // tasks that ran to their end
-	fails     int // tasks that failed
-	finished  time.Time
+	spec       spoolsill.Job
+	team       *team
+	number     uint64
+	added      time.Time
+	tasks      []task
+	pending    []int // indexes of tasks that wait and are ready
+	live       int   // tasks that are not final
+	held       int   // tasks that hold capacity
+	cancelled  bool
+	inQueue    bool
+	never      bool
+	why        Why
+	roomSought time.Time // when room was last sought for this gang
+	blocked    uint64    // the value of State.freed at which it last did not fit
+	spread     *spread
+	failedOn   []spoolsill.WorkerID
+	exits      int // tasks that ran to their end
+	fails      int // tasks that failed
+	finished   time.Time
 }
 
 type task struct {
