--- a/internal/bench/placebench/input.go
+++ b/internal/bench/placebench/input.go
@@ -245,8 +245,13 @@
 	return sum / sample
 }
 
+// backlogWorkers bounds the workers of the packing run: the plain schedulers
+// look at every worker for every waiting task.
+const backlogWorkers = 110
+
 // makeBacklog draws a large batch that waits at the start, of many shapes.
 func makeBacklog(c Config) input {
+	c.Workers = min(c.Workers, backlogWorkers)
 	r := rand.New(rand.NewPCG(c.Seed, 17))
 	in := input{
 		workers: makeWorkers(c.Workers),
--- a/route/loan.go
+++ b/route/loan.go
@@ -27,7 +27,7 @@
 // Bounds of the wait between two requests for loans that brought nothing.
 const (
 	minBorrowWait = time.Millisecond
-	maxBorrowWait = 64 * time.Millisecond
+	maxBorrowWait = 4 * time.Millisecond
 	maxBorrow     = 64 // slots asked for at once
 )
 
--- a/route/state.go
+++ b/route/state.go
@@ -98,9 +98,6 @@
 	if a.turn != b.turn {
 		return a.turn < b.turn
 	}
-	if !a.request.Deadline.Equal(b.request.Deadline) {
-		return a.request.Deadline.Before(b.request.Deadline)
-	}
 	return a.arrived < b.arrived
 }
 
