bench fault, bench capacity: sequences and slopes on virtual time

Change: a command can run on the virtual time of testing/synctest (package bubble); bench fault adds up many sequences and switches mechanisms off, bench capacity fits costs over sizes of a hall.

--- a/entry/host.go
+++ b/entry/host.go
@@ -353,6 +353,12 @@
 	return h.holder.Holds()
 }
 
+// Sent returns the bytes that the host has sent to other hosts.
+func (h *Host) Sent() uint64 {
+	n, _ := h.node.Traffic()
+	return n
+}
+
 // Silent reports whether the platform has not answered lately.
 func (h *Host) Silent() bool {
 	return h.platform.Silent()
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -4,16 +4,24 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 
+	"github.com/spoolsill/spoolsill/internal/bench/capacity"
 	"github.com/spoolsill/spoolsill/internal/bench/event"
+	"github.com/spoolsill/spoolsill/internal/bench/faultbench"
 	"github.com/spoolsill/spoolsill/internal/bench/placebench"
 	"github.com/spoolsill/spoolsill/internal/bench/routebench"
+	"github.com/spoolsill/spoolsill/internal/bubble"
+	"github.com/spoolsill/spoolsill/internal/standin"
 )
 
 type benchCommand struct {
 	Place benchPlace `cmd:"" help:"Placement against plain schedulers and a bound."`
 	Route benchRoute `cmd:"" help:"Routing against plain routers and one shared queue."`
+	Fault benchFault `cmd:"" help:"Random sequences of failures over the real hosts, on virtual time."`
+
+	Capacity benchCapacity `cmd:"" help:"What each worker, host and start costs, fitted over several sizes."`
 }
 
 type benchRoute struct {
@@ -84,3 +92,102 @@
 		t.row(policy, k, fmt.Sprint(q.Count), fmt.Sprintf("%.1f", q.P50), fmt.Sprintf("%.1f", q.P99), fmt.Sprintf("%.1f", q.P999))
 	}
 }
+
+type benchFault struct {
+	Seed  uint64 `help:"Seed of the first sequence." default:"1000"`
+	Runs  int    `help:"Sequences." default:"20"`
+	Break string `help:"Switch a mechanism off: promise, fence, settle, record, lapse, claim or drain."`
+}
+
+// Run runs sequences of failures. It fails when a promise was broken.
+func (c *benchFault) Run(s *session) error {
+	return s.onVirtualTime(c.run)
+}
+
+// onVirtualTime runs a measurement and ends the process with its exit code.
+func (s *session) onVirtualTime(f func(s *session) error) error {
+	bubble.Main(func() int {
+		err := f(s)
+		if err == nil {
+			return ExitOK
+		}
+		fmt.Fprintln(s.env.Err, "spoolsill:", err)
+		return exitCode(err)
+	})
+	return nil
+}
+
+func (c *benchFault) run(s *session) error {
+	r, err := faultbench.Run(c.Seed, c.Runs, c.Break)
+	if err != nil {
+		return exitWith(ExitUsage, "%w", err)
+	}
+	err = s.print(r, func(w io.Writer) {
+		fmt.Fprintf(w, "%d sequences from seed %d, %d requests: %.4f not run, %.4f unknown; %d jobs lost with all hosts of a hall; %d unfinished\n\n", r.Runs, r.Seed, r.Requests, r.NotRunShare, r.UnknownShare, r.LostWithHall, r.Unfinished)
+		t := newTable(w, "promise", "broken")
+		for _, p := range standin.Promises() {
+			t.row(string(p), fmt.Sprint(r.Violations[p]))
+		}
+		t.flush()
+		fmt.Fprintln(w)
+		t = newTable(w, "recovery", "count", "p50 ms", "p99 ms")
+		for k, q := range r.RecoveryMS {
+			t.row(k, fmt.Sprint(q.Count), fmt.Sprintf("%.0f", q.P50), fmt.Sprintf("%.0f", q.P99))
+		}
+		t.flush()
+		for _, x := range r.Cases {
+			fmt.Fprintln(w, x)
+		}
+	})
+	if err == nil && r.Broken() > 0 {
+		return exitWith(ExitFailed, "a promise was broken")
+	}
+	return err
+}
+
+type benchCapacity struct{}
+
+// Run measures the cost of size. Its tables are Markdown.
+func (c *benchCapacity) Run(s *session) error {
+	return s.onVirtualTime(c.run)
+}
+
+func (c *benchCapacity) run(s *session) error {
+	r, err := capacity.Run()
+	if err != nil {
+		return err
+	}
+	return s.print(r, func(w io.Writer) {
+		row := func(cells ...string) { fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | ")) }
+		for _, part := range []struct {
+			name   string
+			points []capacity.Point
+		}{
+			{
+				name:   "at rest, two hosts",
+				points: r.AtRest,
+			},
+			{
+				name:   "starts, two hosts",
+				points: r.Loaded,
+			},
+			{
+				name:   "hosts, at rest",
+				points: r.ByHosts,
+			},
+		} {
+			fmt.Fprintf(w, "\n%s\n\n", part.name)
+			row("workers", "hosts", "starts/s", "cpu share a host", "peer B/s a host", "table writes/s", "table reads/s", "worker calls/s", "heap MB a host")
+			row("--:", "--:", "--:", "--:", "--:", "--:", "--:", "--:", "--:")
+			for _, p := range part.points {
+				row(fmt.Sprint(p.Workers), fmt.Sprint(p.Hosts), fmt.Sprintf("%.0f", p.Starts), fmt.Sprintf("%.4f", p.CPU), fmt.Sprintf("%.0f", p.Peer), fmt.Sprintf("%.2f", p.Writes), fmt.Sprintf("%.2f", p.Reads), fmt.Sprintf("%.1f", p.Calls), fmt.Sprintf("%.1f", p.Heap/1e6))
+			}
+		}
+		fmt.Fprint(w, "\nslopes\n\n")
+		row("cost", "for each", "slope", "without any", "largest miss")
+		row("---", "---", "--:", "--:", "--:")
+		for _, x := range r.Slopes {
+			row(x.Cost, x.Per, fmt.Sprintf("%.4g", x.Value), fmt.Sprintf("%.4g", x.Rest), fmt.Sprintf("%.2g", x.Error))
+		}
+	})
+}
--- a/internal/standin/cell.go
+++ b/internal/standin/cell.go
@@ -167,6 +167,15 @@
 	return a, nil
 }
 
+// Calls returns how many calls all workers have got.
+func (x *Cell) Calls() int64 {
+	var n int64
+	for _, w := range x.Workers {
+		n += w.calls.Load()
+	}
+	return n
+}
+
 // Wait returns when ctx ends.
 func (x *Cell) Wait(ctx context.Context) {
 	<-ctx.Done()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -29,6 +30,7 @@
 type Worker struct {
 	Fault  Fault
 	config WorkerConfig
+	calls  atomic.Int64
 
 	mu     sync.Mutex
 	tasks  map[agent.Ref]*workerTask
@@ -75,13 +77,20 @@
 // Handler returns the agent's HTTP interface.
 func (w *Worker) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Use(w.Fault.wrap)
+	r.Use(w.count, w.Fault.wrap)
 	r.Post("/v1/start", w.start)
 	r.Post("/v1/renew", w.renew)
 	r.Post("/v1/signal", w.signal)
 	return r
 }
 
+func (w *Worker) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w.calls.Add(1)
+		next.ServeHTTP(out, r)
+	})
+}
+
 func (w *Worker) start(out http.ResponseWriter, r *http.Request) {
 	var s agent.Start
 	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
