--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,296 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/api"
+	"github.com/spoolsill/spoolsill/entry"
+	"github.com/spoolsill/spoolsill/internal/fleet"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/settings"
+)
+
+// newFleet returns a hall of entry hosts over loopback sockets.
+func newFleet(t testing.TB, hosts int, b entry.Breaks, work time.Duration) (*standin.Cell, *fleet.Fleet) {
+	c := qt.New(t)
+	halls := []spoolsill.HallID{"vake"}
+	cell, err := standin.NewCell(standin.CellConfig{
+		Halls:    halls,
+		Workers:  4,
+		RackSize: 2,
+		Capacity: spoolsill.Resources{
+			Processors: 8 * spoolsill.Core,
+			Memory:     16 * spoolsill.GiB,
+		},
+		Service: "quizdesk",
+		Runners: 8,
+		Slots:   8,
+		Work:    func(spoolsill.RequestKey) time.Duration { return work },
+	})
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(cell.Close)
+	f, err := fleet.New(fleet.Config{
+		Cell:         cell,
+		Halls:        halls,
+		HostsPerHall: hosts,
+		HallLease:    2 * time.Second,
+		TaskLease:    4 * time.Second,
+		Break:        b,
+		Service: settings.Service{
+			ID:           "quizdesk",
+			Slots:        8,
+			Connections:  60,
+			SlotLifetime: settings.Duration(5 * time.Second),
+			MaxBody:      1000,
+			MaxAnswer:    settings.DefaultMaxAnswer,
+			Queue:        settings.DefaultQueue,
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	c.Assert(f.WaitReady(ctx), qt.IsNil)
+	return cell, f
+}
+
+// post sends one request to a host.
+func post(f *fleet.Fleet, host int, body string, head map[string]string) (*http.Response, string, error) {
+	addresses, _ := f.States()
+	q, err := http.NewRequest(http.MethodPost, "http://"+addresses[host]+"/v1/call/quizdesk/mark", strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	for k, v := range head {
+		q.Header.Set(k, v)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	return r, string(b), err
+}
+
+// inFlight sends n requests to a host, stops the host as planned while a
+// runner works on all of them, and returns how many came to a whole answer.
+func inFlight(t *testing.T, b entry.Breaks, n int) int {
+	cell, f := newFleet(t, 1, b, 400*time.Millisecond)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	whole := 0
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			key := fmt.Sprintf("vake/%d", i)
+			_, body, err := post(f, 0, "sheet", map[string]string{
+				entry.HeaderKey: key,
+			})
+			if err == nil && body == standin.Answer(spoolsill.RequestKey(key), []byte("sheet")) {
+				mu.Lock()
+				defer mu.Unlock()
+				whole++
+			}
+		}()
+	}
+	for begun := int64(0); begun < int64(n); {
+		begun = 0
+		for _, r := range cell.Runners {
+			begun += r.Begun()
+		}
+		runtime.Gosched()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f.Stop(ctx, 0)
+	wg.Wait()
+	return whole
+}
+
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	qt.Assert(t, inFlight(t, entry.Breaks{}, 40), qt.Equals, 40)
+}
+
+func TestPlannedStopNeedsTheDrain(t *testing.T) {
+	qt.Assert(t, inFlight(t, entry.Breaks{
+		Drain: true,
+	}, 40) < 40, qt.IsTrue)
+}
+
+func TestBadRequestsAreNotRunAndSaySo(t *testing.T) {
+	_, f := newFleet(t, 1, entry.Breaks{}, 0)
+	tests := []struct {
+		name   string
+		body   string
+		head   map[string]string
+		status int
+		want   string
+	}{
+		{
+			name: "oversize body",
+			body: strings.Repeat("x", 1001),
+			want: "body is longer than 1000 bytes",
+		},
+		{
+			name: "unknown header",
+			head: map[string]string{
+				"Spoolsill-Speed": "9",
+			},
+			want: "there is no such header",
+		},
+		{
+			name: "bad deadline",
+			head: map[string]string{
+				entry.HeaderDeadline: "soon",
+			},
+			want: "a duration like",
+		},
+		{
+			name: "unrepeatable without a key",
+			head: map[string]string{
+				entry.HeaderUnrepeatable: "true",
+			},
+			want: "a key, since the request is unrepeatable",
+		},
+		{
+			name: "a key from the future",
+			head: map[string]string{
+				entry.HeaderIssued: strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10),
+			},
+			want: "not ahead of now",
+		},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, body, err := post(f, 0, x.body, x.head)
+			c.Assert(err, qt.IsNil)
+			c.Check(r.StatusCode >= 400 && r.StatusCode < 500, qt.IsTrue)
+			c.Check(r.Header.Get(entry.HeaderOutcome), qt.Equals, string(spoolsill.NotRun))
+			c.Check(body, qt.Contains, x.want)
+		})
+	}
+}
+
+// TestTheSameKeyRunsOnce asks again at another host and gets the first answer.
+func TestTheSameKeyRunsOnce(t *testing.T) {
+	c := qt.New(t)
+	cell, f := newFleet(t, 2, entry.Breaks{}, 0)
+	head := map[string]string{
+		entry.HeaderKey:          "vake/once",
+		entry.HeaderUnrepeatable: "true",
+	}
+	// The hosts have just started: a key must be later than that by more than
+	// clocks may be off, and not ahead of now by more.
+	head[entry.HeaderIssued] = strconv.FormatInt(time.Now().Add(1900*time.Millisecond).UnixMilli(), 10)
+	var outcomes []string
+	for i := range 4 {
+		r, body, err := post(f, i%2, "points", head)
+		c.Assert(err, qt.IsNil)
+		outcomes = append(outcomes, r.Header.Get(entry.HeaderOutcome))
+		if r.Header.Get(entry.HeaderReplayed) == "true" {
+			c.Check(body, qt.Equals, standin.Answer("vake/once", []byte("points")))
+		}
+	}
+	c.Check(cell.Truth.Runs("vake/once") <= 1, qt.IsTrue, qt.Commentf("%v", outcomes))
+}
+
+func TestOperatorsAreToldWhatIsWrong(t *testing.T) {
+	c := qt.New(t)
+	_, f := newFleet(t, 1, entry.Breaks{}, 0)
+	client := f.Client()
+	ctx := context.Background()
+	_, err := client.Plan(ctx, api.Intent{
+		Submit: "id = \"x\"",
+		Name:   "x.toml",
+	})
+	c.Check(err, qt.ErrorMatches, `x.toml: processors: "" is not allowed.*`)
+	_, err = client.Plan(ctx, api.Intent{})
+	c.Check(err, qt.ErrorMatches, `.*want one of submit, cancel and drain, got 0.*`)
+	_, err = client.Job(ctx, "nobody")
+	c.Check(err, qt.ErrorMatches, `job nobody is not known in any hall.*`)
+	err = client.Confirm(ctx, "vake", "p-none")
+	c.Check(err, qt.ErrorMatches, `plan is stale: plan p-none is not known here.*`)
+	_, err = client.PutConfig(ctx, api.PutConfig{
+		Base: 7,
+	})
+	c.Check(err, qt.ErrorMatches, `the configuration has changed since.*`)
+}
+
+// BenchmarkRequest sends a request to a runner, straight and through an entry
+// host, over loopback sockets.
+func BenchmarkRequest(b *testing.B) {
+	cell, f := newFleet(b, 1, entry.Breaks{}, 0)
+	addresses, _ := f.States()
+	runner := cell.Platform.Members().Runners[0].Address
+	for _, x := range []struct {
+		name string
+		url  string
+	}{
+		{
+			name: "straight",
+			url:  "http://" + runner + "/mark",
+		},
+		{
+			name: "entry",
+			url:  "http://" + addresses[0] + "/v1/call/quizdesk/mark",
+		},
+	} {
+		client := &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 256,
+			},
+		}
+		one := func() {
+			r, err := client.Post(x.url, "text/plain", strings.NewReader("sheet"))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = r.Body.Close()
+		}
+		b.Run(x.name+"/one-at-a-time", func(b *testing.B) {
+			for b.Loop() {
+				one()
+			}
+		})
+		b.Run(x.name+"/parallel", func(b *testing.B) {
+			b.SetParallelism(8)
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					one()
+				}
+			})
+		})
+	}
+}
+
+func FuzzParseRequest(f *testing.F) {
+	f.Add("Spoolsill-Deadline", "1s")
+	f.Add("Spoolsill-Worth", "-1")
+	f.Add("Spoolsill-Key", "vake/ä")
+	f.Fuzz(func(t *testing.T, name, value string) {
+		now := time.UnixMilli(1_800_000_000_000)
+		r, err := entry.ParseRequest(now, "s", http.Header{
+			http.CanonicalHeaderKey(name): {value},
+		})
+		if err == nil && (r.Deadline.Before(now) || r.Worth < 0) {
+			t.Fatalf("accepted %+v", r)
+		}
+	})
+}
