--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -66,23 +66,34 @@
 	return cell, f
 }
 
+// A got is the answer to one request.
+type got struct {
+	status int
+	head   http.Header
+	body   string
+}
+
 // post sends one request to a host.
-func post(f *fleet.Fleet, host int, body string, head map[string]string) (*http.Response, string, error) {
+func post(f *fleet.Fleet, host int, body string, head map[string]string) (got, error) {
 	addresses, _ := f.States()
 	q, err := http.NewRequest(http.MethodPost, "http://"+addresses[host]+"/v1/call/quizdesk/mark", strings.NewReader(body))
 	if err != nil {
-		return nil, "", err
+		return got{}, err
 	}
 	for k, v := range head {
 		q.Header.Set(k, v)
 	}
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
-		return nil, "", err
+		return got{}, err
 	}
 	defer func() { _ = r.Body.Close() }()
 	b, err := io.ReadAll(r.Body)
-	return r, string(b), err
+	return got{
+		status: r.StatusCode,
+		head:   r.Header,
+		body:   string(b),
+	}, err
 }
 
 // inFlight sends n requests to a host, stops the host as planned while a
@@ -97,10 +108,10 @@
 		go func() {
 			defer wg.Done()
 			key := fmt.Sprintf("vake/%d", i)
-			_, body, err := post(f, 0, "sheet", map[string]string{
+			r, err := post(f, 0, "sheet", map[string]string{
 				entry.HeaderKey: key,
 			})
-			if err == nil && body == standin.Answer(spoolsill.RequestKey(key), []byte("sheet")) {
+			if err == nil && r.body == standin.Answer(spoolsill.RequestKey(key), []byte("sheet")) {
 				mu.Lock()
 				defer mu.Unlock()
 				whole++
@@ -134,11 +145,10 @@
 func TestBadRequestsAreNotRunAndSaySo(t *testing.T) {
 	_, f := newFleet(t, 1, entry.Breaks{}, 0)
 	tests := []struct {
-		name   string
-		body   string
-		head   map[string]string
-		status int
-		want   string
+		name string
+		body string
+		head map[string]string
+		want string
 	}{
 		{
 			name: "oversize body",
@@ -177,11 +187,11 @@
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
-			r, body, err := post(f, 0, x.body, x.head)
+			r, err := post(f, 0, x.body, x.head)
 			c.Assert(err, qt.IsNil)
-			c.Check(r.StatusCode >= 400 && r.StatusCode < 500, qt.IsTrue)
-			c.Check(r.Header.Get(entry.HeaderOutcome), qt.Equals, string(spoolsill.NotRun))
-			c.Check(body, qt.Contains, x.want)
+			c.Check(r.status >= 400 && r.status < 500, qt.IsTrue)
+			c.Check(r.head.Get(entry.HeaderOutcome), qt.Equals, string(spoolsill.NotRun))
+			c.Check(r.body, qt.Contains, x.want)
 		})
 	}
 }
@@ -199,11 +209,11 @@
 	head[entry.HeaderIssued] = strconv.FormatInt(time.Now().Add(1900*time.Millisecond).UnixMilli(), 10)
 	var outcomes []string
 	for i := range 4 {
-		r, body, err := post(f, i%2, "points", head)
+		r, err := post(f, i%2, "points", head)
 		c.Assert(err, qt.IsNil)
-		outcomes = append(outcomes, r.Header.Get(entry.HeaderOutcome))
-		if r.Header.Get(entry.HeaderReplayed) == "true" {
-			c.Check(body, qt.Equals, standin.Answer("vake/once", []byte("points")))
+		outcomes = append(outcomes, r.head.Get(entry.HeaderOutcome))
+		if r.head.Get(entry.HeaderReplayed) == "true" {
+			c.Check(r.body, qt.Equals, standin.Answer("vake/once", []byte("points")))
 		}
 	}
 	c.Check(cell.Truth.Runs("vake/once") <= 1, qt.IsTrue, qt.Commentf("%v", outcomes))
--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -98,10 +98,10 @@
 			return callResult{}, exitWith(ExitUsage, "%w", err)
 		}
 		c.setHeaders(q.Header)
-		var r *http.Response
-		r, err = http.DefaultClient.Do(q)
+		var x callResult
+		x, err = c.do(q)
 		if err == nil {
-			return c.read(r)
+			return x, nil
 		}
 		var op *net.OpError
 		if !errors.As(err, &op) || op.Op != "dial" {
@@ -115,6 +115,16 @@
 	return callResult{}, exitWith(ExitUnreachable, "no entry host can be reached: %w", err)
 }
 
+// do sends a request. It fails only when no answer came at all.
+func (c *callCommand) do(q *http.Request) (callResult, error) {
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return callResult{}, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	return c.read(r), nil
+}
+
 func (c *callCommand) setHeaders(h http.Header) {
 	h.Set(entry.HeaderKey, string(c.Key))
 	h.Set(entry.HeaderCaller, c.Caller)
@@ -126,8 +136,7 @@
 	h.Set(entry.HeaderUnrepeatable, strconv.FormatBool(c.Unrepeatable))
 }
 
-func (c *callCommand) read(r *http.Response) (callResult, error) {
-	defer func() { _ = r.Body.Close() }()
+func (c *callCommand) read(r *http.Response) callResult {
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	x := callResult{
 		Outcome:  spoolsill.Outcome(r.Header.Get(entry.HeaderOutcome)),
@@ -143,7 +152,7 @@
 		x.Outcome = spoolsill.Unknown
 		x.Cause = "the answer did not come whole"
 	}
-	return x, nil
+	return x
 }
 
 func (r callResult) print(w io.Writer) {
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -47,8 +47,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.plan(i)
-	return err
+	return s.plan(i)
 }
 
 // Run shows the plan.
@@ -57,8 +56,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.plan(i)
-	return err
+	return s.plan(i)
 }
 
 // Run shows the plan.
@@ -67,8 +65,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.plan(i)
-	return err
+	return s.plan(i)
 }
 
 // cancelIntent finds the hall of the jobs when none is named.
@@ -109,12 +106,12 @@
 }
 
 // plan asks for a plan and prints it.
-func (s *session) plan(i api.Intent) (holder.Plan, error) {
+func (s *session) plan(i api.Intent) error {
 	p, err := s.client.Plan(s.ctx(), i)
 	if err != nil {
-		return p, err
+		return err
 	}
-	return p, s.print(p, func(w io.Writer) { printPlan(w, p) })
+	return s.print(p, func(w io.Writer) { printPlan(w, p) })
 }
 
 // shownChanges bounds the changes that a table lists.
--- a/internal/fault/fail.go
+++ b/internal/fault/fail.go
@@ -14,7 +14,7 @@
 	name string
 	// begin brings it about and returns what heals it, or nil when it can't
 	// come now.
-	begin func(w *world, ctx context.Context) (heal func())
+	begin func(ctx context.Context, w *world) (heal func())
 }
 
 var failures = []failure{
@@ -93,7 +93,7 @@
 	end := time.Now().Add(w.config.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f := failures[w.rand(len(failures))]
-		if heal := f.begin(w, ctx); heal != nil {
+		if heal := f.begin(ctx, w); heal != nil {
 			w.mu.Lock()
 			w.result.Faults[f.name]++
 			w.mu.Unlock()
@@ -134,7 +134,7 @@
 	return w.fleet.Holder(halls[w.rand(len(halls))])
 }
 
-func hostDies(w *world, _ context.Context) func() {
+func hostDies(_ context.Context, w *world) func() {
 	i, ok := w.up()
 	if !ok {
 		return nil
@@ -142,7 +142,7 @@
 	return w.kill(i)
 }
 
-func holderDies(w *world, ctx context.Context) func() {
+func holderDies(ctx context.Context, w *world) func() {
 	i, ok := w.holder()
 	if !ok {
 		return nil
@@ -185,7 +185,7 @@
 // hostStops stops a host as planned. One that is paused is left alone: with
 // the process as a whole its stop would be held up too, which the pause of a
 // node does not show.
-func hostStops(w *world, ctx context.Context) func() {
+func hostStops(ctx context.Context, w *world) func() {
 	i, ok := w.up()
 	if !ok || w.cell.Network.Paused(string(w.fleet.ID(i))) {
 		return nil
@@ -202,7 +202,7 @@
 	return func() { w.cell.Network.SetPaused(name, false) }
 }
 
-func hostPauses(w *world, _ context.Context) func() {
+func hostPauses(_ context.Context, w *world) func() {
 	i, ok := w.up()
 	if !ok {
 		return nil
@@ -215,7 +215,7 @@
 	return w.pauseNode(string(w.fleet.ID(i)))
 }
 
-func holderPauses(w *world, _ context.Context) func() {
+func holderPauses(_ context.Context, w *world) func() {
 	i, ok := w.holder()
 	if !ok {
 		return nil
@@ -223,17 +223,17 @@
 	return w.pauseHost(i)
 }
 
-func platformDown(w *world, _ context.Context) func() {
+func platformDown(_ context.Context, w *world) func() {
 	w.cell.Platform.Fault.SetDown(true)
 	return func() { w.cell.Platform.Fault.SetDown(false) }
 }
 
-func platformSlow(w *world, _ context.Context) func() {
+func platformSlow(_ context.Context, w *world) func() {
 	w.cell.Platform.Fault.SetSlow(w.between(50*time.Millisecond, 900*time.Millisecond))
 	return func() { w.cell.Platform.Fault.SetSlow(0) }
 }
 
-func answersLost(w *world, _ context.Context) func() {
+func answersLost(_ context.Context, w *world) func() {
 	w.cell.Platform.Fault.LoseAnswers(1 + w.rand(6))
 	return func() {}
 }
@@ -249,21 +249,21 @@
 	}
 }
 
-func hallCutFromPlatform(w *world, _ context.Context) func() {
+func hallCutFromPlatform(_ context.Context, w *world) func() {
 	return w.cut([2]string{string(halls[w.rand(len(halls))]), standin.PlatformPlace})
 }
 
-func hallCutOff(w *world, _ context.Context) func() {
+func hallCutOff(_ context.Context, w *world) func() {
 	h := string(halls[0])
 	return w.cut([2]string{h, string(halls[1])}, [2]string{h, standin.PlatformPlace})
 }
 
-func hostCutFromPlatform(w *world, _ context.Context) func() {
+func hostCutFromPlatform(_ context.Context, w *world) func() {
 	return w.cut([2]string{string(w.fleet.ID(w.rand(w.fleet.Len()))), standin.PlatformPlace})
 }
 
 // hostCutFromHost cuts the two hosts of a hall from each other.
-func hostCutFromHost(w *world, _ context.Context) func() {
+func hostCutFromHost(_ context.Context, w *world) func() {
 	i := w.rand(len(halls)) * hosts
 	w.operator.harm(i)
 	return w.cut([2]string{string(w.fleet.ID(i)), string(w.fleet.ID(i + 1))})
@@ -280,28 +280,28 @@
 	return l[w.rand(len(l))].ID
 }
 
-func workerCut(w *world, _ context.Context) func() {
+func workerCut(_ context.Context, w *world) func() {
 	id := w.worker()
 	return w.cut([2]string{string(id), string(halls[0])}, [2]string{string(id), string(halls[1])})
 }
 
-func workerPauses(w *world, _ context.Context) func() {
+func workerPauses(_ context.Context, w *world) func() {
 	return w.pauseNode(string(w.worker()))
 }
 
-func workerFails(w *world, _ context.Context) func() {
+func workerFails(_ context.Context, w *world) func() {
 	x := w.cell.Workers[w.worker()]
 	x.FailAll(true)
 	return func() { x.FailAll(false) }
 }
 
-func runnerFails(w *world, _ context.Context) func() {
+func runnerFails(_ context.Context, w *world) func() {
 	x := w.cell.Runners[w.runner()]
 	x.FailAll(true)
 	return func() { x.FailAll(false) }
 }
 
-func runnerCut(w *world, _ context.Context) func() {
+func runnerCut(_ context.Context, w *world) func() {
 	id := w.runner()
 	return w.cut([2]string{string(id), string(halls[0])}, [2]string{string(id), string(halls[1])})
 }
--- a/internal/naive/ledger.go
+++ b/internal/naive/ledger.go
@@ -140,7 +140,7 @@
 	j := l.jobs[r.Task.Job]
 	switch r.Kind {
 	case place.TaskPlaced:
-		return l.place(r, t, j)
+		return l.place(r, t)
 	case place.TaskRunning:
 		t.State = spoolsill.TaskRunning
 		t.Ran = true
@@ -168,7 +168,7 @@
 	return nil
 }
 
-func (l *Ledger) place(r place.Record, t *Task, j spoolsill.Job) error {
+func (l *Ledger) place(r place.Record, t *Task) error {
 	w, ok := l.workers[r.Worker]
 	switch {
 	case t.State.Holds():
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -10,12 +10,11 @@
 	"github.com/spoolsill/spoolsill/member"
 )
 
-func list(leaving bool) member.List {
+func list() member.List {
 	return member.List{
 		Workers: []spoolsill.Worker{{
-			ID:      "w",
-			Hall:    "h",
-			Leaving: leaving,
+			ID:   "w",
+			Hall: "h",
 		}},
 		Runners: []spoolsill.Runner{{
 			ID:   "r",
@@ -28,23 +27,23 @@
 	c := qt.New(t)
 	now := time.UnixMicro(1_000_000)
 	v := member.NewView(member.Config{})
-	v.SetList(now, list(false))
+	v.SetList(now, list())
 	c.Assert(v.State("r"), qt.Equals, member.Live)
 	c.Assert(v.SetLeaving(now, "r"), qt.IsTrue)
 	c.Assert(v.SetLeaving(now, "r"), qt.IsFalse)
 	// A list that lags behind does not take the sign back.
-	v.SetList(now.Add(time.Second), list(false))
+	v.SetList(now.Add(time.Second), list())
 	c.Assert(v.Runners("h")[0].Leaving, qt.IsTrue)
 	c.Assert(v.State("r"), qt.Equals, member.Leaving)
 	// One that still does not show it after a while does.
-	v.SetList(now.Add(2*member.DefaultHoldLeaving), list(false))
+	v.SetList(now.Add(2*member.DefaultHoldLeaving), list())
 	c.Assert(v.Runners("h")[0].Leaving, qt.IsFalse)
 }
 
 func TestDrainedMachinesAreLeavingUntilUndone(t *testing.T) {
 	c := qt.New(t)
 	v := member.NewView(member.Config{})
-	v.SetList(time.UnixMicro(1), list(false))
+	v.SetList(time.UnixMicro(1), list())
 	v.SetDrained([]string{"w"})
 	c.Assert(v.Workers("h")[0].Leaving, qt.IsTrue)
 	v.SetDrained(nil)
@@ -54,7 +53,7 @@
 func TestFailedCallsMakeSuspect(t *testing.T) {
 	c := qt.New(t)
 	v := member.NewView(member.Config{})
-	v.SetList(time.UnixMicro(1), list(false))
+	v.SetList(time.UnixMicro(1), list())
 	for range member.DefaultSuspectAfter {
 		v.Saw("w", false)
 	}
