place: large tasks of patient work first; a host says when it is placing

Change: among the 16 oldest waiting patient jobs of a team the largest tasks are tried first, until the oldest has waited two minutes; /healthz has placing.

--- a/api/api.go
+++ b/api/api.go
@@ -85,7 +85,8 @@
 	ConfigSure  bool              `json:"config_sure"           msgpack:"u"` // no newer one is in force in the hall
 	Holder      spoolsill.HostID  `json:"holder"                msgpack:"o"`
 	Epoch       spoolsill.Epoch   `json:"epoch"                 msgpack:"e"`
-	Holds       bool              `json:"holds"                 msgpack:"l"`
+	Holds       bool              `json:"holds"                 msgpack:"l"` // has the hall's lease
+	Placing     bool              `json:"placing"               msgpack:"p"` // has it, and answers for the hall
 	Waiting     int               `json:"waiting"               msgpack:"w"`
 	Running     int               `json:"running"               msgpack:"r"`
 	Unreachable string            `json:"unreachable,omitempty" msgpack:"n"`
--- a/entry/operate.go
+++ b/entry/operate.go
@@ -315,6 +315,7 @@
 		Holder:   x,
 		Epoch:    epoch,
 		Holds:    h.holder.Holds(),
+		Placing:  h.holder.Placing(),
 	}
 	for _, v := range h.services {
 		waiting, running := v.router.Load()
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -105,6 +105,18 @@
 	return ok
 }
 
+// Placing reports whether this host holds the lease and has settled what the
+// former holder left, so that it answers calls.
+func (h *Holder) Placing() bool {
+	t, err := h.current()
+	if err != nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ready
+}
+
 // Seen returns the holder of the hall's lease as last seen, and its epoch.
 func (h *Holder) Seen() (spoolsill.HostID, spoolsill.Epoch, bool) {
 	h.mu.Lock()
--- a/internal/bench/capacity/run.go
+++ b/internal/bench/capacity/run.go
@@ -215,9 +215,6 @@
 		}
 		return nil
 	}
-	if err := waitHolder(ctx, c); err != nil {
-		return p, err
-	}
 	if err := load(warm); err != nil {
 		return p, err
 	}
@@ -239,20 +236,6 @@
 	return p, nil
 }
 
-// waitHolder waits until the hall's holder answers.
-func waitHolder(ctx context.Context, c *api.Client) error {
-	for {
-		w, err := c.Workers(ctx, "")
-		if err == nil && len(w.Missing) == 0 {
-			return nil
-		}
-		pause(ctx, 100*time.Millisecond)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-}
-
 // submit adds a batch of so many short tasks.
 func submit(ctx context.Context, c *api.Client, n, tasks int) error {
 	plan, err := c.Plan(ctx, api.Intent{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -304,7 +304,8 @@
 	}
 }
 
-// WaitReady waits until every hall has a holder and every host is ready.
+// WaitReady waits until every hall has a holder that answers and every host is
+// ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	c := f.Client()
 	defer c.HTTP.CloseIdleConnections()
@@ -326,7 +327,7 @@
 		if x.Unreachable != "" || !x.Members {
 			return false
 		}
-		if x.Holds {
+		if x.Placing {
 			holders++
 		}
 	}
--- a/place/queue.go
+++ b/place/queue.go
@@ -200,7 +200,7 @@
 	var best *job
 	var bestRank float64
 	for _, t := range s.active {
-		j := t.queues[c].next(s)
+		j := t.queues[c].next(s, now)
 		if j == nil {
 			continue
 		}
@@ -221,7 +221,7 @@
 
 // next returns the first job of q that has not failed to fit since capacity
 // was last freed.
-func (q *queue) next(s *State) *job {
+func (q *queue) next(s *State, now time.Time) *job {
 	if len(q.jobs) == 0 || q.blocked == s.freed {
 		return nil
 	}
@@ -229,13 +229,38 @@
 		q.round = s.round
 		q.skip = 0
 	}
-	for q.skip < len(q.jobs) {
-		j := q.jobs[q.skip]
-		if j.blocked != s.freed {
-			return j
-		}
+	for q.skip < len(q.jobs) && q.jobs[q.skip].blocked == s.freed {
 		q.skip++
 	}
-	q.blocked = s.freed
-	return nil
+	if q.skip == len(q.jobs) {
+		q.blocked = s.freed
+		return nil
+	}
+	return q.largest(s, now)
+}
+
+// lookahead is how many waiting patient jobs of a team may change places: the
+// largest tasks are tried first, since what is small still fits afterwards.
+const lookahead = 16
+
+// oldestFirst is the waiting time from which a job is tried before larger ones.
+const oldestFirst = 2 * time.Minute
+
+// largest returns the job with the largest tasks among the next few patient
+// jobs; of other work it returns the oldest.
+func (q *queue) largest(s *State, now time.Time) *job {
+	best := q.jobs[q.skip]
+	if best.spec.Class != spoolsill.Patient || now.Sub(best.added) > oldestFirst {
+		return best
+	}
+	size := best.spec.Shape.DominantShare(s.total)
+	for _, j := range q.jobs[q.skip:min(len(q.jobs), q.skip+lookahead)] {
+		if j.blocked == s.freed {
+			continue
+		}
+		if x := j.spec.Shape.DominantShare(s.total); x > size {
+			best, size = j, x
+		}
+	}
+	return best
 }
