holder: a worker without tasks is asked five times slower

Change: an idle worker is asked each 5 s, and at the usual time after a start; a renewal that is due is never put off. A search for a failure has 2,000 sequences whatever the run.

--- a/holder/driver.go
+++ b/holder/driver.go
@@ -35,6 +35,7 @@
 	forget map[agent.Ref]spoolsill.Sequence
 	fails  int
 	asked  bool
+	soon   chan struct{} // a task has been started: there is something to tell soon
 }
 
 func newDriver(t *tenure, id spoolsill.WorkerID) *driver {
@@ -46,6 +47,29 @@
 		born:     now,
 		starting: map[agent.Ref]lease.Reading{},
 		forget:   map[agent.Ref]spoolsill.Sequence{},
+		soon:     make(chan struct{}, 1),
+	}
+}
+
+// idlePolls is how many times slower a worker without tasks is asked.
+const idlePolls = 5
+
+// wait returns the time to the next renewal.
+func (d *driver) wait() time.Duration {
+	poll := d.t.h.config.Poll
+	d.t.mu.Lock()
+	defer d.t.mu.Unlock()
+	if d.t.ready && d.fails == 0 && len(d.forget) == 0 && len(d.t.state.Holds(d.id)) == 0 {
+		poll *= idlePolls
+	}
+	return poll - poll/10 + rand.N(poll/5)
+}
+
+// hurry has the next renewal made within the usual time.
+func (d *driver) hurry() {
+	select {
+	case d.soon <- struct{}{}:
+	default:
 	}
 }
 
@@ -57,13 +81,21 @@
 // run renews until the tenure ends. The first wait is random, so that the
 // renewals of a hall spread.
 func (d *driver) run() {
-	poll := d.t.h.config.Poll
-	wait := rand.N(poll)
+	next := time.Now().Add(rand.N(d.t.h.config.Poll))
 	for {
+		t := time.NewTimer(time.Until(next))
 		select {
 		case <-d.t.ctx.Done():
+			t.Stop()
 			return
-		case <-time.After(wait):
+		case <-d.soon:
+			t.Stop()
+			// A time that is set is never put off: leases depend on it.
+			if at := time.Now().Add(d.wait()); at.Before(next) {
+				next = at
+			}
+			continue
+		case <-t.C:
 		}
 		d.t.mu.Lock()
 		ready := d.t.ready
@@ -71,7 +103,7 @@
 		if ready {
 			d.renew()
 		}
-		wait = poll - poll/10 + rand.N(poll/5)
+		next = time.Now().Add(d.wait())
 	}
 }
 
@@ -335,6 +367,7 @@
 	}
 	d.granted = now
 	d.starting[r] = now
+	d.hurry()
 	return agent.Start{
 		Task:     r.Task,
 		Attempt:  r.Attempt,
--- a/internal/seed/fails.go
+++ b/internal/seed/fails.go
@@ -1,17 +1,27 @@
 package seed
 
 import (
+	"flag"
 	"runtime"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// searches is the number of sequences in which [Fails] looks for a failure.
+const searches = "2000"
+
 // Fails reports whether a property fails for some sequence. Tests use it to
 // show that a property does find the fault that a mechanism is for, with the
-// mechanism switched off.
+// mechanism switched off. It must not be called in parallel tests.
 func Fails(t *testing.T, property func(*rapid.T)) bool {
 	t.Helper()
+	checks := flag.Lookup("rapid.checks")
+	old := checks.Value.String()
+	defer func() { _ = flag.Set("rapid.checks", old) }()
+	if err := flag.Set("rapid.checks", searches); err != nil {
+		t.Fatal(err)
+	}
 	r := &recorder{
 		T: t,
 	}
