--- a/entry/beat.go
+++ b/entry/beat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/timeline"
 )
@@ -40,7 +41,7 @@
 			go h.beatTo(ctx, x)
 		}
 		h.noteSilence()
-		sleep(ctx, beatEvery-beatEvery/10+rand.N(beatEvery/5))
+		pause.For(ctx, beatEvery-beatEvery/10+rand.N(beatEvery/5))
 	}
 }
 
--- a/entry/configs.go
+++ b/entry/configs.go
@@ -9,6 +9,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/config"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/table"
 	"github.com/spoolsill/spoolsill/timeline"
@@ -28,7 +29,7 @@
 		if err == nil && h.offerRow(row) {
 			h.readAt(asked)
 		}
-		sleep(ctx, configEvery-configEvery/10+rand.N(configEvery/5))
+		pause.For(ctx, configEvery-configEvery/10+rand.N(configEvery/5))
 	}
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -16,6 +16,7 @@
 	"github.com/spoolsill/spoolsill/claim"
 	"github.com/spoolsill/spoolsill/config"
 	"github.com/spoolsill/spoolsill/holder"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/lease"
 	"github.com/spoolsill/spoolsill/member"
 	"github.com/spoolsill/spoolsill/peer"
@@ -317,7 +318,7 @@
 }
 
 func (h *Host) finishWork(ctx context.Context) {
-	sleep(ctx, time.Duration(h.settings.Host.DrainDelay))
+	pause.For(ctx, time.Duration(h.settings.Host.DrainDelay))
 	h.mu.Lock()
 	s := h.server
 	h.mu.Unlock()
@@ -334,15 +335,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Ring returns the host's events.
 func (h *Host) Ring() *timeline.Ring {
 	return h.ring
--- a/entry/life.go
+++ b/entry/life.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/table"
 	"github.com/spoolsill/spoolsill/timeline"
 )
@@ -41,7 +42,7 @@
 			}
 			return
 		}
-		sleep(ctx, lifeRetry)
+		pause.For(ctx, lifeRetry)
 	}
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/member"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/place"
@@ -34,7 +35,7 @@
 				h.applyMembers()
 			}
 		}
-		sleep(ctx, memberEvery-memberEvery/10+rand.N(memberEvery/5))
+		pause.For(ctx, memberEvery-memberEvery/10+rand.N(memberEvery/5))
 	}
 }
 
--- a/holder/config.go
+++ b/holder/config.go
@@ -10,6 +10,7 @@
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/agent"
 	"github.com/spoolsill/spoolsill/intent"
+	"github.com/spoolsill/spoolsill/internal/zero"
 	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
 	"github.com/spoolsill/spoolsill/place"
@@ -120,21 +121,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.TaskLease, DefaultTaskLease)
-	setDefault(&c.TaskMargin, DefaultTaskMargin)
-	setDefault(&c.Poll, DefaultPoll)
-	setDefault(&c.Group, DefaultGroup)
-	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
-	setDefault(&c.Starts, DefaultStarts)
+	zero.Default(&c.TaskLease, DefaultTaskLease)
+	zero.Default(&c.TaskMargin, DefaultTaskMargin)
+	zero.Default(&c.Poll, DefaultPoll)
+	zero.Default(&c.Group, DefaultGroup)
+	zero.Default(&c.SnapshotEvery, DefaultSnapshotEvery)
+	zero.Default(&c.Starts, DefaultStarts)
 	c.Lease.Host = c.Host
 	c.Lease.Incarnation = c.Incarnation
 	c.Lease.Hosts = c.Hosts
 	c.Lease.NoPromises = c.Break.Promise
 	return c
 }
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
 	"github.com/spoolsill/spoolsill/table"
@@ -273,16 +274,7 @@
 				return
 			}
 		}
-		wait(ctx, leaseTick)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		pause.For(ctx, leaseTick)
 	}
 }
 
--- a/internal/bench/capacity/run.go
+++ b/internal/bench/capacity/run.go
@@ -16,6 +16,7 @@
 	"github.com/spoolsill/spoolsill/api"
 	"github.com/spoolsill/spoolsill/internal/bubble"
 	"github.com/spoolsill/spoolsill/internal/fleet"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 	"github.com/spoolsill/spoolsill/settings"
 )
@@ -211,7 +212,7 @@
 					return err
 				}
 			}
-			pause(ctx, time.Second)
+			pause.For(ctx, time.Second)
 		}
 		return nil
 	}
@@ -270,12 +271,3 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -8,6 +8,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/api"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 )
 
@@ -121,7 +122,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		pause(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -145,7 +146,7 @@
 func (d *demo) startCallers(ctx context.Context) (stop func()) {
 	work, end := context.WithCancel(ctx)
 	go d.balancer.Run(ctx)
-	pause(ctx, 300*time.Millisecond)
+	pause.For(ctx, 300*time.Millisecond)
 	var wg sync.WaitGroup
 	for range d.config.Callers {
 		wg.Add(1)
@@ -153,7 +154,7 @@
 			defer wg.Done()
 			for work.Err() == nil && d.callers.Begun.Load() < int64(d.config.Requests) {
 				d.callers.Request(ctx)
-				pause(work, 40*time.Millisecond)
+				pause.For(work, 40*time.Millisecond)
 			}
 		}()
 	}
@@ -171,7 +172,7 @@
 
 // fail brings about the failures, one after another and some together.
 func (d *demo) fail(ctx context.Context) error {
-	pause(ctx, 2*time.Second)
+	pause.For(ctx, 2*time.Second)
 	d.progress()
 	killed, _ := d.fleet.Holder(d.halls[0])
 	d.fleet.Kill(killed)
@@ -193,7 +194,7 @@
 		}
 	}
 	d.tell("both hosts are started again")
-	pause(ctx, time.Second)
+	pause.For(ctx, time.Second)
 	d.leave(ctx)
 	if err := d.outage(ctx); err != nil {
 		return err
@@ -207,7 +208,7 @@
 	d.cell.Platform.SetLeaving(string(id))
 	d.cell.Runners[id].SetLeaving()
 	d.tell("runner %s is leaving", id)
-	pause(ctx, 500*time.Millisecond)
+	pause.For(ctx, 500*time.Millisecond)
 }
 
 // outage takes the platform down for a while.
@@ -215,14 +216,14 @@
 	d.cell.Platform.Fault.SetDown(true)
 	d.tell("the platform is down")
 	before := d.callers.Done.Load()
-	pause(ctx, 5*time.Second)
+	pause.For(ctx, 5*time.Second)
 	d.tell("%d requests were served without it", d.callers.Done.Load()-before)
 	if err := d.submit(ctx, d.halls[2], "id = \"didube-late\"\nteam = \"decks\"\nkind = \"batch\"\ntasks = 3\nprocessors = \"1\"\nmemory = \"1GiB\"\nruntime = \"1s\"\n"); err != nil {
 		d.tell("a job can't be added without it: %s", err)
 	}
 	d.cell.Platform.Fault.SetDown(false)
 	d.tell("the platform is back")
-	pause(ctx, 2*time.Second)
+	pause.For(ctx, 2*time.Second)
 	a, err := d.client.PutConfig(ctx, api.PutConfig{
 		Base: 1,
 		Who:  "demo",
@@ -244,13 +245,13 @@
 		d.cell.Network.SetCut(h, o, true)
 	}
 	d.tell("hall %s is cut off from the other halls and the platform", h)
-	pause(ctx, 5*time.Second)
+	pause.For(ctx, 5*time.Second)
 	d.progress()
 	for _, o := range others {
 		d.cell.Network.SetCut(h, o, false)
 	}
 	d.tell("hall %s is back", h)
-	pause(ctx, 2*time.Second)
+	pause.For(ctx, 2*time.Second)
 	return d.waitHolder(ctx, d.halls[2])
 }
 
@@ -268,7 +269,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("hall %s has no holder: %w", hall, ctx.Err())
 		}
-		pause(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -283,7 +284,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("service deck-cache does not run in full: %v, %w", j.Job.States, ctx.Err())
 		}
-		pause(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 	jobs, err := d.client.Jobs(ctx, "")
 	if err != nil {
@@ -295,12 +296,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fault/fail.go
+++ b/internal/fault/fail.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 	"github.com/spoolsill/spoolsill/timeline"
 )
@@ -100,7 +101,7 @@
 			w.note("failure: " + f.name)
 			w.healLater(ctx, f.name, heal)
 		}
-		pause(ctx, w.between(200*time.Millisecond, 4*time.Second))
+		pause.For(ctx, w.between(200*time.Millisecond, 4*time.Second))
 	}
 }
 
@@ -109,7 +110,7 @@
 	w.heals.Add(1)
 	go func() {
 		defer w.heals.Done()
-		pause(ctx, d)
+		pause.For(ctx, d)
 		heal()
 		w.note("heals: " + name)
 	}()
@@ -166,7 +167,7 @@
 			w.mu.Unlock()
 			return
 		}
-		pause(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 	}
 }
 
--- a/internal/fault/operator.go
+++ b/internal/fault/operator.go
@@ -9,6 +9,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/api"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 )
 
@@ -60,7 +61,7 @@
 		default:
 			o.submit(ctx)
 		}
-		pause(ctx, o.w.between(100*time.Millisecond, 1500*time.Millisecond))
+		pause.For(ctx, o.w.between(100*time.Millisecond, 1500*time.Millisecond))
 	}
 }
 
@@ -133,7 +134,7 @@
 			o.note(o.refused, id)
 			return
 		}
-		pause(ctx, 300*time.Millisecond)
+		pause.For(ctx, 300*time.Millisecond)
 	}
 }
 
--- a/internal/fault/run.go
+++ b/internal/fault/run.go
@@ -13,6 +13,7 @@
 	"github.com/spoolsill/spoolsill/entry"
 	"github.com/spoolsill/spoolsill/holder"
 	"github.com/spoolsill/spoolsill/internal/fleet"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 	"github.com/spoolsill/spoolsill/settings"
 	"github.com/spoolsill/spoolsill/timeline"
@@ -212,10 +213,10 @@
 	spawn(w.operator.run)
 	w.fail(ctx)
 	w.heals.Wait()
-	pause(ctx, 2*time.Second)
+	pause.For(ctx, 2*time.Second)
 	stop()
 	wg.Wait()
-	pause(ctx, settling)
+	pause.For(ctx, settling)
 	err := w.checkEnd(ctx)
 	quiet()
 	watchers.Wait()
@@ -225,7 +226,7 @@
 func (w *world) call(ctx, work context.Context) {
 	for work.Err() == nil {
 		w.callers.Request(ctx)
-		pause(work, w.between(20*time.Millisecond, 200*time.Millisecond))
+		pause.For(work, w.between(20*time.Millisecond, 200*time.Millisecond))
 	}
 }
 
@@ -252,7 +253,7 @@
 			}
 			last[id] = v
 		}
-		pause(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 }
 
@@ -277,15 +278,6 @@
 	return w.operator.check(ctx)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // String returns the result for people.
 func (r Result) String() string {
 	return fmt.Sprintf("done %d, not run %d, unknown %d, faults %v, broken %v, cases %v, err %v", r.Done, r.NotRun, r.Unknown, r.Faults, r.Broken, r.Cases, r.Err)
--- a/internal/fleet/caller.go
+++ b/internal/fleet/caller.go
@@ -16,6 +16,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/entry"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 )
 
@@ -53,7 +54,7 @@
 		b.mu.Lock()
 		b.ready = ready
 		b.mu.Unlock()
-		pause(ctx, balancerLag)
+		pause.For(ctx, balancerLag)
 	}
 }
 
@@ -145,7 +146,7 @@
 		if last == spoolsill.Done || ctx.Err() != nil {
 			break
 		}
-		pause(ctx, 60*time.Millisecond)
+		pause.For(ctx, 60*time.Millisecond)
 	}
 	c.settle(x, last, maybe)
 }
@@ -255,12 +256,3 @@
 func (c *Callers) halls() []spoolsill.HallID {
 	return c.fleet.config.Halls
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/api"
 	"github.com/spoolsill/spoolsill/entry"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 	"github.com/spoolsill/spoolsill/settings"
 	"github.com/spoolsill/spoolsill/timeline"
@@ -314,7 +315,7 @@
 		if err == nil && f.ready(hosts) {
 			return nil
 		}
-		pause(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 		if ctx.Err() != nil {
 			return fmt.Errorf("hosts are not ready: %w", errors.Join(ctx.Err(), err))
 		}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/spoolsill/spoolsill/internal/pause"
 )
 
 // A Fault is how a stand-in misbehaves. It is safe for concurrent use; the
@@ -75,16 +77,16 @@
 
 func (f *Fault) enter(ctx context.Context) (down, lose bool) {
 	f.mu.Lock()
-	pause, slow := f.pause, f.slow
+	held, slow := f.pause, f.slow
 	f.mu.Unlock()
-	if pause != nil {
+	if held != nil {
 		select {
-		case <-pause:
+		case <-held:
 		case <-ctx.Done():
 		}
 	}
 	if slow > 0 {
-		wait(ctx, slow)
+		pause.For(ctx, slow)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,15 +97,6 @@
 	return f.down, false
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // A discard takes an answer that is lost.
 type discard struct {
 	header http.Header
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/upstream"
 )
 
@@ -98,7 +99,7 @@
 	}
 	if r.config.Work != nil {
 		// The work goes on when the caller has gone.
-		wait(context.WithoutCancel(q.Context()), r.config.Work(k))
+		pause.For(context.WithoutCancel(q.Context()), r.config.Work(k))
 	}
 	w.Header().Set("Content-Type", "text/plain")
 	_, _ = io.WriteString(w, Answer(k, body))
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/zero"
 )
 
 // Defaults of [Config].
@@ -41,21 +42,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Duration, DefaultDuration)
-	setDefault(&c.Renew, DefaultRenew)
-	setDefault(&c.Poll, DefaultPoll)
-	setDefault(&c.Margin, DefaultMargin)
-	setDefault(&c.Promise, DefaultPromise)
-	setDefault(&c.Extension, DefaultExtension)
+	zero.Default(&c.Duration, DefaultDuration)
+	zero.Default(&c.Renew, DefaultRenew)
+	zero.Default(&c.Poll, DefaultPoll)
+	zero.Default(&c.Margin, DefaultMargin)
+	zero.Default(&c.Promise, DefaultPromise)
+	zero.Default(&c.Extension, DefaultExtension)
 	return c
 }
 
-func setDefault(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // A Reading is one look at two clocks. Mono is the time since the process
 // started, on a clock that never jumps but may stand still while the machine
 // sleeps; Wall is the time of day, which jumps but does not stand still.
--- a/place/state.go
+++ b/place/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/zero"
 )
 
 // Defaults of [Config].
@@ -48,23 +49,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Tries, DefaultTries)
-	setDefault(&c.Backoff, DefaultBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&c.Quarantine, DefaultQuarantine)
-	setDefault(&c.QuarantinedPerMille, DefaultQuarantined)
-	setDefault(&c.GangPatience, DefaultGangPatience)
-	setDefault(&c.FinishedJobs, DefaultFinishedJobs)
-	setDefault(&c.Decisions, DefaultDecisions)
+	zero.Default(&c.Tries, DefaultTries)
+	zero.Default(&c.Backoff, DefaultBackoff)
+	zero.Default(&c.MaxBackoff, DefaultMaxBackoff)
+	zero.Default(&c.Quarantine, DefaultQuarantine)
+	zero.Default(&c.QuarantinedPerMille, DefaultQuarantined)
+	zero.Default(&c.GangPatience, DefaultGangPatience)
+	zero.Default(&c.FinishedJobs, DefaultFinishedJobs)
+	zero.Default(&c.Decisions, DefaultDecisions)
 	return c
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // A State holds the workers, jobs and tasks of one hall.
 type State struct {
 	config   Config
--- a/route/config.go
+++ b/route/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/zero"
 )
 
 // Defaults of [Config].
@@ -61,23 +62,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Slots, DefaultSlots)
-	setDefault(&c.Queue, DefaultQueue)
-	setDefault(&c.SlotLifetime, DefaultSlotLifetime)
-	setDefault(&c.Loan, DefaultLoan)
-	setDefault(&c.EjectAfter, DefaultEjectAfter)
-	setDefault(&c.Eject, DefaultEject)
-	setDefault(&c.MaxEject, DefaultMaxEject)
-	setDefault(&c.EjectedPerMille, DefaultEjected)
-	setDefault(&c.RetriesPerMille, DefaultRetries)
+	zero.Default(&c.Slots, DefaultSlots)
+	zero.Default(&c.Queue, DefaultQueue)
+	zero.Default(&c.SlotLifetime, DefaultSlotLifetime)
+	zero.Default(&c.Loan, DefaultLoan)
+	zero.Default(&c.EjectAfter, DefaultEjectAfter)
+	zero.Default(&c.Eject, DefaultEject)
+	zero.Default(&c.MaxEject, DefaultMaxEject)
+	zero.Default(&c.EjectedPerMille, DefaultEjected)
+	zero.Default(&c.RetriesPerMille, DefaultRetries)
 	if len(c.Hosts) == 0 {
 		c.Hosts = []spoolsill.HostID{c.Host}
 	}
 	return c
 }
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -13,6 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/zero"
 )
 
 // MaxFile is the length in bytes of the longest settings file.
@@ -243,18 +244,12 @@
 	}
 	for i := range s.Services {
 		v := &s.Services[i]
-		setDefault(&v.Slots, DefaultSlots)
-		setDefault(&v.Connections, DefaultConnections)
-		setDefault(&v.MaxBody, DefaultMaxBody)
-		setDefault(&v.MaxAnswer, DefaultMaxAnswer)
-		setDefault(&v.Queue, DefaultQueue)
-		setDefault(&v.SlotLifetime, Duration(30*time.Second))
-	}
-}
-
-func setDefault[T int | int64 | Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
+		zero.Default(&v.Slots, DefaultSlots)
+		zero.Default(&v.Connections, DefaultConnections)
+		zero.Default(&v.MaxBody, DefaultMaxBody)
+		zero.Default(&v.MaxAnswer, DefaultMaxAnswer)
+		zero.Default(&v.Queue, DefaultQueue)
+		zero.Default(&v.SlotLifetime, Duration(30*time.Second))
 	}
 }
 
