holder: a worker that runs what no record names gets nothing new beside it

Cause: a task that no record names was asked to stop, and meanwhile its worker was given work as if it were empty: over its capacity. Found by writing the test that settling lacked. Change: such a worker counts as silent until its strays are gone.

--- a/holder/driver.go
+++ b/holder/driver.go
@@ -35,6 +35,7 @@
 	forget map[agent.Ref]spoolsill.Sequence
 	fails  int
 	asked  bool
+	strays bool          // it runs what no record names
 	soon   chan struct{} // a task has been started: there is something to tell soon
 }
 
@@ -59,7 +60,7 @@
 	poll := d.t.h.config.Poll
 	d.t.mu.Lock()
 	defer d.t.mu.Unlock()
-	if d.t.ready && d.fails == 0 && len(d.forget) == 0 && len(d.t.state.Holds(d.id)) == 0 {
+	if d.t.ready && d.fails == 0 && !d.strays && len(d.forget) == 0 && len(d.t.state.Holds(d.id)) == 0 {
 		poll *= idlePolls
 	}
 	return poll - poll/10 + rand.N(poll/5)
@@ -175,7 +176,6 @@
 func (d *driver) answered() {
 	d.fails = 0
 	d.asked = true
-	d.t.state.SetSilent(d.id, false)
 }
 
 func (d *driver) unanswered() {
@@ -212,10 +212,16 @@
 // take takes in the report of the worker. The lock is held.
 func (d *driver) take(list []agent.Status, q agent.Renewal) {
 	there := make(map[agent.Ref]bool, len(list))
+	strays := 0
 	for _, s := range list {
 		there[s.Ref] = true
-		d.takeStatus(s)
+		if d.takeStatus(s) {
+			strays++
+		}
 	}
+	// What strays use is in no account: the worker gets nothing new beside them.
+	d.strays = strays > 0
+	d.t.state.SetSilent(d.id, d.strays)
 	for _, r := range q.Tasks {
 		if !there[r] {
 			d.missing(r)
@@ -223,12 +229,15 @@
 	}
 }
 
-func (d *driver) takeStatus(s agent.Status) {
+// takeStatus takes in the status of one task, and reports whether it is a
+// stray.
+func (d *driver) takeStatus(s agent.Status) bool {
 	h, held := d.held(s.Ref)
 	if s.State == agent.Running {
 		switch {
 		case !held:
 			d.stray(s.Ref)
+			return true
 		case h.State == spoolsill.TaskCheckpointing:
 			d.t.spawn(func() { d.signal(s.Ref, agent.Checkpoint) })
 		case h.State == spoolsill.TaskStopping:
@@ -237,7 +246,7 @@
 			d.report(s.Ref, place.Started)
 			d.use(s)
 		}
-		return
+		return false
 	}
 	if held {
 		d.report(s.Ref, fates[s.State])
@@ -245,6 +254,7 @@
 	if _, ok := d.forget[s.Ref]; !ok {
 		d.forget[s.Ref] = d.t.writer.Cut()
 	}
+	return false
 }
 
 var fates = map[agent.State]place.Fate{
--- /dev/null
+++ b/holder/settle_test.go
@@ -0,0 +1,121 @@
+package holder_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/agent"
+	"github.com/spoolsill/spoolsill/api"
+	"github.com/spoolsill/spoolsill/entry"
+	"github.com/spoolsill/spoolsill/holder"
+	"github.com/spoolsill/spoolsill/internal/fleet"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/settings"
+)
+
+// takeOver has a hall's only worker run a task that no record names, then
+// starts the hall's host and submits a job that needs the whole worker. It
+// returns how often the worker was given more than it has, and the state of
+// the job's task after a while.
+func takeOver(t *testing.T, b holder.Breaks) (over int, state spoolsill.TaskState) {
+	c := qt.New(t)
+	halls := []spoolsill.HallID{"vake"}
+	cell, err := standin.NewCell(standin.CellConfig{
+		Halls:    halls,
+		Workers:  1,
+		RackSize: 1,
+		Capacity: spoolsill.Resources{
+			Processors: 8 * spoolsill.Core,
+			Memory:     16 * spoolsill.GiB,
+		},
+		Service: "quizdesk",
+		Runners: 1,
+		Slots:   1,
+		Memory:  true,
+	})
+	c.Assert(err, qt.IsNil)
+	defer cell.Close()
+	agents := agent.NewClient(agent.Config{
+		Dial: cell.Network.Dialer(fleet.OutsideNode),
+	})
+	defer agents.Close()
+	ctx := context.Background()
+	c.Assert(agents.Start(ctx, cell.Platform.Members().Workers[0].Address, agent.Start{
+		Task: spoolsill.TaskID{
+			Job: "stray",
+		},
+		Attempt: 1,
+		Shape: spoolsill.Resources{
+			Processors: 6 * spoolsill.Core,
+		},
+		LeaseEnd: time.Now().Add(time.Hour).UnixMilli(),
+	}), qt.IsNil)
+	f, err := fleet.New(fleet.Config{
+		Cell:         cell,
+		Halls:        halls,
+		HostsPerHall: 1,
+		HallLease:    2 * time.Second,
+		TaskLease:    4 * time.Second,
+		Break: entry.Breaks{
+			Holder: b,
+		},
+		Service: settings.Service{
+			ID:           "quizdesk",
+			Slots:        1,
+			Connections:  1,
+			SlotLifetime: settings.Duration(time.Second),
+			MaxBody:      1,
+			MaxAnswer:    1,
+			Queue:        1,
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	defer f.Close()
+	c.Assert(f.WaitReady(ctx), qt.IsNil)
+	client := f.Client()
+	defer client.HTTP.CloseIdleConnections()
+	p, err := client.Plan(ctx, api.Intent{
+		Submit: "id = \"whole\"\nteam = \"t\"\nkind = \"batch\"\ntasks = 1\nprocessors = \"8\"\nmemory = \"1GiB\"\nruntime = \"1h\"\n",
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(client.Confirm(ctx, p.Hall, p.ID), qt.IsNil)
+	pause.For(ctx, 10*time.Second)
+	d, err := client.Job(ctx, "whole")
+	c.Assert(err, qt.IsNil)
+	counts, _ := cell.Truth.Broken()
+	return counts[standin.Capacity], d.Tasks[0].State
+}
+
+func TestAWorkerWithStraysGetsNothingNewBesideThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		over, state := takeOver(t, holder.Breaks{})
+		qt.Check(t, over, qt.Equals, 0)
+		qt.Check(t, state, qt.Equals, spoolsill.TaskRunning)
+	})
+}
+
+// TestCapacityNeedsSettlingBeforeDeciding decides before the worker is listed.
+// The first renewal comes at a random time, so that one try may see the stray
+// early; not all do.
+func TestCapacityNeedsSettlingBeforeDeciding(t *testing.T) {
+	const tries = 30
+	over := 0
+	for range tries {
+		synctest.Test(t, func(t *testing.T) {
+			n, _ := takeOver(t, holder.Breaks{
+				Settle: true,
+			})
+			over += n
+		})
+		if over > 0 {
+			return
+		}
+	}
+	t.Fatalf("not over capacity in %d tries", tries)
+}
