--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -12,6 +12,7 @@
 	"github.com/spoolsill/spoolsill/internal/bench/faultbench"
 	"github.com/spoolsill/spoolsill/internal/bench/placebench"
 	"github.com/spoolsill/spoolsill/internal/bench/routebench"
+	"github.com/spoolsill/spoolsill/internal/bench/storebench"
 	"github.com/spoolsill/spoolsill/internal/bubble"
 	"github.com/spoolsill/spoolsill/internal/standin"
 )
@@ -21,6 +22,8 @@
 	Route benchRoute `cmd:"" help:"Routing against plain routers and one shared queue."`
 	Fault benchFault `cmd:"" help:"Random sequences of failures over the real hosts, on virtual time."`
 
+	Store benchStore `cmd:"" help:"What placement asks of the platform's table, on virtual time."`
+
 	Capacity benchCapacity `cmd:"" help:"What each worker, host and start costs, fitted over several sizes."`
 }
 
@@ -145,6 +148,30 @@
 	return err
 }
 
+type benchStore struct {
+	Halls    int           `help:"Halls." default:"3"`
+	Rate     int           `help:"Placements a second in each hall." default:"1000"`
+	Store    time.Duration `help:"How long the table takes for a call." default:"5ms"`
+	Duration time.Duration `help:"Virtual time." default:"5s"`
+}
+
+// Run measures what placement asks of the table.
+func (c *benchStore) Run(s *session) error {
+	return s.onVirtualTime(c.run)
+}
+
+func (c *benchStore) run(s *session) error {
+	r, err := storebench.Run(storebench.Config(*c))
+	if err != nil {
+		return err
+	}
+	return s.print(r, func(w io.Writer) {
+		t := newTable(w, "halls", "placements/s", "table writes/s", "table reads/s", "confirm p50 ms", "p99 ms", "bytes/placement", "broken")
+		t.row(fmt.Sprint(r.Halls), fmt.Sprintf("%.0f", r.PlacementsPerS), fmt.Sprintf("%.1f", r.WritesPerS), fmt.Sprintf("%.1f", r.ReadsPerS), fmt.Sprintf("%.1f", r.CommitMS.P50), fmt.Sprintf("%.1f", r.CommitMS.P99), fmt.Sprintf("%.0f", r.BytesPerPlacement), fmt.Sprint(r.Broken))
+		t.flush()
+	})
+}
+
 type benchCapacity struct{}
 
 // Run measures the cost of size. Its tables are Markdown.
--- a/internal/standin/cell.go
+++ b/internal/standin/cell.go
@@ -176,6 +176,15 @@
 	return n
 }
 
+// Begun returns how many tasks all workers have begun.
+func (x *Cell) Begun() int64 {
+	var n int64
+	for _, w := range x.Workers {
+		n += w.begun.Load()
+	}
+	return n
+}
+
 // Wait returns when ctx ends.
 func (x *Cell) Wait(ctx context.Context) {
 	<-ctx.Done()
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -15,6 +15,7 @@
 	rows   map[string]table.Row
 	writes int
 	reads  int
+	bytes  int64
 }
 
 // NewTable returns an empty table.
@@ -43,6 +44,7 @@
 		}
 	}
 	for _, p := range x.Puts {
+		t.bytes += int64(len(p.Key) + len(p.Value))
 		t.rows[p.Key] = table.Row{
 			Key:     p.Key,
 			Value:   append([]byte(nil), p.Value...),
@@ -87,6 +89,13 @@
 	return out
 }
 
+// Written returns the bytes of keys and values written so far.
+func (t *Table) Written() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bytes
+}
+
 // Counts returns the writes and reads so far.
 func (t *Table) Counts() (writes, reads int) {
 	t.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -31,6 +31,7 @@
 	Fault  Fault
 	config WorkerConfig
 	calls  atomic.Int64
+	begun  atomic.Int64
 
 	mu     sync.Mutex
 	tasks  map[agent.Ref]*workerTask
@@ -127,6 +128,7 @@
 		then:  agent.Stopped,
 	}
 	w.tasks[ref] = t
+	w.begun.Add(1)
 	w.config.Truth.TaskBegan(s.Task, w.config.Worker.ID)
 	w.checkCapacity()
 	d, fails := w.runtime(s)
