--- a/entry/host.go
+++ b/entry/host.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -230,12 +231,12 @@
 	defer close(h.stopped)
 	web, err := listen(h.config.HTTP, h.settings.Host.HTTP)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "http")
 	}
 	inner, err := listen(h.config.Peer, h.settings.Host.Peer)
 	if err != nil {
 		_ = web.Close()
-		return err
+		return eris.Wrap(err, "peer")
 	}
 	h.event(timeline.KindMembership, "host started")
 	h.log.WithField("http", web.Addr().String()).Info("host started")
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
 	"github.com/spoolsill/spoolsill/place"
@@ -286,7 +288,7 @@
 	}
 	e, err := journal.Decode(b)
 	if err != nil {
-		return journal.Entry{}, fmt.Errorf("snapshot %s: %w", row.Value, err)
+		return journal.Entry{}, eris.Wrapf(err, "snapshot %s", row.Value)
 	}
 	return e, nil
 }
@@ -300,7 +302,7 @@
 		for _, r := range rows {
 			e, err := journal.Decode(r.Value)
 			if err != nil {
-				return last, fmt.Errorf("row %s: %w", r.Key, err)
+				return last, eris.Wrapf(err, "row %s", r.Key)
 			}
 			if e.Sequence != last.Sequence+1 {
 				return last, fmt.Errorf("%w: row %s follows %d", journal.ErrDamaged, r.Key, last.Sequence)
@@ -322,7 +324,7 @@
 func apply(s *place.State, e journal.Entry) error {
 	for _, r := range e.Records {
 		if err := s.Apply(r); err != nil {
-			return fmt.Errorf("entry %d: %w", e.Sequence, err)
+			return eris.Wrapf(err, "entry %d", e.Sequence)
 		}
 	}
 	return nil
--- a/internal/bench/capacity/run.go
+++ b/internal/bench/capacity/run.go
@@ -176,11 +176,7 @@
 		Service: settings.Service{
 			ID:           "quizdesk",
 			Slots:        8,
-			Connections:  settings.DefaultConnections,
 			SlotLifetime: settings.Duration(30 * time.Second),
-			MaxBody:      settings.DefaultMaxBody,
-			MaxAnswer:    settings.DefaultMaxAnswer,
-			Queue:        settings.DefaultQueue,
 		},
 	})
 	if err != nil {
--- a/internal/bench/storebench/run.go
+++ b/internal/bench/storebench/run.go
@@ -83,11 +83,7 @@
 		Service: settings.Service{
 			ID:           "quizdesk",
 			Slots:        8,
-			Connections:  settings.DefaultConnections,
 			SlotLifetime: settings.Duration(time.Second),
-			MaxBody:      settings.DefaultMaxBody,
-			MaxAnswer:    settings.DefaultMaxAnswer,
-			Queue:        settings.DefaultQueue,
 		},
 	})
 	if err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -130,11 +130,7 @@
 		Service: settings.Service{
 			ID:           "quizdesk",
 			Slots:        8,
-			Connections:  60,
 			SlotLifetime: settings.Duration(3 * time.Second),
-			MaxBody:      settings.DefaultMaxBody,
-			MaxAnswer:    settings.DefaultMaxAnswer,
-			Queue:        settings.DefaultQueue,
 		},
 	})
 	if err != nil {
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/api"
 	"github.com/spoolsill/spoolsill/internal/pause"
@@ -85,7 +87,7 @@
 		Text: firstConfig,
 	})
 	if err != nil {
-		return fmt.Errorf("config: %w", err)
+		return eris.Wrap(err, "config")
 	}
 	if err := d.inForce(ctx, a.Version); err != nil {
 		return err
@@ -132,10 +134,10 @@
 		Submit: job,
 	})
 	if err != nil {
-		return fmt.Errorf("plan: %w", err)
+		return eris.Wrap(err, "plan")
 	}
 	if err := d.client.Confirm(ctx, p.Hall, p.ID); err != nil {
-		return fmt.Errorf("confirm: %w", err)
+		return eris.Wrap(err, "confirm")
 	}
 	d.tell("hall %s: plan %s with %d changes is confirmed, e.g. %s %s on %s", p.Hall, p.ID, len(p.Changes), p.Changes[0].Verb, p.Changes[0].Task, p.Changes[0].Worker)
 	return nil
@@ -231,7 +233,7 @@
 		Text: firstConfig + "\n[[team]]\nid = \"standings\"\nprocessors_millicores = 900000\nmemory_bytes = 1099511627776\n",
 	})
 	if err != nil {
-		return fmt.Errorf("config: %w", err)
+		return eris.Wrap(err, "config")
 	}
 	d.result.Config = a.Version
 	return d.inForce(ctx, a.Version)
@@ -267,7 +269,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return fmt.Errorf("hall %s has no holder: %w", hall, ctx.Err())
+			return eris.Wrapf(ctx.Err(), "hall %s has no holder", hall)
 		}
 		pause.For(ctx, 50*time.Millisecond)
 	}
--- a/internal/fault/run.go
+++ b/internal/fault/run.go
@@ -162,11 +162,7 @@
 		Service: settings.Service{
 			ID:           "quizdesk",
 			Slots:        slots,
-			Connections:  settings.DefaultConnections,
 			SlotLifetime: settings.Duration(lifetime),
-			MaxBody:      settings.DefaultMaxBody,
-			MaxAnswer:    settings.DefaultMaxAnswer,
-			Queue:        settings.DefaultQueue,
 		},
 	})
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/spoolsill/spoolsill"
@@ -17,6 +18,7 @@
 	"github.com/spoolsill/spoolsill/entry"
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/internal/zero"
 	"github.com/spoolsill/spoolsill/settings"
 	"github.com/spoolsill/spoolsill/timeline"
 )
@@ -45,10 +47,11 @@
 	Cell         *standin.Cell
 	Halls        []spoolsill.HallID
 	HostsPerHall int
-	Service      settings.Service
-	HallLease    time.Duration
-	TaskLease    time.Duration
-	Break        entry.Breaks
+	// Service has the settings' defaults where it is zero.
+	Service   settings.Service
+	HallLease time.Duration
+	TaskLease time.Duration
+	Break     entry.Breaks
 }
 
 // A Fleet is the entry hosts of a deployment. It is safe for concurrent use.
@@ -65,6 +68,10 @@
 func New(c Config) (*Fleet, error) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	zero.Default(&c.Service.Connections, settings.DefaultConnections)
+	zero.Default(&c.Service.MaxBody, settings.DefaultMaxBody)
+	zero.Default(&c.Service.MaxAnswer, settings.DefaultMaxAnswer)
+	zero.Default(&c.Service.Queue, settings.DefaultQueue)
 	f := &Fleet{
 		config: c,
 		log:    log,
@@ -317,7 +324,7 @@
 		}
 		pause.For(ctx, 50*time.Millisecond)
 		if ctx.Err() != nil {
-			return fmt.Errorf("hosts are not ready: %w", errors.Join(ctx.Err(), err))
+			return eris.Wrap(errors.Join(ctx.Err(), err), "hosts are not ready")
 		}
 	}
 }
