cli: drain shows what would move before it asks; faults are counted

Cause: draining asked without showing a plan; bad frames left an event and no metric. Change: drain prints the plan of a worker first; counter spoolsill.faults.

--- a/entry/host.go
+++ b/entry/host.go
@@ -377,6 +377,8 @@
 	})
 }
 
+// fault counts and records something that should not have come about.
 func (h *Host) fault(text string) {
+	h.metrics.faults.Add(context.Background(), 1)
 	h.event(timeline.KindFault, text)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -21,6 +21,7 @@
 	registry *prometheus.Registry
 	requests metric.Int64Counter
 	refusals metric.Int64Counter
+	faults   metric.Int64Counter
 	seconds  metric.Float64Histogram
 	waited   metric.Float64Histogram
 }
@@ -40,6 +41,8 @@
 	must(err)
 	x.refusals, err = m.Int64Counter("spoolsill.requests.refused", metric.WithDescription("requests that could not be accepted, by status"))
 	must(err)
+	x.faults, err = m.Int64Counter("spoolsill.faults", metric.WithDescription("bad frames, refused input and records that can't be read"))
+	must(err)
 	x.seconds, err = m.Float64Histogram("spoolsill.request.duration", metric.WithUnit("s"), buckets, metric.WithDescription("time from arrival to answer"))
 	must(err)
 	x.waited, err = m.Float64Histogram("spoolsill.request.wait", metric.WithUnit("s"), buckets, metric.WithDescription("time in the queue"))
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -151,6 +151,9 @@
 }
 
 func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
 	var e *exitError
 	if errors.As(err, &e) {
 		return e.code
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -220,11 +220,28 @@
 	Yes  bool             `help:"Confirm without a question." short:"y"`
 }
 
+// show prints what draining would move, for a worker. A runner has no tasks.
+func (c *drainCommand) show(s *session) error {
+	i, err := s.drainIntent(c.Hall, spoolsill.WorkerID(c.ID))
+	if exitCode(err) == ExitNotFound {
+		return nil
+	}
+	if err != nil || s.json {
+		return err
+	}
+	return s.plan(i)
+}
+
 // Run puts a machine on the configuration's list of drained ones, so that it
 // gets no new work, and has a worker's tasks moved.
 func (c *drainCommand) Run(s *session) error {
-	if !c.Undo && !c.Yes && !s.ask("drain "+c.ID+"?") {
-		return exitWith(ExitFailed, "nothing was changed")
+	if !c.Undo {
+		if err := c.show(s); err != nil {
+			return err
+		}
+		if !c.Yes && !s.ask("drain "+c.ID+"?") {
+			return exitWith(ExitFailed, "nothing was changed")
+		}
 	}
 	r, err := s.client.Config(s.ctx())
 	if err != nil {
