entry: a planned stop waits 5 s at most for the lease

Cause: with the platform dead a stopped host waited stop_within (60 s) to give the lease back, its work long finished, and kept its ports (seen while trying the README by hand). Change: giving back is bounded to 5 s; the lease lapses by itself.

--- a/entry/host.go
+++ b/entry/host.go
@@ -330,12 +330,18 @@
 	for _, v := range h.services {
 		empty = v.router.Stop(ctx) && empty
 	}
+	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
+	defer cancel()
 	h.holder.Release(ctx)
 	if empty {
 		h.closeHome(ctx)
 	}
 }
 
+// releaseWithin bounds the giving back of the lease at a planned stop. While
+// the platform is silent it can't be given back, and lapses by itself.
+const releaseWithin = 5 * time.Second
+
 // Ring returns the host's events.
 func (h *Host) Ring() *timeline.Ring {
 	return h.ring
