route: a request that failed at every runner does not stand in the way

Cause: such a request waited on until its deadline; eight of them at the head of the queue kept every other one from being looked at. Found by a test that retries have a budget. Change: it is settled when no runner is left; up to 64 are passed over.

--- a/route/dispatch.go
+++ b/route/dispatch.go
@@ -14,7 +14,7 @@
 
 // maxAside bounds the requests that are passed over in one search because
 // they failed at the only free runners.
-const maxAside = 8
+const maxAside = 64
 
 // Arrive takes in a request.
 func (s *State) Arrive(now time.Time, a Ask) []Action {
@@ -246,7 +246,7 @@
 // run while it has tries, what may have run only if it can be repeated, and
 // within the budget.
 func (s *State) mayRetry(x *item, res Result, now time.Time) bool {
-	if !now.Before(x.request.Expires()) || x.tries >= maxTries {
+	if !now.Before(x.request.Expires()) || x.tries >= maxTries || !s.hasOther(x) {
 		return false
 	}
 	switch res {
@@ -259,6 +259,17 @@
 	}
 }
 
+// hasOther reports whether there is a runner at which x has not failed. Without
+// one it would only stand in the way of others.
+func (s *State) hasOther(x *item) bool {
+	for _, r := range s.order {
+		if !r.leaving && !r.gone && !x.avoids(r) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) spend() bool {
 	if s.credit < 1 {
 		return false
