--- a/internal/standin/cell.go
+++ b/internal/standin/cell.go
@@ -31,6 +31,8 @@
 	Work func(spoolsill.RequestKey) time.Duration
 	// Runtime returns how long a task runs, and whether it then fails.
 	Runtime func(agent.Start) (time.Duration, bool)
+	// Use returns what a task uses; nil takes its shape.
+	Use func(agent.Start) spoolsill.Resources
 	// Platform is the address that the platform listens on; empty means any.
 	Platform string
 	// Memory keeps all connections in memory, so that the cell can run on
@@ -114,6 +116,7 @@
 		Worker:  w,
 		Truth:   x.Truth,
 		Runtime: x.config.Runtime,
+		Use:     x.config.Use,
 	})
 	a, err := x.serve(Node{
 		Name:  string(w.ID),
