--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -99,25 +99,7 @@
 		defer mu.Unlock()
 		return r.Uint64()
 	}
-	cell, err := standin.NewCell(standin.CellConfig{
-		Halls:    halls,
-		Workers:  50,
-		RackSize: 8,
-		Capacity: spoolsill.Resources{
-			Processors: 64 * spoolsill.Core,
-			Memory:     128 * spoolsill.GiB,
-		},
-		Service: "quizdesk",
-		Runners: 50,
-		Slots:   8,
-		Work:    func(spoolsill.RequestKey) time.Duration { return heavyTail(random()) },
-		Runtime: func(s agent.Start) (time.Duration, bool) {
-			if s.Runtime == 0 {
-				return time.Hour, false
-			}
-			return s.Runtime/2 + time.Duration(random()%uint64(s.Runtime)), false
-		},
-	})
+	cell, err := standin.NewCell(cellConfig(halls, random))
 	if err != nil {
 		return nil, err
 	}
@@ -155,6 +137,30 @@
 	return d, nil
 }
 
+// cellConfig describes the deployment in Tbilisi: 50 workers and 50 runners in
+// three halls.
+func cellConfig(halls []spoolsill.HallID, random func() uint64) standin.CellConfig {
+	return standin.CellConfig{
+		Halls:    halls,
+		Workers:  50,
+		RackSize: 8,
+		Capacity: spoolsill.Resources{
+			Processors: 64 * spoolsill.Core,
+			Memory:     128 * spoolsill.GiB,
+		},
+		Service: "quizdesk",
+		Runners: 50,
+		Slots:   8,
+		Work:    func(spoolsill.RequestKey) time.Duration { return heavyTail(random()) },
+		Runtime: func(s agent.Start) (time.Duration, bool) {
+			if s.Runtime == 0 {
+				return time.Hour, false
+			}
+			return s.Runtime/2 + time.Duration(random()%uint64(s.Runtime)), false
+		},
+	}
+}
+
 // heavyTail returns a time at a runner: mostly 2 to 20 ms, one in fifty up to
 // 400 ms.
 func heavyTail(r uint64) time.Duration {
