--- a/entry/host.go
+++ b/entry/host.go
@@ -22,10 +22,10 @@
 	"github.com/spoolsill/spoolsill/member"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/place"
-	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/route"
 	"github.com/spoolsill/spoolsill/router"
 	"github.com/spoolsill/spoolsill/settings"
+	"github.com/spoolsill/spoolsill/table/remote"
 	"github.com/spoolsill/spoolsill/timeline"
 	"github.com/spoolsill/spoolsill/upstream"
 )
@@ -64,7 +64,7 @@
 	clock    *timeline.Clock
 	ring     *timeline.Ring
 	node     *peer.Node
-	platform *platform.Client
+	platform *remote.Client
 	agents   *agent.Client
 	holder   *holder.Holder
 	services map[spoolsill.ServiceID]*service
@@ -123,7 +123,7 @@
 		Skew:    maxSkew,
 	})
 	h.limits = newLimits()
-	h.platform = platform.NewClient(platform.Config{
+	h.platform = remote.NewClient(remote.Config{
 		URL:     c.Settings.Platform.URL,
 		Timeout: time.Duration(c.Settings.Platform.Timeout),
 		Reads:   c.Settings.Platform.Reads,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
-	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/peer"
+	"github.com/spoolsill/spoolsill/recordlog"
 	"github.com/spoolsill/spoolsill/route"
 	"github.com/spoolsill/spoolsill/timeline"
 )
@@ -88,7 +88,7 @@
 
 type wireCopies struct {
 	Epoch spoolsill.Epoch `msgpack:"e"`
-	Last  journal.Mark    `msgpack:"l"`
+	Last  recordlog.Mark  `msgpack:"l"`
 }
 
 // holderPeers reaches the hall's other hosts for package holder.
@@ -103,13 +103,13 @@
 }
 
 // Copy implements holder.Peers.
-func (p *holderPeers) Copy(ctx context.Context, to spoolsill.HostID, e spoolsill.Epoch, stored spoolsill.Sequence, entries []journal.Entry) bool {
+func (p *holderPeers) Copy(ctx context.Context, to spoolsill.HostID, e spoolsill.Epoch, stored spoolsill.Sequence, entries []recordlog.Entry) bool {
 	q := wireCopy{
 		Epoch:  e,
 		Stored: stored,
 	}
 	for _, x := range entries {
-		b, err := journal.Encode(x)
+		b, err := recordlog.Encode(x)
 		if err != nil {
 			return false
 		}
@@ -120,7 +120,7 @@
 }
 
 // Copies implements holder.Peers.
-func (p *holderPeers) Copies(ctx context.Context, to spoolsill.HostID, last journal.Mark) ([]journal.Entry, error) {
+func (p *holderPeers) Copies(ctx context.Context, to spoolsill.HostID, last recordlog.Mark) ([]recordlog.Entry, error) {
 	_, e, _ := p.holder.Seen()
 	r, err := call[wireCopy](ctx, (*Host)(p), to, methodCopies, wireCopies{
 		Epoch: e,
@@ -132,10 +132,10 @@
 	return decodeEntries(r.Entries)
 }
 
-func decodeEntries(list [][]byte) ([]journal.Entry, error) {
-	out := make([]journal.Entry, 0, len(list))
+func decodeEntries(list [][]byte) ([]recordlog.Entry, error) {
+	out := make([]recordlog.Entry, 0, len(list))
 	for _, b := range list {
-		e, err := journal.Decode(b)
+		e, err := recordlog.Decode(b)
 		if err != nil {
 			return nil, err
 		}
@@ -163,7 +163,7 @@
 func (h *Host) takeCopies(_ context.Context, _ peer.Caller, q wireCopies) (wireCopy, error) {
 	var r wireCopy
 	for _, e := range h.holder.Copies(q.Epoch, q.Last) {
-		b, err := journal.Encode(e)
+		b, err := recordlog.Encode(e)
 		if err != nil {
 			return wireCopy{}, err
 		}
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -10,11 +10,11 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
 	"github.com/spoolsill/spoolsill/place"
-	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/recordlog"
 	"github.com/spoolsill/spoolsill/table"
+	"github.com/spoolsill/spoolsill/table/remote"
 	"github.com/spoolsill/spoolsill/timeline"
 )
 
@@ -41,7 +41,7 @@
 		return
 	}
 	a := t.writer.Next()
-	if a.Kind != journal.Write {
+	if a.Kind != recordlog.Write {
 		return
 	}
 	t.wg.Add(1)
@@ -58,7 +58,7 @@
 		return
 	}
 	a := t.writer.NextCopy()
-	if a.Kind != journal.Copy {
+	if a.Kind != recordlog.Copy {
 		t.release()
 		return
 	}
@@ -70,7 +70,7 @@
 	}()
 }
 
-func (t *tenure) copy(entries []journal.Entry) {
+func (t *tenure) copy(entries []recordlog.Entry) {
 	ctx, cancel := context.WithTimeout(t.ctx, time.Second)
 	defer cancel()
 	all := true
@@ -87,7 +87,7 @@
 }
 
 // write writes entries to the table.
-func (t *tenure) write(entries []journal.Entry) {
+func (t *tenure) write(entries []recordlog.Entry) {
 	err := t.commit(entries)
 	if errors.Is(err, errDeposed) {
 		t.h.event(timeline.Event{
@@ -140,7 +140,7 @@
 
 // commit writes entries in one transaction. It returns nil when they stand,
 // errDeposed when they never will, and another error when that is not known.
-func (t *tenure) commit(entries []journal.Entry) error {
+func (t *tenure) commit(entries []recordlog.Entry) error {
 	x := table.Txn{}
 	if !t.h.config.Break.Fence {
 		x.Conditions = append(x.Conditions, table.Condition{
@@ -149,11 +149,11 @@
 		})
 	}
 	for _, e := range entries {
-		b, err := journal.Encode(e)
+		b, err := recordlog.Encode(e)
 		if err != nil {
 			return err
 		}
-		k := journal.Key(t.h.config.Hall, e.Sequence)
+		k := recordlog.Key(t.h.config.Hall, e.Sequence)
 		x.Conditions = append(x.Conditions, table.Condition{
 			Key: k,
 		})
@@ -228,7 +228,7 @@
 	if err != nil {
 		return err
 	}
-	last := journal.Mark{
+	last := recordlog.Mark{
 		Epoch:    snapshot.Epoch,
 		Sequence: snapshot.Sequence,
 	}
@@ -237,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	w := journal.NewWriter(journal.Config{
+	w := recordlog.NewWriter(recordlog.Config{
 		Host:   t.h.config.Host,
 		Life:   t.h.config.Incarnation,
 		Epoch:  t.epoch,
@@ -274,43 +274,43 @@
 	return nil
 }
 
-func (t *tenure) readSnapshot() (journal.Entry, error) {
-	row, err := t.h.config.Table.Get(t.ctx, journal.SnapshotKey(t.h.config.Hall))
+func (t *tenure) readSnapshot() (recordlog.Entry, error) {
+	row, err := t.h.config.Table.Get(t.ctx, recordlog.SnapshotKey(t.h.config.Hall))
 	if err != nil || row.Version == 0 {
-		return journal.Entry{}, err
+		return recordlog.Entry{}, err
 	}
 	b, err := t.h.config.Objects.GetObject(t.ctx, string(row.Value))
-	if errors.Is(err, platform.ErrNotFound) {
-		return journal.Entry{}, fmt.Errorf("%w: snapshot %s is missing", journal.ErrDamaged, row.Value)
+	if errors.Is(err, remote.ErrNotFound) {
+		return recordlog.Entry{}, fmt.Errorf("%w: snapshot %s is missing", recordlog.ErrDamaged, row.Value)
 	}
 	if err != nil {
-		return journal.Entry{}, err
+		return recordlog.Entry{}, err
 	}
-	e, err := journal.Decode(b)
+	e, err := recordlog.Decode(b)
 	if err != nil {
-		return journal.Entry{}, eris.Wrapf(err, "snapshot %s", row.Value)
+		return recordlog.Entry{}, eris.Wrapf(err, "snapshot %s", row.Value)
 	}
 	return e, nil
 }
 
-func (t *tenure) readJournal(s *place.State, last journal.Mark) (journal.Mark, error) {
+func (t *tenure) readJournal(s *place.State, last recordlog.Mark) (recordlog.Mark, error) {
 	for {
-		rows, err := t.h.config.Table.List(t.ctx, journal.Prefix(t.h.config.Hall), journal.Key(t.h.config.Hall, last.Sequence), loadPage)
+		rows, err := t.h.config.Table.List(t.ctx, recordlog.Prefix(t.h.config.Hall), recordlog.Key(t.h.config.Hall, last.Sequence), loadPage)
 		if err != nil {
 			return last, err
 		}
 		for _, r := range rows {
-			e, err := journal.Decode(r.Value)
+			e, err := recordlog.Decode(r.Value)
 			if err != nil {
 				return last, eris.Wrapf(err, "row %s", r.Key)
 			}
 			if e.Sequence != last.Sequence+1 {
-				return last, fmt.Errorf("%w: row %s follows %d", journal.ErrDamaged, r.Key, last.Sequence)
+				return last, fmt.Errorf("%w: row %s follows %d", recordlog.ErrDamaged, r.Key, last.Sequence)
 			}
 			if err := apply(s, e); err != nil {
 				return last, err
 			}
-			last = journal.Mark{
+			last = recordlog.Mark{
 				Epoch:    e.Epoch,
 				Sequence: e.Sequence,
 			}
@@ -321,7 +321,7 @@
 	}
 }
 
-func apply(s *place.State, e journal.Entry) error {
+func apply(s *place.State, e recordlog.Entry) error {
 	for _, r := range e.Records {
 		if err := s.Apply(r); err != nil {
 			return eris.Wrapf(err, "entry %d", e.Sequence)
@@ -332,7 +332,7 @@
 
 // adopt takes over the entries that the former holder could only copy to the
 // hosts of the hall, this one or another.
-func (t *tenure) adopt(s *place.State, w *journal.Writer, last journal.Mark) error {
+func (t *tenure) adopt(s *place.State, w *recordlog.Writer, last recordlog.Mark) error {
 	best := t.h.Copies(t.epoch, last)
 	for _, h := range t.h.config.Hosts {
 		if h == t.h.config.Host {
@@ -356,7 +356,7 @@
 }
 
 // newer reports whether the copies a tell more than b.
-func newer(a, b []journal.Entry) bool {
+func newer(a, b []recordlog.Entry) bool {
 	if len(a) == 0 || len(b) == 0 {
 		return len(a) > 0
 	}
--- a/holder/config.go
+++ b/holder/config.go
@@ -11,9 +11,9 @@
 	"github.com/spoolsill/spoolsill/agent"
 	"github.com/spoolsill/spoolsill/intent"
 	"github.com/spoolsill/spoolsill/internal/zero"
-	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
 	"github.com/spoolsill/spoolsill/place"
+	"github.com/spoolsill/spoolsill/recordlog"
 	"github.com/spoolsill/spoolsill/table"
 	"github.com/spoolsill/spoolsill/timeline"
 )
@@ -63,10 +63,10 @@
 	Promise(ctx context.Context, h spoolsill.HostID, e spoolsill.Epoch) bool
 	// Copy hands entries to a host and reports whether it keeps them. stored
 	// is the newest entry that the table has: copies up to it may be dropped.
-	Copy(ctx context.Context, h spoolsill.HostID, e spoolsill.Epoch, stored spoolsill.Sequence, entries []journal.Entry) bool
+	Copy(ctx context.Context, h spoolsill.HostID, e spoolsill.Epoch, stored spoolsill.Sequence, entries []recordlog.Entry) bool
 	// Copies returns the entries that a host keeps and that follow on the last
 	// one in the table, or all for the zero mark.
-	Copies(ctx context.Context, h spoolsill.HostID, last journal.Mark) ([]journal.Entry, error)
+	Copies(ctx context.Context, h spoolsill.HostID, last recordlog.Mark) ([]recordlog.Entry, error)
 }
 
 // Breaks switches mechanisms off, so that tests can show what each is for.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -8,8 +8,8 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/pause"
-	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
+	"github.com/spoolsill/spoolsill/recordlog"
 	"github.com/spoolsill/spoolsill/table"
 	"github.com/spoolsill/spoolsill/timeline"
 )
@@ -25,7 +25,7 @@
 
 	mu     sync.Mutex // guards keeper, copies and tenure
 	keeper *lease.Keeper
-	copies journal.Copies
+	copies recordlog.Copies
 	tenure *tenure
 	wg     sync.WaitGroup
 	// leaving says that no tenure begins any more.
@@ -234,7 +234,7 @@
 }
 
 // Copy keeps entries for the holder of an epoch, and drops those up to stored.
-func (h *Holder) Copy(e spoolsill.Epoch, stored spoolsill.Sequence, entries []journal.Entry) bool {
+func (h *Holder) Copy(e spoolsill.Epoch, stored spoolsill.Sequence, entries []recordlog.Entry) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.copies.Add(e, entries) {
@@ -251,7 +251,7 @@
 		if x == h.config.Host {
 			continue
 		}
-		list, err := h.config.Peers.Copies(ctx, x, journal.Mark{})
+		list, err := h.config.Peers.Copies(ctx, x, recordlog.Mark{})
 		if err != nil || len(list) == 0 {
 			continue
 		}
@@ -280,11 +280,11 @@
 
 // Copies returns the entries kept here that follow on the last entry in the
 // table, and takes no more copies of epochs before one.
-func (h *Holder) Copies(e spoolsill.Epoch, last journal.Mark) []journal.Entry {
+func (h *Holder) Copies(e spoolsill.Epoch, last recordlog.Mark) []recordlog.Entry {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.copies.Fence(e)
-	if last == (journal.Mark{}) {
+	if last == (recordlog.Mark{}) {
 		return h.copies.All()
 	}
 	return h.copies.After(last.Epoch, last.Sequence)
@@ -346,7 +346,7 @@
 		return
 	}
 	t.mu.Lock()
-	var list []journal.Entry
+	var list []recordlog.Entry
 	if t.writer != nil {
 		list = t.writer.Unstored()
 	}
--- a/holder/snapshot.go
+++ b/holder/snapshot.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
-	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
+	"github.com/spoolsill/spoolsill/recordlog"
 	"github.com/spoolsill/spoolsill/table"
 )
 
@@ -25,7 +25,7 @@
 	if t.snap.busy || t.writer.Open() > 0 || int(s-t.snap.last) < t.h.config.SnapshotEvery {
 		return
 	}
-	e := journal.Entry{
+	e := recordlog.Entry{
 		Epoch:    t.epoch,
 		Sequence: s,
 		Writer:   t.h.config.Host,
@@ -51,24 +51,24 @@
 
 // snapshot writes the object, then the row that names it, and deletes the
 // entries that it covers.
-func (t *tenure) snapshot(e journal.Entry) error {
-	b, err := journal.Encode(e)
+func (t *tenure) snapshot(e recordlog.Entry) error {
+	b, err := recordlog.Encode(e)
 	if err != nil {
 		return err
 	}
-	name := journal.SnapshotObject(t.h.config.Hall, e.Sequence)
+	name := recordlog.SnapshotObject(t.h.config.Hall, e.Sequence)
 	if err := t.h.config.Objects.PutObject(t.ctx, name, b); err != nil {
 		return err
 	}
 	first := t.snap.last + 1
 	x := t.fenced()
 	x.Puts = []table.Put{{
-		Key:   journal.SnapshotKey(t.h.config.Hall),
+		Key:   recordlog.SnapshotKey(t.h.config.Hall),
 		Value: []byte(name),
 	}}
 	for {
 		for len(x.Deletes) < maxDeletes && first <= e.Sequence {
-			x.Deletes = append(x.Deletes, journal.Key(t.h.config.Hall, first))
+			x.Deletes = append(x.Deletes, recordlog.Key(t.h.config.Hall, first))
 			first++
 		}
 		r, err := t.h.config.Table.Commit(t.ctx, x)
--- a/holder/tenure.go
+++ b/holder/tenure.go
@@ -8,9 +8,9 @@
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/agent"
 	"github.com/spoolsill/spoolsill/intent"
-	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/lease"
 	"github.com/spoolsill/spoolsill/place"
+	"github.com/spoolsill/spoolsill/recordlog"
 	"github.com/spoolsill/spoolsill/timeline"
 )
 
@@ -35,7 +35,7 @@
 	ready   bool
 	state   *place.State
 	book    *intent.Book
-	writer  *journal.Writer
+	writer  *recordlog.Writer
 	acts    []act
 	waiters []waiter
 	workers map[spoolsill.WorkerID]*driver
--- a/journal/doc.go
+++ b/recordlog/doc.go
@@ -1,4 +1,4 @@
-// Package journal makes the decisions of a hall's holder last.
+// Package recordlog makes the decisions of a hall's holder last.
 //
 // Decisions are grouped into entries. An entry is one row of the platform's
 // table, keyed by its sequence number, written on the condition that the row
@@ -16,4 +16,4 @@
 // later format is refused with an error that names it.
 //
 // The package has no clock, I/O, lock or goroutine.
-package journal
+package recordlog
--- a/journal/entry.go
+++ b/recordlog/entry.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 import (
 	"encoding/binary"
--- a/journal/main_test.go
+++ b/recordlog/main_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package recordlog_test
 
 import (
 	"os"
--- a/journal/journal_test.go
+++ b/recordlog/recordlog_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package recordlog_test
 
 import (
 	"errors"
@@ -10,12 +10,12 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/seed"
-	"github.com/spoolsill/spoolsill/journal"
 	"github.com/spoolsill/spoolsill/place"
+	"github.com/spoolsill/spoolsill/recordlog"
 )
 
-func sample() journal.Entry {
-	return journal.Entry{
+func sample() recordlog.Entry {
+	return recordlog.Entry{
 		Epoch:    3,
 		Sequence: 7,
 		Writer:   "vake-1",
@@ -34,40 +34,40 @@
 
 func TestEntryRoundTrip(t *testing.T) {
 	c := qt.New(t)
-	b, err := journal.Encode(sample())
+	b, err := recordlog.Encode(sample())
 	c.Assert(err, qt.IsNil)
-	e, err := journal.Decode(b)
+	e, err := recordlog.Decode(b)
 	c.Assert(err, qt.IsNil)
 	c.Assert(e, qt.DeepEquals, sample())
 }
 
 func TestDamagedAndFutureEntriesAreRefusedByName(t *testing.T) {
 	c := qt.New(t)
-	b, err := journal.Encode(sample())
+	b, err := recordlog.Encode(sample())
 	c.Assert(err, qt.IsNil)
 	for i := 1; i < len(b); i++ {
 		x := append([]byte(nil), b...)
 		x[i] ^= 0x40
-		_, err := journal.Decode(x)
-		c.Assert(errors.Is(err, journal.ErrDamaged), qt.IsTrue, qt.Commentf("byte %d: %v", i, err))
+		_, err := recordlog.Decode(x)
+		c.Assert(errors.Is(err, recordlog.ErrDamaged), qt.IsTrue, qt.Commentf("byte %d: %v", i, err))
 	}
-	b[0] = journal.Format + 1
-	_, err = journal.Decode(b)
-	c.Assert(errors.Is(err, journal.ErrFuture), qt.IsTrue)
+	b[0] = recordlog.Format + 1
+	_, err = recordlog.Decode(b)
+	c.Assert(errors.Is(err, recordlog.ErrFuture), qt.IsTrue)
 	c.Assert(err, qt.ErrorMatches, ".*format 2, this program reads up to 1")
-	_, err = journal.Decode(nil)
-	c.Assert(errors.Is(err, journal.ErrDamaged), qt.IsTrue)
+	_, err = recordlog.Decode(nil)
+	c.Assert(errors.Is(err, recordlog.ErrDamaged), qt.IsTrue)
 }
 
 func FuzzDecode(f *testing.F) {
-	b, err := journal.Encode(sample())
+	b, err := recordlog.Encode(sample())
 	qt.Assert(f, err, qt.IsNil)
 	f.Add(b)
 	f.Add([]byte{})
 	f.Add([]byte{2, 0, 0, 0, 0, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		_, err := journal.Decode(b)
-		if err != nil && !errors.Is(err, journal.ErrDamaged) && !errors.Is(err, journal.ErrFuture) {
+		_, err := recordlog.Decode(b)
+		if err != nil && !errors.Is(err, recordlog.ErrDamaged) && !errors.Is(err, recordlog.ErrFuture) {
 			t.Fatal(err)
 		}
 	})
@@ -76,18 +76,18 @@
 // A store drives a writer against a table whose answers get lost and hosts
 // that take copies or don't.
 type store struct {
-	writer  *journal.Writer
+	writer  *recordlog.Writer
 	rows    map[spoolsill.Sequence]string
-	copies  journal.Copies
-	under   *journal.Action
-	copying *journal.Action
+	copies  recordlog.Copies
+	under   *recordlog.Action
+	copying *recordlog.Action
 	records int
 }
 
 // write begins a write, or ends the one that is under way.
 func (s *store) write(t *rapid.T) {
 	if s.under == nil {
-		if a := s.writer.Next(); a.Kind == journal.Write {
+		if a := s.writer.Next(); a.Kind == recordlog.Write {
 			s.under = &a
 		}
 		return
@@ -102,7 +102,7 @@
 }
 
 // put writes entries whole, or finds that they stand already.
-func (s *store) put(t *rapid.T, entries []journal.Entry) {
+func (s *store) put(t *rapid.T, entries []recordlog.Entry) {
 	stand := 0
 	for _, e := range entries {
 		if old, ok := s.rows[e.Sequence]; ok {
@@ -120,7 +120,7 @@
 	}
 }
 
-func text(e journal.Entry) string {
+func text(e recordlog.Entry) string {
 	return fmt.Sprint(e.Sequence, e.Records)
 }
 
@@ -139,7 +139,7 @@
 
 func (s *store) copy(t *rapid.T) {
 	if s.copying == nil {
-		if a := s.writer.NextCopy(); a.Kind == journal.Copy {
+		if a := s.writer.NextCopy(); a.Kind == recordlog.Copy {
 			s.copying = &a
 		}
 		return
@@ -169,7 +169,7 @@
 	return func(t *rapid.T) {
 		s := &store{
 			rows: map[spoolsill.Sequence]string{},
-			writer: journal.NewWriter(journal.Config{
+			writer: recordlog.NewWriter(recordlog.Config{
 				Epoch:  1,
 				Copies: !drop,
 			}),
@@ -194,12 +194,12 @@
 
 func TestCopiesOfAnEarlierEpochAreRefused(t *testing.T) {
 	c := qt.New(t)
-	var x journal.Copies
-	c.Assert(x.Add(2, []journal.Entry{{
+	var x recordlog.Copies
+	c.Assert(x.Add(2, []recordlog.Entry{{
 		Epoch:    2,
 		Sequence: 5,
 	}}), qt.IsTrue)
-	c.Assert(x.Add(1, []journal.Entry{{
+	c.Assert(x.Add(1, []recordlog.Entry{{
 		Epoch:    1,
 		Sequence: 6,
 	}}), qt.IsFalse)
@@ -207,7 +207,7 @@
 	c.Assert(x.Add(2, nil), qt.IsFalse)
 	c.Assert(x.After(2, 4), qt.HasLen, 1)
 	c.Assert(x.After(3, 4), qt.HasLen, 0)
-	c.Assert(x.Add(3, []journal.Entry{{
+	c.Assert(x.Add(3, []recordlog.Entry{{
 		Epoch:    3,
 		Sequence: 9,
 	}}), qt.IsTrue)
--- a/platform/client.go
+++ b/table/remote/client.go
@@ -1,4 +1,4 @@
-package platform
+package remote
 
 import (
 	"bytes"
@@ -29,7 +29,7 @@
 )
 
 // ErrNotFound is returned for an object that does not exist.
-var ErrNotFound = errors.New("platform: not found")
+var ErrNotFound = errors.New("remote: not found")
 
 // A Config describes a [Client].
 type Config struct {
--- a/platform/doc.go
+++ b/table/remote/doc.go
@@ -1,4 +1,4 @@
-// Package platform reaches the platform's services over HTTP: the
+// Package remote reaches the platform's services over HTTP: the
 // transactional table, the object store and the list of members.
 //
 // A [Client] keeps the cell's budget of calls: commits go first, reads beyond
@@ -10,4 +10,4 @@
 // The wire is JSON; cmd/standin serves the same. Errors keep apart what the
 // table certainly did not take ([table.ErrDown]) and what may have taken
 // effect ([table.ErrLost]).
-package platform
+package remote
--- a/table/table.go
+++ b/table/table.go
@@ -2,7 +2,7 @@
 // with versions, and transactions that apply whole or not at all.
 //
 // The package moves no data. Users declare the calls that they need as a small
-// interface over these types; package platform has the adapter.
+// interface over these types; package remote has the adapter.
 package table
 
 import "errors"
