--- /dev/null
+++ b/leader/adviser.go
@@ -0,0 +1,117 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// An Advisor has questions asked by hosts of the cell: the service answers
+// each host one question at a time, so that only many hosts can ask much.
+type Advisor interface {
+	// Hosts returns the hosts that can ask now.
+	Hosts() []spoolsill.HostID
+	// Ask has a host ask which of some workers may run a stage.
+	Ask(ctx context.Context, h spoolsill.HostID, stage sched.StageID, workers []spoolsill.WorkerID) ([]sched.Ticket, time.Duration, error)
+}
+
+const (
+	// askSlack is how much longer than its cost a question may take.
+	askSlack = 800 * time.Millisecond
+	// longQuestion may be asked by half of the hosts only, so that short
+	// ones always find a host that is free soon.
+	longQuestion = 150 * time.Millisecond
+)
+
+// An adviser spreads questions over hosts, one at a time each.
+type adviser struct {
+	leader *Leader
+	queue  []sched.AdviceOrder
+	busy   map[spoolsill.HostID]bool
+	freed  chan spoolsill.HostID
+}
+
+func newAdviser(l *Leader) *adviser {
+	return &adviser{
+		leader: l,
+		busy:   map[spoolsill.HostID]bool{},
+		freed:  make(chan spoolsill.HostID, eventBuffer),
+	}
+}
+
+func (a *adviser) add(o sched.AdviceOrder) {
+	a.queue = append(a.queue, o)
+}
+
+// dispatch gives questions to hosts that are free, the most urgent first.
+func (a *adviser) dispatch(ctx context.Context) {
+	a.collect()
+	if len(a.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(a.queue, func(x, y sched.AdviceOrder) int { return cmp.Compare(x.Priority, y.Priority) })
+	hosts := a.leader.config.Advisor.Hosts()
+	slices.Sort(hosts)
+	rest := a.queue[:0]
+	for _, o := range a.queue {
+		h, ok := a.free(hosts, o.Cost > longQuestion)
+		if !ok {
+			rest = append(rest, o)
+			continue
+		}
+		a.ask(ctx, h, o)
+	}
+	a.queue = rest
+}
+
+func (a *adviser) collect() {
+	for {
+		select {
+		case h := <-a.freed:
+			delete(a.busy, h)
+		default:
+			return
+		}
+	}
+}
+
+// free returns a host that asks nothing at the moment. Long questions go to
+// the first half of the hosts, short ones to the last free one.
+func (a *adviser) free(hosts []spoolsill.HostID, long bool) (spoolsill.HostID, bool) {
+	if long {
+		hosts = hosts[:(len(hosts)+1)/2]
+	}
+	for _, h := range slices.Backward(hosts) {
+		if !a.busy[h] {
+			return h, true
+		}
+	}
+	return "", false
+}
+
+func (a *adviser) ask(ctx context.Context, h spoolsill.HostID, o sched.AdviceOrder) {
+	a.busy[h] = true
+	l := a.leader
+	l.spawn(func() {
+		c, cancel := context.WithTimeout(ctx, o.Cost+askSlack)
+		defer cancel()
+		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, o.Workers)
+		if err != nil {
+			l.config.Log.WithError(err).WithField("host", string(h)).WithField("stage", o.Stage.String()).Warn("advice failed")
+		}
+		a.freed <- h
+		l.send(adviceTaken{
+			advice: sched.Advice{
+				Order:    o,
+				Tickets:  tickets,
+				Received: time.Now(),
+				Valid:    valid,
+				Lost:     err != nil,
+			},
+		})
+	})
+}
--- /dev/null
+++ b/leader/chain.go
@@ -0,0 +1,170 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// HeadKey is the key of the row that says who leads.
+var HeadKey = store.Key{
+	Table:     "cell",
+	Partition: jobstore.CellPartition,
+	Name:      "head",
+}
+
+// ErrDeposed is returned once another host leads.
+var ErrDeposed = errors.New("leader: another host leads")
+
+// A Head says who leads the cell.
+type Head struct {
+	Epoch spoolsill.Epoch  `msgpack:"e"`
+	Host  spoolsill.HostID `msgpack:"h"`
+	// Address is where the leader's peers reach it.
+	Address string `msgpack:"a"`
+	// Life tells the leader's processes apart.
+	Life spoolsill.Incarnation `msgpack:"l"`
+	// Write counts the writes of the epoch.
+	Write uint64 `msgpack:"w"`
+	// Released tells that the leader has ended as planned.
+	Released bool `msgpack:"r"`
+}
+
+// ReadHead returns the head and its version; version 0 means that nobody has
+// led yet.
+func ReadHead(ctx context.Context, s store.Store) (Head, store.Version, error) {
+	r, err := store.Get(ctx, s, HeadKey)
+	if err != nil || r.Version == 0 {
+		return Head{}, 0, err
+	}
+	var h Head
+	err = msgpack.Unmarshal(r.Value, &h)
+	return h, r.Version, err
+}
+
+const (
+	// tryFirst is how long the first try of a write may take: the platform
+	// needs some 8 ms for it, and the store may be several times slower.
+	tryFirst = 150 * time.Millisecond
+	// tryMost bounds the tries when the store is slow.
+	tryMost = 1200 * time.Millisecond
+	// tryPause is between tries that the store refused.
+	tryPause = 40 * time.Millisecond
+	// pauseMost bounds the pause when it goes on refusing.
+	pauseMost = 250 * time.Millisecond
+)
+
+// A Chain is the leadership of one host. It is not safe for concurrent use.
+type Chain struct {
+	store   store.Store
+	head    Head
+	version store.Version
+	// usual is a moving average of how long writes take.
+	usual time.Duration
+}
+
+// Take tries once to become the leader in place of the head that was read with
+// a version.
+func Take(ctx context.Context, s store.Store, old Head, v store.Version, me Head) (*Chain, error) {
+	c := &Chain{
+		store:   s,
+		head:    me,
+		version: v,
+	}
+	c.head.Epoch = old.Epoch + 1
+	if err := c.write(ctx, c.head, nil); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Epoch returns the epoch of this leadership.
+func (c *Chain) Epoch() spoolsill.Epoch {
+	return c.head.Epoch
+}
+
+// Write makes rows last, whatever it takes, until ctx ends or another host
+// leads.
+func (c *Chain) Write(ctx context.Context, puts []store.Put) error {
+	h := c.head
+	h.Write++
+	return c.write(ctx, h, puts)
+}
+
+// Release gives the leadership up as planned.
+func (c *Chain) Release(ctx context.Context) error {
+	h := c.head
+	h.Write++
+	h.Released = true
+	return c.write(ctx, h, nil)
+}
+
+func (c *Chain) write(ctx context.Context, h Head, puts []store.Put) error {
+	v, err := msgpack.Marshal(&h)
+	if err != nil {
+		return err
+	}
+	t := store.Transaction{
+		Conditions: []store.Condition{
+			{
+				Key:     HeadKey,
+				Version: c.version,
+			},
+		},
+		Puts: append([]store.Put{
+			{
+				Key:   HeadKey,
+				Value: v,
+			},
+		}, puts...),
+	}
+	begun := time.Now()
+	limit := max(tryFirst, 4*c.usual)
+	delay := tryPause
+	for {
+		r, err := c.try(ctx, t, min(limit, tryMost))
+		switch {
+		case err == nil:
+			c.usual += (time.Since(begun) - c.usual) / 8
+			return c.settle(h, v, r)
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.Is(err, store.ErrRefused):
+			pause.For(ctx, delay)
+			delay = min(2*delay, pauseMost)
+		default:
+			limit *= 2
+		}
+	}
+}
+
+func (c *Chain) try(ctx context.Context, t store.Transaction, limit time.Duration) (store.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.store.Commit(ctx, t)
+}
+
+// settle takes in the fate of a write. A head that reads as ours was written
+// by an earlier try.
+func (c *Chain) settle(h Head, written []byte, r store.Result) error {
+	if r.Applied {
+		c.head = h
+		c.version = r.Version
+		return nil
+	}
+	for _, row := range r.Current {
+		if row.Key == HeadKey && string(row.Value) == string(written) {
+			c.head = h
+			c.version = row.Version
+			return nil
+		}
+	}
+	return ErrDeposed
+}
--- /dev/null
+++ b/leader/hold.go
@@ -0,0 +1,200 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+const (
+	// holdWait is how long a worker waits for an end before it answers a
+	// renewal. Workers whose last answer is older than two such waits get
+	// nothing new.
+	holdWait = time.Second
+	// holdSlack is how much longer than asked an answer may take.
+	holdSlack = 600 * time.Millisecond
+	// holdRetry is between renewals that got no answer.
+	holdRetry = 100 * time.Millisecond
+	// ackWait is how long a renewal waits for the ends of the last answer to
+	// be written, before it goes out without them to keep the lease.
+	ackWait = time.Second
+)
+
+// A hold keeps one worker's lease renewed.
+type hold struct {
+	leader *Leader
+	target Target
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	acked   uint64
+	clock   sched.ClockMillis // of the worker
+	clockAt time.Time         // when it was read, by ours
+	wake    chan struct{}
+}
+
+// keepHolds starts and ends holds as workers come and go.
+func (l *Leader) keepHolds(ctx context.Context) {
+	wanted := map[spoolsill.WorkerID]bool{}
+	for _, id := range l.state.Workers() {
+		wanted[id] = true
+		if l.holds[id] == nil {
+			l.hold(ctx, id)
+		}
+	}
+	for id, h := range l.holds {
+		if !wanted[id] {
+			h.cancel()
+			delete(l.holds, id)
+		}
+	}
+}
+
+func (l *Leader) hold(ctx context.Context, id spoolsill.WorkerID) {
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hold{
+		leader: l,
+		target: Target{
+			Worker:  id,
+			Address: l.state.Address(id),
+		},
+		cancel: cancel,
+		wake:   make(chan struct{}, 1),
+	}
+	l.holds[id] = h
+	l.spawn(func() { h.run(ctx) })
+}
+
+// ack takes in that ends up to n last in the store.
+func (h *hold) ack(n uint64) {
+	h.mu.Lock()
+	h.acked = n
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *hold) read() (acked uint64, clock sched.ClockMillis, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.acked, h.clock, h.clockAt
+}
+
+func (h *hold) setClock(c sched.ClockMillis, at time.Time) {
+	if c == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock = c
+	h.clockAt = at
+}
+
+// workerTime returns what the worker's clock shows about now; 0 before its
+// first answer.
+func (h *hold) workerTime(now time.Time) sched.ClockMillis {
+	_, c, at := h.read()
+	if c == 0 {
+		return 0
+	}
+	return c + sched.ClockMillis(now.Sub(at).Milliseconds())
+}
+
+// run renews the lease until ctx ends. The first call renews nothing: it only
+// makes our epoch known and reads the worker's clock.
+func (h *hold) run(ctx context.Context) {
+	var seen uint64
+	for ctx.Err() == nil {
+		acked, _, _ := h.read()
+		wait := holdWait
+		if seen > acked {
+			wait = 0
+		}
+		b, r := h.renew(ctx, acked, wait)
+		switch r.Kind {
+		case Taken:
+			for _, e := range b.Ended {
+				seen = max(seen, e.Sequence)
+			}
+			h.leader.send(heartbeatTaken{
+				heartbeat: b,
+			})
+			h.awaitAck(ctx, seen)
+		case Fenced:
+			h.leader.send(leadershipEnded{
+				err: ErrDeposed,
+			})
+			return
+		case OtherLife:
+			h.leader.send(workerReplaced{
+				worker: h.target.Worker,
+			})
+			return
+		default:
+			pause.For(ctx, holdRetry)
+		}
+	}
+}
+
+// awaitAck waits until the ends up to seen are written, for a while.
+func (h *hold) awaitAck(ctx context.Context, seen uint64) {
+	t := time.NewTimer(ackWait)
+	defer t.Stop()
+	for {
+		if acked, _, _ := h.read(); acked >= seen {
+			return
+		}
+		select {
+		case <-h.wake:
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *hold) renew(ctx context.Context, acked uint64, wait time.Duration) (sched.Heartbeat, Reply) {
+	now := time.Now()
+	deadline := h.leaseDeadline(now)
+	if deadline == 0 {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+holdSlack)
+	defer cancel()
+	b, r := h.leader.config.Workers.Renew(ctx, Renewal{
+		Target:   h.target,
+		Fence:    h.leader.Epoch(),
+		Deadline: deadline,
+		LastSeen: acked,
+		Wait:     wait,
+	})
+	h.setClock(r.Clock, time.Now())
+	return b, r
+}
+
+// leaseDeadline returns until when the worker may keep what it runs, on its
+// clock. It is never later than twice the lease after our last write that
+// lasts: a later leader waits that long for workers that it can't reach.
+func (h *hold) leaseDeadline(now time.Time) sched.ClockMillis {
+	c := h.workerTime(now)
+	if c == 0 {
+		return 0
+	}
+	lease := h.leader.config.Sched.Lease
+	left := min(lease, h.leader.Fresh().Add(2*lease).Sub(now))
+	if left <= 0 {
+		return 0
+	}
+	h.leader.send(leaseAsked{
+		worker: h.target.Worker,
+		until:  sched.LeaseEnd(now, left),
+	})
+	return c + sched.ClockMillis(left.Milliseconds())
+}
--- /dev/null
+++ b/leader/order.go
@@ -0,0 +1,138 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+const (
+	// startWindow is how long after it is sent a start may still be carried
+	// out: as long as its tries take, and a little.
+	startWindow = 1500 * time.Millisecond
+	// startTimeout is for one try; a worker answers in milliseconds.
+	startTimeout = 400 * time.Millisecond
+	startTries   = 3
+	// stopTimeout and stopTries are the same for stops.
+	stopTimeout = 400 * time.Millisecond
+	stopTries   = 4
+	orderPause  = 50 * time.Millisecond
+)
+
+// sendStart sends a start order, and again to the letter when it is not
+// answered: a run that is there already is not started twice.
+func (l *Leader) sendStart(o sched.StartOrder) {
+	h := l.holds[o.Worker]
+	if h == nil {
+		l.state.StartAnswered(time.Now(), sched.StartAnswer{
+			Worker:  o.Worker,
+			Run:     o.Run,
+			Outcome: sched.StartRejected,
+		})
+		return
+	}
+	ctx := l.ctx
+	l.spawn(func() {
+		a := h.start(ctx, o)
+		l.send(startAnswered{
+			answer: a,
+		})
+	})
+}
+
+func (h *hold) start(ctx context.Context, o sched.StartOrder) sched.StartAnswer {
+	a := sched.StartAnswer{
+		Worker:  o.Worker,
+		Run:     o.Run,
+		Outcome: sched.StartUnknown,
+	}
+	for try := range startTries {
+		if try > 0 {
+			pause.For(ctx, orderPause)
+		}
+		r, deadline := h.startOnce(ctx, o)
+		switch r.Kind {
+		case NoAnswer:
+			a.Doubt = true
+			a.Deadline = max(a.Deadline, deadline)
+			continue
+		case Unreachable:
+			continue
+		case Fenced:
+			h.leader.send(leadershipEnded{
+				err: ErrDeposed,
+			})
+		}
+		a.Outcome = startOutcome(r.Kind)
+		return a
+	}
+	if !a.Doubt {
+		a.Outcome = sched.StartUnhealthy
+	}
+	return a
+}
+
+func (h *hold) startOnce(ctx context.Context, o sched.StartOrder) (Reply, sched.ClockMillis) {
+	now := time.Now()
+	deadline := h.workerTime(now) + sched.ClockMillis(startWindow.Milliseconds())
+	c, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	r := h.leader.config.Workers.Start(c, Start{
+		Target:   h.target,
+		Fence:    h.leader.Epoch(),
+		Deadline: deadline,
+		Order:    o,
+	})
+	h.setClock(r.Clock, time.Now())
+	return r, deadline
+}
+
+func startOutcome(k ReplyKind) sched.StartOutcome {
+	switch k {
+	case Taken:
+		return sched.StartTaken
+	case NoRoom:
+		return sched.StartNoRoom
+	case NoTicket:
+		return sched.StartNoTicket
+	case Unhealthy:
+		return sched.StartUnhealthy
+	case OtherLife:
+		return sched.StartOtherLife
+	default:
+		return sched.StartRejected
+	}
+}
+
+// sendStop sends a stop order until it is answered.
+func (l *Leader) sendStop(ctx context.Context, o sched.StopOrder) {
+	h := l.holds[o.Worker]
+	if h == nil {
+		return
+	}
+	l.spawn(func() {
+		for range stopTries {
+			c, cancel := context.WithTimeout(ctx, stopTimeout)
+			r := l.config.Workers.Stop(c, Stop{
+				Target: h.target,
+				Fence:  l.Epoch(),
+				Run:    o.Run,
+			})
+			cancel()
+			h.setClock(r.Clock, time.Now())
+			switch r.Kind {
+			case Taken:
+				l.send(stopAnswered{
+					order: o,
+				})
+				return
+			case NoAnswer, Unreachable, Unhealthy:
+				pause.For(ctx, orderPause)
+			default:
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/leader/worker.go
@@ -0,0 +1,79 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// A Target is one life of a worker and where it is reached.
+type Target struct {
+	Worker  spoolsill.WorkerID
+	Address string
+}
+
+// A Renewal asks a worker to renew the lease of all that runs there and to
+// tell what does.
+type Renewal struct {
+	Target
+	Fence spoolsill.Epoch
+	// Deadline is when the lease ends, on the worker's clock; 0 renews nothing.
+	Deadline sched.ClockMillis
+	// LastSeen is the highest end that lasts in the store: the worker forgets
+	// it and those before.
+	LastSeen uint64
+	// Wait is how long the worker may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// A Start orders a worker to start a run.
+type Start struct {
+	Target
+	Fence spoolsill.Epoch
+	// Deadline is when the order loses its force, on the worker's clock.
+	Deadline sched.ClockMillis
+	Order    sched.StartOrder
+}
+
+// A Stop orders a worker to stop a run.
+type Stop struct {
+	Target
+	Fence spoolsill.Epoch
+	Run   sched.RunID
+}
+
+// A ReplyKind tells what a worker made of an order.
+type ReplyKind uint8
+
+// The kinds of replies.
+const (
+	Taken       ReplyKind = iota // carried out, or it was so already
+	Rejected                     // not understood
+	Fenced                       // it has seen a later leader
+	NoRoom                       // it guards its capacity
+	NoTicket                     // the ticket does not hold
+	TooLate                      // the order's deadline is over
+	RunIsOver                    // this run or a later one has ended there
+	Unhealthy                    // it takes nothing at the moment
+	OtherLife                    // the address answers for another life
+	Unreachable                  // the order was not sent
+	NoAnswer                     // it may have been carried out, or may be later
+)
+
+// A Reply is a worker's answer to an order.
+type Reply struct {
+	Kind ReplyKind
+	// Clock is the worker's clock; 0 if it did not say.
+	Clock sched.ClockMillis
+	// Err explains every kind but Taken.
+	Err error
+}
+
+// Workers gives orders to workers.
+type Workers interface {
+	Renew(ctx context.Context, r Renewal) (sched.Heartbeat, Reply)
+	Start(ctx context.Context, s Start) Reply
+	Stop(ctx context.Context, s Stop) Reply
+}
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -17,7 +17,7 @@
 //
 // What can never happen, while clocks run at about the same speed: two hosts
 // that hold the lease of one hall at once. Decisions written under an older
-// epoch are refused by the table besides (see package journal).
+// epoch are refused by the table besides (see package recordlog).
 //
 // The package has no clock, I/O, lock or goroutine. A Keeper is not safe for
 // concurrent use.
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// configWait is how long a feed waits for a configuration: half of the two
+// seconds within which one must be in force, since a feed that was cut without
+// a sign is noticed only after it.
+const configWait = time.Second
+
+// knownConfig is a configuration as it was read.
+type knownConfig struct {
+	version spoolsill.Version
+	raw     []byte
+	config  *platform.Config
+}
+
+// configs holds the newest configuration. It never goes back.
+type configs struct {
+	mu  sync.Mutex
+	now knownConfig
+}
+
+func (c *configs) get() knownConfig {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// set takes a configuration in and reports whether it is newer.
+func (c *configs) set(k knownConfig) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.version <= c.now.version {
+		return false
+	}
+	c.now = k
+	return true
+}
+
+func (c *configs) queues() []sched.Queue {
+	k := c.get()
+	if k.config == nil {
+		return nil
+	}
+	return k.config.Queues()
+}
+
+// Config implements [platform.Jobs].
+func (n *Node) Config() (*platform.Config, bool) {
+	k := n.configs.get()
+	return k.config, k.config != nil
+}
+
+// followConfig keeps up with the operators' configuration.
+func (n *Node) followConfig(ctx context.Context) {
+	take := func(r store.Row) {
+		if r.Key.Name == platform.ConfigRow && !r.Deleted {
+			n.takeConfig(r.Value, "store")
+		}
+	}
+	f := store.Follower{
+		Store:      n.store,
+		Table:      platform.OperatorTable,
+		Partitions: []string{""},
+		Wait:       configWait,
+		Listed: func(rows []store.Row) {
+			for _, r := range rows {
+				take(r)
+			}
+		},
+		Changed: take,
+		Failed: func(err error) {
+			if err != nil {
+				n.log.WithError(err).Warn("configuration feed lost")
+				return
+			}
+			n.log.Info("configuration feed regained")
+		},
+	}
+	f.Run(ctx)
+}
+
+// takeConfig puts a configuration in force if it is newer.
+func (n *Node) takeConfig(raw []byte, from string) {
+	c, err := platform.DecodeConfig(raw)
+	if err != nil {
+		n.log.WithError(err).Error("configuration can't be read")
+		return
+	}
+	if !n.configs.set(knownConfig{
+		version: c.Version,
+		raw:     raw,
+		config:  &c,
+	}) {
+		return
+	}
+	n.log.WithField("version", uint64(c.Version)).WithField("from", from).WithField("queues", len(c.Routes)).Info("configuration in force")
+	if l := n.leaderHere(); l != nil {
+		l.SetQueues(c.Queues())
+	}
+}
--- /dev/null
+++ b/node/jobs.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/peer"
+	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+const (
+	// submitBudget is how long a host tries to keep a job before it tells the
+	// client to come back: long enough for a lost answer or a slow store,
+	// short against the three seconds that clients wait.
+	submitBudget = 1200 * time.Millisecond
+	// writeTimeout is for one try; the store takes some 10 ms, and several
+	// times longer when it is slow.
+	writeTimeout = 350 * time.Millisecond
+	// writePause is between tries that the store refused.
+	writePause = 60 * time.Millisecond
+	// askTimeout is for a question to the leader.
+	askTimeout = 250 * time.Millisecond
+	// handOnTimeout is for a job that the leader is to keep.
+	handOnTimeout = 600 * time.Millisecond
+	// retryAfter is when clients should come back; troubles of the store and
+	// changes of the leader mostly last a few seconds.
+	retryAfter = time.Second
+)
+
+// RetryAfter implements [platform.Jobs].
+func (n *Node) RetryAfter() time.Duration {
+	return retryAfter
+}
+
+// Submit implements [platform.Jobs]: it keeps a job in the store, or has the
+// leader keep it when the store turns this host away.
+func (n *Node) Submit(ctx context.Context, j sched.Job) (platform.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitBudget)
+	defer cancel()
+	maybe := false
+	var last error
+	for ctx.Err() == nil {
+		o, err := n.submitOnce(ctx, j)
+		last = err
+		switch o {
+		case jobstore.Accepted, jobstore.Known:
+			n.log.WithField("job", string(j.ID)).WithField("queue", string(j.Queue)).WithField("outcome", o.String()).Info("job accepted")
+			return platform.Done, nil
+		case jobstore.Conflict:
+			return platform.Conflict, err
+		case jobstore.Unknown:
+			maybe = true
+		case jobstore.Refused:
+			if !n.health.reachable(time.Now()) {
+				return outcomeOf(maybe), err
+			}
+			pause.For(ctx, writePause)
+		}
+	}
+	return outcomeOf(maybe), last
+}
+
+func outcomeOf(maybe bool) platform.Outcome {
+	if maybe {
+		return platform.Unknown
+	}
+	return platform.Unable
+}
+
+func (n *Node) submitOnce(ctx context.Context, j sched.Job) (jobstore.Outcome, error) {
+	if n.health.tryable(time.Now()) {
+		c, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		o, err := jobstore.Accept(c, n.store, j)
+		if o != jobstore.Refused && o != jobstore.Unknown {
+			return o, err
+		}
+		if h, ok := n.handOn(ctx, j); ok {
+			return h, nil
+		}
+		return o, err
+	}
+	if h, ok := n.handOn(ctx, j); ok {
+		return h, nil
+	}
+	return jobstore.Refused, nil
+}
+
+// handOn has the leader keep a job. It reports false when the leader did not
+// say what became of it.
+func (n *Node) handOn(ctx context.Context, j sched.Job) (jobstore.Outcome, bool) {
+	h, ok := n.leaderHost()
+	if !ok {
+		return 0, false
+	}
+	b, err := jobstore.EncodeJob(j)
+	if err != nil {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
+	defer cancel()
+	r, err := peer.Call[submitReply](ctx, n.peers, h, methodSubmit, submitRequest{
+		Job: b,
+	})
+	if err != nil {
+		n.log.WithError(err).WithField("job", string(j.ID)).WithField("leader", string(h)).Warn("job could not be handed on")
+		return jobstore.Unknown, true
+	}
+	return r.Outcome, true
+}
+
+// State implements [platform.Jobs]: the leader knows, and the store does when
+// the leader does not or is not there.
+func (n *Node) State(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, platform.Outcome, error) {
+	if s, ok := n.askState(ctx, id); ok {
+		return s, platform.Done, nil
+	}
+	s, known, err := jobstore.State(ctx, n.store, id)
+	switch {
+	case err != nil:
+		return s, platform.Unable, err
+	case !known:
+		return s, platform.NoSuch, nil
+	default:
+		return s, platform.Done, nil
+	}
+}
+
+func (n *Node) askState(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, bool) {
+	if l := n.leaderHere(); l != nil {
+		return l.Status(id)
+	}
+	h, ok := n.leaderHost()
+	if !ok {
+		return sched.JobStatus{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r, err := peer.Call[stateReply](ctx, n.peers, h, methodState, stateRequest{
+		Job: id,
+	})
+	if err != nil {
+		n.log.WithError(err).WithField("job", string(id)).Warn("leader could not be asked")
+		return sched.JobStatus{}, false
+	}
+	return sched.JobStatus{
+		ID:    id,
+		State: r.State,
+	}, r.Known
+}
+
+// Cancel implements [platform.Jobs].
+func (n *Node) Cancel(ctx context.Context, id spoolsill.JobID) (platform.Outcome, error) {
+	var last error
+	for ctx.Err() == nil {
+		known, err := n.cancelOnce(ctx, id)
+		if err == nil && !known {
+			return platform.NoSuch, nil
+		}
+		if err == nil {
+			n.log.WithField("job", string(id)).Info("job cancelled")
+			return platform.Done, nil
+		}
+		last = err
+		if !n.health.reachable(time.Now()) {
+			break
+		}
+		pause.For(ctx, writePause)
+	}
+	return platform.Unknown, last
+}
+
+func (n *Node) cancelOnce(ctx context.Context, id spoolsill.JobID) (bool, error) {
+	if n.health.tryable(time.Now()) {
+		c, cancel := context.WithTimeout(ctx, 2*writeTimeout)
+		defer cancel()
+		known, err := jobstore.Cancel(c, n.store, id)
+		if err == nil {
+			return known, nil
+		}
+	}
+	h, ok := n.leaderHost()
+	if !ok {
+		return false, errNotLeading
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
+	defer cancel()
+	r, err := peer.Call[cancelReply](ctx, n.peers, h, methodCancel, cancelRequest{
+		Job: id,
+	})
+	return r.Known, err
+}
+
+// Waiting implements [platform.Jobs].
+func (n *Node) Waiting(ctx context.Context, q sched.QueueID) (int, platform.Outcome, error) {
+	if l := n.leaderHere(); l != nil {
+		w, ok := l.Waiting(q)
+		return w, knownOutcome(ok), nil
+	}
+	h, ok := n.leaderHost()
+	if !ok {
+		return 0, platform.Unable, errNotLeading
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r, err := peer.Call[waitingReply](ctx, n.peers, h, methodWaiting, waitingRequest{
+		Queue: q,
+	})
+	return r.Waiting, knownOutcome(err == nil && r.Known), err
+}
+
+func knownOutcome(ok bool) platform.Outcome {
+	if ok {
+		return platform.Done
+	}
+	return platform.Unable
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/peer"
+	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+const (
+	// drainTime is how long a host that stops still takes connections, so
+	// that the balancer has seen it say that it is not ready: two of its
+	// questions, one a second.
+	drainTime = 2200 * time.Millisecond
+	// releaseTime bounds giving the leadership up.
+	releaseTime = time.Second
+	// stopMargin is left of the grace for the end of the process itself.
+	stopMargin = 500 * time.Millisecond
+	// headerTimeout bounds reading a request's header.
+	headerTimeout = 3 * time.Second
+	// idleTimeout closes clients' idle connections.
+	idleTimeout = 30 * time.Second
+	// maxHeader is the longest header that is read, in bytes.
+	maxHeader = 16 << 10
+)
+
+// A Config describes a [Node].
+type Config struct {
+	Settings platform.Settings
+	Log      *logrus.Logger
+	// Dial opens connections to the platform and to workers; nil means TCP.
+	Dial platform.Dialer
+	// Listen opens a listener; nil means TCP.
+	Listen func(address string) (net.Listener, error)
+}
+
+// A Node is one host. Run may be called once.
+type Node struct {
+	settings platform.Settings
+	log      *logrus.Entry
+	listen   func(address string) (net.Listener, error)
+	store    store.Store
+	workers  *platform.Workers
+	advisor  *platform.Advisor
+	peers    *peer.Node
+	life     spoolsill.Incarnation
+	health   *storeHealth
+
+	configs configs
+	hosts   hostList
+	closing atomic.Bool
+
+	mu      sync.Mutex
+	leading *leader.Leader
+	head    leader.Head // as far as is known
+	lost    bool        // the leader in head does not answer
+}
+
+// New returns a node that has not begun.
+func New(c Config) *Node {
+	s := c.Settings
+	log := c.Log.WithField("host", string(s.Host))
+	life := spoolsill.Incarnation(time.Now().UnixNano())
+	h := &storeHealth{}
+	n := &Node{
+		settings: s,
+		log:      log,
+		listen:   c.Listen,
+		store: &watchedStore{
+			Store:  platform.NewStore(s.StoreAddress, c.Dial),
+			health: h,
+		},
+		workers: platform.NewWorkers(c.Dial),
+		life:    life,
+		health:  h,
+	}
+	if n.listen == nil {
+		n.listen = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
+	}
+	if s.AdvisorAddress != "" {
+		n.advisor = platform.NewAdvisor(s.AdvisorAddress, c.Dial)
+	}
+	n.peers = peer.NewNode(peer.Config{
+		Host:        s.Host,
+		Incarnation: life,
+		Dial:        peerDial(c.Dial),
+	})
+	n.handlePeers()
+	return n
+}
+
+func peerDial(d platform.Dialer) func(context.Context, string) (net.Conn, error) {
+	if d == nil {
+		d = platform.Dial
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d(ctx, "tcp", address)
+	}
+}
+
+// peerAddress is where the other hosts reach this one.
+func (n *Node) peerAddress() string {
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort))
+}
+
+// Run serves until ctx ends, and then stops as planned.
+func (n *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	clients, err := n.listen(n.settings.ClientAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for clients")
+	}
+	ready, err := n.listen(n.settings.ReadyAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for the balancer")
+	}
+	peers, err := n.listen(n.peerAddress())
+	if err != nil {
+		return eris.Wrap(err, "listen for hosts")
+	}
+	front := n.clientServer()
+	balancer := &http.Server{
+		Handler:           http.HandlerFunc(n.serveReady),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return serve(front, clients) })
+	g.Go(func() error { return serve(balancer, ready) })
+	g.Go(func() error { return n.peers.Serve(work, peers) })
+	g.Go(func() error { n.followConfig(work); return nil })
+	electing, stopElecting := context.WithCancel(work)
+	defer stopElecting()
+	elected := make(chan struct{})
+	g.Go(func() error {
+		defer close(elected)
+		n.elect(electing)
+		return nil
+	})
+	n.log.WithFields(logrus.Fields{
+		"hall":   string(n.settings.Hall),
+		"memory": int64(n.settings.Memory),
+		"cores":  n.settings.Cores,
+	}).Info("host started")
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		cancel()
+		return g.Wait()
+	}
+	n.log.Info("host stops as planned")
+	n.closing.Store(true)
+	stopElecting()
+	n.drain(front, elected)
+	cancel()
+	_ = balancer.Close()
+	n.peers.Close()
+	err = g.Wait()
+	n.log.WithError(err).Info("host stopped")
+	return err
+}
+
+// drain answers what comes in until the balancer sends nothing new, and then
+// what is under way.
+func (n *Node) drain(front *http.Server, elected <-chan struct{}) {
+	grace := max(n.settings.Bounds.StopGrace-stopMargin, drainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	t := time.NewTimer(drainTime)
+	defer t.Stop()
+	<-t.C
+	if err := front.Shutdown(ctx); err != nil {
+		n.log.WithError(err).Warn("requests were cut off")
+	}
+	select {
+	case <-elected:
+	case <-ctx.Done():
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) clientServer() *http.Server {
+	return &http.Server{
+		Handler: &platform.Ingress{
+			Jobs:    n,
+			Log:     n.log,
+			Closing: n.closing.Load,
+		},
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+// serveReady tells the balancer whether new connections should come here: a
+// host that stops, knows no configuration, or reaches neither the store nor a
+// leader that does, can serve nobody.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (n *Node) ready() bool {
+	if n.closing.Load() {
+		return false
+	}
+	if _, ok := n.Config(); !ok {
+		return false
+	}
+	return n.health.reachable(time.Now())
+}
+
+// leaderHere returns the leader if it is this host.
+func (n *Node) leaderHere() *leader.Leader {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leading
+}
+
+// leaderHost returns the host that leads, if one is known to answer.
+func (n *Node) leaderHost() (spoolsill.HostID, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.head.Host == "" || n.head.Released || n.lost || n.head.Host == n.settings.Host {
+		return "", false
+	}
+	return n.head.Host, true
+}
+
+// newLeader returns a leader for a chain that was just won.
+func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
+	b := n.settings.Bounds
+	return leader.New(leader.Config{
+		Store:        n.store,
+		Chain:        c,
+		Workers:      n.workers,
+		Advisor:      n,
+		WorkersTable: platform.WorkersTable,
+		DecodeWorker: platform.DecodeWorker,
+		Sched: sched.Config{
+			Lease:       b.Lease,
+			StopTime:    b.StopTime,
+			FarFactor:   b.FarFactor,
+			RestoreTime: b.Restore,
+		},
+		Log: n.log,
+	})
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/peer"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// The methods that hosts call each other by.
+const (
+	methodGreet   = "greet"
+	methodState   = "state"
+	methodWaiting = "waiting"
+	methodAdvise  = "advise"
+	methodSubmit  = "submit"
+	methodCancel  = "cancel"
+)
+
+// hostSilent is how long ago a host may have greeted the leader to be asked
+// for advice.
+const hostSilent = 900 * time.Millisecond
+
+type greetRequest struct {
+	Address string
+	Version spoolsill.Version
+}
+
+type greetReply struct {
+	Leads bool
+	Epoch spoolsill.Epoch
+	// Age is how long ago the leader's latest write was begun.
+	Age time.Duration
+	// Config is the configuration when it is newer than the caller's.
+	Config []byte
+}
+
+type stateRequest struct {
+	Job spoolsill.JobID
+}
+
+type stateReply struct {
+	Known bool
+	State sched.JobState
+}
+
+type waitingRequest struct {
+	Queue sched.QueueID
+}
+
+type waitingReply struct {
+	Known   bool
+	Waiting int
+}
+
+type adviseRequest struct {
+	Stage   sched.StageID
+	Workers []spoolsill.WorkerID
+}
+
+type adviseReply struct {
+	Tickets []sched.Ticket
+	Valid   time.Duration
+}
+
+type submitRequest struct {
+	Job []byte
+}
+
+type submitReply struct {
+	Outcome jobstore.Outcome
+}
+
+type cancelRequest struct {
+	Job spoolsill.JobID
+}
+
+type cancelReply struct {
+	Known bool
+}
+
+func (n *Node) handlePeers() {
+	peer.Handle(n.peers, methodGreet, n.greeted)
+	peer.Handle(n.peers, methodState, n.stateAsked)
+	peer.Handle(n.peers, methodWaiting, n.waitingAsked)
+	peer.Handle(n.peers, methodAdvise, n.adviceAsked)
+	peer.Handle(n.peers, methodSubmit, n.submitAsked)
+	peer.Handle(n.peers, methodCancel, n.cancelAsked)
+}
+
+func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
+	n.peers.Learn(c.Host, q.Address)
+	n.hosts.greeted(c.Host, time.Now())
+	x := n.configs.get()
+	var r greetReply
+	if x.version > q.Version {
+		r.Config = x.raw
+	}
+	if l := n.leaderHere(); l != nil {
+		r.Leads = true
+		r.Epoch = l.Epoch()
+		r.Age = time.Since(l.Fresh())
+	}
+	return r, nil
+}
+
+var errNotLeading = &peer.RemoteError{
+	Code: peer.CodeBusy,
+	Text: "this host does not lead",
+}
+
+func (n *Node) stateAsked(_ context.Context, _ peer.Caller, q stateRequest) (stateReply, error) {
+	l := n.leaderHere()
+	if l == nil {
+		return stateReply{}, errNotLeading
+	}
+	s, ok := l.Status(q.Job)
+	return stateReply{
+		Known: ok,
+		State: s.State,
+	}, nil
+}
+
+func (n *Node) waitingAsked(_ context.Context, _ peer.Caller, q waitingRequest) (waitingReply, error) {
+	l := n.leaderHere()
+	if l == nil {
+		return waitingReply{}, errNotLeading
+	}
+	w, ok := l.Waiting(q.Queue)
+	return waitingReply{
+		Known:   ok,
+		Waiting: w,
+	}, nil
+}
+
+func (n *Node) adviceAsked(ctx context.Context, _ peer.Caller, q adviseRequest) (adviseReply, error) {
+	if n.advisor == nil {
+		return adviseReply{}, errors.New("node: no advisor")
+	}
+	t, valid, err := n.advisor.Advise(ctx, q.Stage, q.Workers)
+	return adviseReply{
+		Tickets: t,
+		Valid:   valid,
+	}, err
+}
+
+func (n *Node) submitAsked(ctx context.Context, _ peer.Caller, q submitRequest) (submitReply, error) {
+	j, err := jobstore.DecodeJob(q.Job)
+	if err != nil {
+		return submitReply{}, err
+	}
+	o, err := jobstore.Accept(ctx, n.store, j)
+	if err != nil {
+		n.log.WithError(err).WithField("job", string(j.ID)).Warn("job handed on by a host was not written")
+	}
+	return submitReply{
+		Outcome: o,
+	}, nil
+}
+
+func (n *Node) cancelAsked(ctx context.Context, _ peer.Caller, q cancelRequest) (cancelReply, error) {
+	known, err := jobstore.Cancel(ctx, n.store, q.Job)
+	return cancelReply{
+		Known: known,
+	}, err
+}
+
+// Hosts implements [leader.Advisor].
+func (n *Node) Hosts() []spoolsill.HostID {
+	return append(n.hosts.since(time.Now().Add(-hostSilent)), n.settings.Host)
+}
+
+// Ask implements [leader.Advisor].
+func (n *Node) Ask(ctx context.Context, h spoolsill.HostID, stage sched.StageID, workers []spoolsill.WorkerID) ([]sched.Ticket, time.Duration, error) {
+	q := adviseRequest{
+		Stage:   stage,
+		Workers: workers,
+	}
+	if h == n.settings.Host {
+		r, err := n.adviceAsked(ctx, peer.Caller{}, q)
+		return r.Tickets, r.Valid, err
+	}
+	r, err := peer.Call[adviseReply](ctx, n.peers, h, methodAdvise, q)
+	return r.Tickets, r.Valid, err
+}
+
+// refused reports whether a call failed because nothing listens at the other
+// side: the process is gone.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// A hostList has the hosts that greet this one.
+type hostList struct {
+	mu   sync.Mutex
+	seen map[spoolsill.HostID]time.Time
+}
+
+func (l *hostList) greeted(h spoolsill.HostID, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen == nil {
+		l.seen = map[spoolsill.HostID]time.Time{}
+	}
+	l.seen[h] = at
+}
+
+// since returns the hosts that have greeted at or after a time, and forgets
+// the others.
+func (l *hostList) since(t time.Time) []spoolsill.HostID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var hosts []spoolsill.HostID
+	for h, at := range l.seen {
+		if at.Before(t) {
+			delete(l.seen, h)
+			continue
+		}
+		hosts = append(hosts, h)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
--- /dev/null
+++ b/node/storehealth.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill/store"
+)
+
+const (
+	// awayAfter is how long the store may fail all calls before this host
+	// says that it can't serve. The feed alone calls it each second.
+	awayAfter = 700 * time.Millisecond
+	// tryEvery is how often a store that is away is tried by a client's call.
+	tryEvery = 250 * time.Millisecond
+)
+
+// storeHealth tells from all calls whether the store can be reached. It is
+// safe for concurrent use. The zero value takes it as reachable.
+type storeHealth struct {
+	mu      sync.Mutex
+	failing time.Time // since when every call has failed; zero if the last one did not
+	tried   time.Time
+}
+
+func (h *storeHealth) take(now time.Time, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ok {
+		h.failing = time.Time{}
+		return
+	}
+	if h.failing.IsZero() {
+		h.failing = now
+	}
+}
+
+// reachable reports whether the store has answered lately.
+func (h *storeHealth) reachable(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failing.IsZero() || now.Sub(h.failing) < awayAfter
+}
+
+// tryable reports whether a client's call should try the store: always while
+// it is reachable, and now and then while it is away.
+func (h *storeHealth) tryable(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failing.IsZero() || now.Sub(h.failing) < awayAfter {
+		return true
+	}
+	if now.Sub(h.tried) < tryEvery {
+		return false
+	}
+	h.tried = now
+	return true
+}
+
+// A watchedStore tells a storeHealth how the calls go.
+type watchedStore struct {
+	store.Store
+	health *storeHealth
+}
+
+func (s *watchedStore) took(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	s.health.take(time.Now(), err == nil || errors.Is(err, store.ErrHistoryGone))
+}
+
+// Commit implements [store.Store].
+func (s *watchedStore) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
+	r, err := s.Store.Commit(ctx, t)
+	s.took(err)
+	return r, err
+}
+
+// List implements [store.Store].
+func (s *watchedStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	p, err := s.Store.List(ctx, table, partition, from, limit)
+	s.took(err)
+	return p, err
+}
+
+// Feed implements [store.Store].
+func (s *watchedStore) Feed(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
+	c, err := s.Store.Feed(ctx, table, after, wait)
+	s.took(err)
+	return c, err
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +50,7 @@
 type Node struct {
 	config  Config
 	methods sync.Map // string -> handler
+	mu      sync.Mutex
 	links   map[spoolsill.HostID]*link
 	ids     atomic.Uint64
 	sent    atomic.Uint64
@@ -75,16 +78,39 @@
 		links:  map[spoolsill.HostID]*link{},
 	}
 	for h, a := range c.Addresses {
-		n.links[h] = &link{
-			node:    n,
-			host:    h,
-			address: a,
-			dialing: newGate(),
-		}
+		n.Learn(h, a)
 	}
 	return n
 }
 
+// Learn takes in the address of a host that can be called from now on. A host
+// that has moved loses the connection to its former address.
+func (n *Node) Learn(h spoolsill.HostID, address string) {
+	n.mu.Lock()
+	old := n.links[h]
+	if old != nil && old.address == address {
+		n.mu.Unlock()
+		return
+	}
+	n.links[h] = &link{
+		node:    n,
+		host:    h,
+		address: address,
+		dialing: newGate(),
+	}
+	n.mu.Unlock()
+	if old != nil {
+		old.close()
+	}
+}
+
+func (n *Node) link(h spoolsill.HostID) (*link, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.links[h]
+	return l, ok
+}
+
 // Traffic returns the bytes that the node sent and received so far.
 func (n *Node) Traffic() (sent, received uint64) {
 	return n.sent.Load(), n.read.Load()
@@ -109,7 +135,7 @@
 // comment for the errors.
 func Call[R, Q any](ctx context.Context, n *Node, to spoolsill.HostID, method string, q Q) (R, error) {
 	var r R
-	l, ok := n.links[to]
+	l, ok := n.link(to)
 	if !ok {
 		return r, fmt.Errorf("%w: %s has no address", ErrUnreachable, to)
 	}
@@ -160,7 +186,10 @@
 
 // Close ends all connections that the node opened.
 func (n *Node) Close() {
-	for _, l := range n.links {
+	n.mu.Lock()
+	links := slices.Collect(maps.Values(n.links))
+	n.mu.Unlock()
+	for _, l := range links {
 		l.close()
 	}
 }
--- /dev/null
+++ b/sched/advice.go
@@ -0,0 +1,195 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+const (
+	// ticketMargin is how long a ticket must still hold when a start is
+	// decided: a write, the call itself and some queueing.
+	ticketMargin = 200 * time.Millisecond
+	// adviceTimeout is when a question is given up that nobody answered; the
+	// slowest advisors of today need about a second and may be waited for.
+	adviceTimeout = 4 * time.Second
+	// adviceWidth is the part of an advisor's base cost that is spent on
+	// asking about more workers at once.
+	adviceWidth = 0.45
+	// minAsked and maxAsked bound the workers of one question; the platform
+	// takes at most 100.
+	minAsked = 12
+	maxAsked = 100
+	// askMore is how long a stage waits for room at the workers that it may
+	// use before it asks about others.
+	askMore = 250 * time.Millisecond
+)
+
+// advice is what a stage knows of the workers that may run it.
+type advice struct {
+	asked   map[spoolsill.WorkerID]bool // and answered: good or never
+	tickets map[spoolsill.WorkerID]ticket
+	pending time.Time // when the question under way was sent
+	last    time.Time // when the last answer came
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// good reports whether a worker may run the stage.
+func (a *advice) good(id spoolsill.WorkerID) bool {
+	_, ok := a.tickets[id]
+	return ok
+}
+
+// valid reports whether the ticket for a worker can be used now.
+func (a *advice) valid(id spoolsill.WorkerID, now time.Time) bool {
+	return a.tickets[id].until.Sub(now) > ticketMargin
+}
+
+func (a *advice) expire(id spoolsill.WorkerID) {
+	t := a.tickets[id]
+	t.until = time.Time{}
+	a.tickets[id] = t
+}
+
+func (a *advice) underWay(now time.Time) bool {
+	return !a.pending.IsZero() && now.Sub(a.pending) < adviceTimeout
+}
+
+// ask orders a question about workers.
+func (s *State) ask(g *stage, q *Queue, workers []spoolsill.WorkerID) {
+	if len(workers) == 0 {
+		return
+	}
+	g.advice.pending = s.now
+	s.advices = append(s.advices, AdviceOrder{
+		Stage:    g.id,
+		Workers:  workers,
+		Priority: q.Priority,
+		Cost:     q.Advisor.cost(len(workers)),
+	})
+}
+
+// Advices returns the questions to the advisor since the last call.
+func (s *State) Advices() []AdviceOrder {
+	o := s.advices
+	s.advices = nil
+	return o
+}
+
+// unasked returns workers that g may use and was not told about, those with
+// most free processors first.
+func (s *State) unasked(g *stage, q *Queue) []spoolsill.WorkerID {
+	var ws []*worker
+	for _, w := range s.order {
+		if s.eligible(g, q, w) && !g.advice.asked[w.id] {
+			ws = append(ws, w)
+		}
+	}
+	sortByFree(ws)
+	most := maxAsked
+	if !g.step.Gang && q.Advisor.PerWorker > 0 {
+		most = max(minAsked, int(adviceWidth*float64(q.Advisor.Base)/float64(q.Advisor.PerWorker)))
+	}
+	most = min(most, maxAsked, len(ws))
+	ids := make([]spoolsill.WorkerID, most)
+	for i := range ids {
+		ids[i] = ws[i].id
+	}
+	return ids
+}
+
+// Advised takes in an answer of the advisor.
+func (s *State) Advised(now time.Time, a Advice) {
+	s.now = now
+	j := s.jobs[a.Order.Stage.Job]
+	if j == nil || j.state.Final() {
+		return
+	}
+	g := j.stage(a.Order.Stage.Round, a.Order.Stage.Step)
+	if g == nil {
+		return
+	}
+	x := &g.advice
+	x.pending = time.Time{}
+	if a.Lost {
+		s.dropPlan(g)
+		return
+	}
+	if x.asked == nil {
+		x.asked = map[spoolsill.WorkerID]bool{}
+		x.tickets = map[spoolsill.WorkerID]ticket{}
+	}
+	x.last = now
+	for _, id := range a.Order.Workers {
+		x.asked[id] = true
+	}
+	for _, t := range a.Tickets {
+		x.tickets[t.Worker] = ticket{
+			text:  t.Text,
+			until: a.Received.Add(a.Valid),
+		}
+	}
+	s.usePlan(g)
+}
+
+// usePlan records the planned runs whose tickets hold now and gives the room
+// of the others back. Of a gang all run or none.
+func (s *State) usePlan(g *stage) {
+	plan := g.planned
+	g.planned = nil
+	whole := true
+	for _, r := range plan {
+		if !s.usable(r) {
+			whole = false
+		}
+	}
+	for _, r := range plan {
+		if (g.step.Gang && !whole) || !s.usable(r) {
+			s.unplan(r)
+			continue
+		}
+		s.record(r)
+	}
+}
+
+func (s *State) usable(r *run) bool {
+	return r.worker.takes(s.now) && r.task.stage.advice.valid(r.worker.id, s.now)
+}
+
+// plan takes room for a run while its ticket is renewed.
+func (s *State) plan(t *task, w *worker) {
+	r := &run{
+		id: RunID{
+			Task:   t.id(),
+			Number: t.lastRun + 1,
+		},
+		task:   t,
+		worker: w,
+		need:   t.stage.step.room(),
+		phase:  phasePlanned,
+	}
+	s.book(r)
+	t.stage.planned = append(t.stage.planned, r)
+}
+
+func (s *State) unplan(r *run) {
+	w := r.worker
+	if w.runs[r.id] != r {
+		return
+	}
+	delete(w.runs, r.id)
+	w.used = w.used.Sub(r.need)
+	r.task.run = nil
+	r.task.stage.job.runs--
+}
+
+func (s *State) dropPlan(g *stage) {
+	for _, r := range g.planned {
+		s.unplan(r)
+	}
+	g.planned = nil
+}
--- /dev/null
+++ b/sched/batch.go
@@ -0,0 +1,143 @@
+package sched
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// MaxRows is how many jobs' rows a batch has at most; the store takes 100
+// entries in a transaction, and one is the leader's.
+const MaxRows = 90
+
+// Batch returns what is to be written next, and whether there is anything.
+func (s *State) Batch(now time.Time) (Batch, bool, error) {
+	s.now = now
+	var b Batch
+	n := min(len(s.dirty), MaxRows)
+	for _, j := range s.dirty[:n] {
+		v, err := EncodeProgress(j.progress())
+		if err != nil {
+			return Batch{}, false, err
+		}
+		j.dirty = false
+		b.Rows = append(b.Rows, JobRow{
+			ID:    j.ID,
+			Value: v,
+		})
+		b.Starts = append(b.Starts, j.starts...)
+		j.starts = nil
+		b.Statuses = append(b.Statuses, j.status())
+		s.slim(j)
+	}
+	s.dirty = slices.Delete(s.dirty, 0, n)
+	if len(s.dirty) == 0 {
+		b.Acks = s.takeAcks()
+	}
+	return b, n > 0 || len(b.Acks) > 0, nil
+}
+
+// slim drops what is not needed of a job that has ended for good.
+func (s *State) slim(j *job) {
+	if !j.state.Final() || j.runs > 0 {
+		return
+	}
+	j.Spec = ""
+	j.Steps = nil
+	j.stages = nil
+}
+
+// takeAcks returns the ends whose rows are all in this batch or earlier ones.
+func (s *State) takeAcks() []Ack {
+	var acks []Ack
+	for id, n := range s.acks {
+		acks = append(acks, Ack{
+			Worker:   id,
+			Sequence: n,
+		})
+	}
+	slices.SortFunc(acks, func(a, b Ack) int { return strings.Compare(string(a.Worker), string(b.Worker)) })
+	clear(s.acks)
+	return acks
+}
+
+// Written takes in that a batch lasts, and returns the starts that may leave
+// now: those that nothing has overtaken meanwhile.
+func (s *State) Written(now time.Time, b Batch) []StartOrder {
+	s.now = now
+	var out []StartOrder
+	for _, o := range b.Starts {
+		w := s.workers[o.Worker]
+		if w == nil {
+			continue
+		}
+		r := w.runs[o.Run]
+		if r == nil || r.phase != phaseRecorded {
+			continue
+		}
+		if !s.mayLeave(r) {
+			s.lose(r, "overtaken before the order left")
+			continue
+		}
+		r.phase = phaseSent
+		r.begun = now
+		out = append(out, o)
+	}
+	return out
+}
+
+// mayLeave reports whether an order that is recorded still makes sense.
+func (s *State) mayLeave(r *run) bool {
+	g := r.task.stage
+	return !r.task.done && !g.job.state.Final() && !r.stopping &&
+		r.worker.listed && !r.worker.Draining
+}
+
+// Workers returns the ids of the workers that are to be kept in touch with:
+// those that are listed, and those that may have runs.
+func (s *State) Workers() []spoolsill.WorkerID {
+	var ids []spoolsill.WorkerID
+	for _, w := range s.order {
+		if !w.dead && w.Address != "" && (w.listed || len(w.runs) > 0) {
+			ids = append(ids, w.id)
+		}
+	}
+	return ids
+}
+
+// Address returns where a worker is reached.
+func (s *State) Address(id spoolsill.WorkerID) string {
+	if w := s.workers[id]; w != nil {
+		return w.Address
+	}
+	return ""
+}
+
+// Idle reports whether a worker has nothing in its books.
+func (s *State) Idle(id spoolsill.WorkerID) bool {
+	w := s.workers[id]
+	return w == nil || len(w.runs) == 0
+}
+
+// NextDue returns when the next timed stage is due, by the wall clock.
+func (s *State) NextDue() (time.Time, bool) {
+	var next time.Time
+	for _, g := range s.timed {
+		if next.IsZero() || g.due.Before(next) {
+			next = g.due
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// Jobs returns the states of all jobs, in the order of their ids.
+func (s *State) Jobs() []JobStatus {
+	out := make([]JobStatus, 0, len(s.jobs))
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		out = append(out, s.jobs[id].status())
+	}
+	return out
+}
--- /dev/null
+++ b/sched/decide.go
@@ -0,0 +1,509 @@
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// Decide starts what can start at now. The starts leave with the next batch.
+// Cost: O(stages that wait * workers).
+func (s *State) Decide(now time.Time) {
+	s.now = now
+	s.expireLeases()
+	s.openDue()
+	s.dropDonePlans()
+	d := decider{
+		State: s,
+		held:  map[*worker]bool{},
+	}
+	for _, g := range s.ranked() {
+		d.place(g)
+	}
+}
+
+// dropDonePlans gives room back that a question was waited for in vain.
+func (s *State) dropDonePlans() {
+	for _, g := range s.open {
+		if len(g.planned) > 0 && !g.advice.underWay(s.now) {
+			s.dropPlan(g)
+		}
+	}
+}
+
+// A decider is one pass over the stages that wait.
+type decider struct {
+	*State
+	// held are the workers that a gang, ranked higher, gathers room at.
+	held map[*worker]bool
+	gang *stage
+}
+
+// ranked returns the open stages in the order in which they are served, and
+// forgets those that are done.
+func (s *State) ranked() []*stage {
+	kept := s.open[:0]
+	var ready []*stage
+	for _, g := range s.open {
+		if g.done() || g.job.state.Final() {
+			g.open = false
+			continue
+		}
+		kept = append(kept, g)
+		if g.placeable() && !s.now.Before(g.retryAt) {
+			ready = append(ready, g)
+		}
+	}
+	clear(s.open[len(kept):])
+	s.open = kept
+	ranks := make(map[*stage]rank, len(ready))
+	for _, g := range ready {
+		ranks[g] = s.rank(g)
+	}
+	slices.SortStableFunc(ready, func(a, b *stage) int { return ranks[a].compare(ranks[b]) })
+	return ready
+}
+
+// placeable reports whether a task of g waits for a worker; of a gang, all.
+func (g *stage) placeable() bool {
+	if len(g.planned) > 0 {
+		return false
+	}
+	for _, t := range g.tasks {
+		waits := !t.done && t.run == nil
+		if waits && !g.step.Gang {
+			return true
+		}
+		if !waits && g.step.Gang {
+			return false
+		}
+	}
+	return g.step.Gang
+}
+
+// A tier groups stages by what running them still earns.
+type tier int
+
+const (
+	tierUrgent tier = iota // of the first priority, and can be in time
+	tierTimely             // can be in time
+	tierLate               // can't be in time, still earns a part
+	tierLost               // earns nothing any more
+)
+
+type rank struct {
+	tier  tier
+	slack time.Duration
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(
+		cmp.Compare(r.tier, o.tier),
+		cmp.Compare(r.slack, o.slack),
+	)
+}
+
+// lateFactor is up to how many times its objective a job earns a part, by the
+// platform's accounting.
+const lateFactor = 3
+
+func (s *State) rank(g *stage) rank {
+	q := s.queue(g.job)
+	objective := s.objective(g, q)
+	since := g.job.Received
+	if !g.due.IsZero() {
+		since = g.due
+	}
+	waited := s.now.Round(0).Sub(since)
+	chain := s.chainLeft(g)
+	slack := objective - waited - chain
+	r := rank{
+		tier:  tierTimely,
+		slack: slack,
+	}
+	switch {
+	case g.step.Lasting:
+		r.slack = 0
+	case waited+chain > lateFactor*objective:
+		r.tier = tierLost
+	case slack < 0:
+		r.tier = tierLate
+	case q.Priority == 0:
+		r.tier = tierUrgent
+	}
+	return r
+}
+
+// objective is the time within which the stage's round should be done.
+func (s *State) objective(g *stage, q *Queue) time.Duration {
+	var longest time.Duration
+	for i := range g.job.Steps {
+		longest = max(longest, s.chainFrom(g.job, q, i))
+	}
+	return time.Duration(q.Stretch*float64(longest)) + q.Goal
+}
+
+// chainFrom is the expected time of the longest chain that begins with a step.
+func (s *State) chainFrom(j *job, q *Queue, step int) time.Duration {
+	var after time.Duration
+	for i := step + 1; i < len(j.Steps); i++ {
+		if slices.Contains(j.Steps[i].After, step) {
+			after = max(after, s.chainFrom(j, q, i))
+		}
+	}
+	return s.expected(q, &j.Steps[step]) + after
+}
+
+func (s *State) chainLeft(g *stage) time.Duration {
+	return s.chainFrom(g.job, s.queue(g.job), g.id.Step)
+}
+
+// place starts the tasks of a stage that can start now.
+func (d *decider) place(g *stage) {
+	q := d.queue(g.job)
+	if q.Service == "" {
+		return
+	}
+	if q.Advisor != nil && !d.advised(g, q) {
+		return
+	}
+	if g.step.Gang {
+		d.placeGang(g, q)
+		return
+	}
+	d.placeEach(g, q)
+}
+
+// advised asks the advisor where nothing is known yet, and about more workers
+// when the known ones have had no room for a while.
+func (d *decider) advised(g *stage, q *Queue) bool {
+	a := &g.advice
+	if a.underWay(d.now) {
+		return false
+	}
+	if a.asked == nil || d.now.Sub(a.last) > askMore {
+		more := d.unasked(g, q)
+		if len(more) > 0 {
+			d.ask(g, q, more)
+			return false
+		}
+	}
+	return a.asked != nil
+}
+
+// eligible reports whether g's tasks may ever run at w.
+func (s *State) eligible(g *stage, q *Queue, w *worker) bool {
+	return w.listed && !w.dead && !w.Draining && w.Service == q.Service &&
+		(g.step.Requires == "" || slices.Contains(w.Labels, g.step.Requires))
+}
+
+// candidates returns the workers where g may start something now.
+func (d *decider) candidates(g *stage, q *Queue) []*worker {
+	var ws []*worker
+	for _, w := range d.order {
+		if !d.eligible(g, q, w) || !w.takes(d.now) || !w.health.takes(d.now) {
+			continue
+		}
+		if q.Advisor != nil && !g.advice.good(w.id) {
+			continue
+		}
+		if d.held[w] && q.Priority > 0 && g != d.gang {
+			continue
+		}
+		ws = append(ws, w)
+	}
+	return ws
+}
+
+// placeEach starts the waiting tasks one by one.
+func (d *decider) placeEach(g *stage, q *Queue) {
+	ws := d.candidates(g, q)
+	var renew []spoolsill.WorkerID
+	for _, t := range g.tasks {
+		if t.done || t.run != nil {
+			continue
+		}
+		w := d.best(g, ws)
+		if w == nil {
+			break
+		}
+		if q.Advisor == nil || g.advice.valid(w.id, d.now) {
+			d.start(t, w)
+			continue
+		}
+		d.plan(t, w)
+		if !slices.Contains(renew, w.id) {
+			renew = append(renew, w.id)
+		}
+	}
+	if len(renew) > 0 {
+		d.ask(g, q, renew)
+	}
+}
+
+// placeGang starts all tasks of a gang, or none.
+func (d *decider) placeGang(g *stage, q *Queue) {
+	ws := d.candidates(g, q)
+	seats := d.seats(g, ws)
+	if seats == nil {
+		d.gather(g, ws)
+		return
+	}
+	renew := d.stale(g, q, seats)
+	for i, t := range g.tasks {
+		if len(renew) > 0 {
+			d.plan(t, seats[i])
+			continue
+		}
+		d.start(t, seats[i])
+	}
+	if len(renew) > 0 {
+		d.ask(g, q, renew)
+	}
+}
+
+// gather keeps the candidates of the first gang that waits from those ranked
+// below it, so that it does not wait for ever.
+func (d *decider) gather(g *stage, ws []*worker) {
+	if d.gang != nil || len(ws) == 0 {
+		return
+	}
+	d.gang = g
+	for _, w := range ws {
+		d.held[w] = true
+	}
+}
+
+// stale returns the workers of seats whose tickets must be renewed first.
+func (d *decider) stale(g *stage, q *Queue, seats []*worker) []spoolsill.WorkerID {
+	if q.Advisor == nil {
+		return nil
+	}
+	var ids []spoolsill.WorkerID
+	fresh := true
+	for _, w := range seats {
+		if !slices.Contains(ids, w.id) {
+			ids = append(ids, w.id)
+		}
+		fresh = fresh && g.advice.valid(w.id, d.now)
+	}
+	if fresh {
+		return nil
+	}
+	return ids
+}
+
+// seats returns a worker for each task of a gang, or nil.
+func (d *decider) seats(g *stage, ws []*worker) []*worker {
+	if !g.step.SameRack {
+		return seatsAmong(g, ws)
+	}
+	for _, rack := range racksOf(ws) {
+		var in []*worker
+		for _, w := range ws {
+			if w.Rack == rack {
+				in = append(in, w)
+			}
+		}
+		if seats := seatsAmong(g, in); seats != nil {
+			return seats
+		}
+	}
+	return nil
+}
+
+func racksOf(ws []*worker) []spoolsill.RackID {
+	var racks []spoolsill.RackID
+	for _, w := range ws {
+		if !slices.Contains(racks, w.Rack) {
+			racks = append(racks, w.Rack)
+		}
+	}
+	return racks
+}
+
+func seatsAmong(g *stage, ws []*worker) []*worker {
+	need := g.step.room()
+	type offer struct {
+		w     *worker
+		seats int
+	}
+	offers := make([]offer, 0, len(ws))
+	total := 0
+	for _, w := range ws {
+		n := fitTimes(need, w.free())
+		if m := g.step.MaxPerWorker; m > 0 {
+			n = min(n, m-g.at(w))
+		}
+		n = min(n, len(g.tasks))
+		if n <= 0 {
+			continue
+		}
+		offers = append(offers, offer{
+			w:     w,
+			seats: n,
+		})
+		total += n
+	}
+	if total < len(g.tasks) {
+		return nil
+	}
+	slices.SortStableFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.w.health.slowness(), b.w.health.slowness()), cmp.Compare(b.seats, a.seats))
+	})
+	seats := make([]*worker, 0, len(g.tasks))
+	for _, o := range offers {
+		for range o.seats {
+			if len(seats) < len(g.tasks) {
+				seats = append(seats, o.w)
+			}
+		}
+	}
+	return seats
+}
+
+// fitTimes returns how often need fits into free.
+func fitTimes(need, free spoolsill.Resources) int {
+	n := math.MaxInt32
+	if need.Processors > 0 {
+		n = min(n, int(free.Processors/need.Processors))
+	}
+	if need.Memory > 0 {
+		n = min(n, int(free.Memory/need.Memory))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/need.Accelerators))
+	}
+	return max(n, 0)
+}
+
+// at returns how many runs of g a worker has in its books.
+func (g *stage) at(w *worker) int {
+	n := 0
+	for _, t := range g.tasks {
+		if t.run != nil && t.run.worker == w {
+			n++
+		}
+	}
+	return n
+}
+
+// best returns the worker where a task of g costs least, or nil when none has
+// room: the fastest first, then the tightest fit.
+func (d *decider) best(g *stage, ws []*worker) *worker {
+	need := g.step.room()
+	var best *worker
+	least := math.Inf(1)
+	for _, w := range ws {
+		free := w.free()
+		if !need.Fits(free) {
+			continue
+		}
+		if m := g.step.MaxPerWorker; m > 0 && g.at(w) >= m {
+			continue
+		}
+		c := d.cost(g, w, free.Sub(need))
+		if c < least {
+			best = w
+			least = c
+		}
+	}
+	return best
+}
+
+// tightness is how much the share of a worker that is left free counts
+// against a factor on the run time; small, so that it only breaks ties between
+// workers that are about as fast.
+const tightness = 0.1
+
+func (d *decider) cost(g *stage, w *worker, left spoolsill.Resources) float64 {
+	c := w.health.slowness()
+	if g.step.NearRack != "" && g.step.NearRack != w.Rack {
+		c *= d.config.FarFactor
+	}
+	if w.Capacity.Processors > 0 {
+		c += tightness * float64(left.Processors) / float64(w.Capacity.Processors)
+	}
+	return c
+}
+
+// start records a run at once.
+func (d *decider) start(t *task, w *worker) {
+	d.plan(t, w)
+	g := t.stage
+	g.planned = g.planned[:len(g.planned)-1]
+	d.record(t.run)
+}
+
+// record makes a planned run a decision that is written with the next batch.
+func (s *State) record(r *run) {
+	t := r.task
+	g := t.stage
+	number := t.lastRun + 1
+	if g.step.Gang {
+		number = g.nextGangRun()
+	}
+	if r.id.Number != number {
+		delete(r.worker.runs, r.id)
+		r.id.Number = number
+		r.worker.runs[r.id] = r
+	}
+	t.lastRun = number
+	r.phase = phaseRecorded
+	if g.started.IsZero() {
+		g.started = s.now
+	}
+	g.job.starts = append(g.job.starts, StartOrder{
+		Worker: r.worker.id,
+		Run:    r.id,
+		Spec:   g.job.Spec,
+		Saved:  t.startFrom(),
+		Ticket: g.advice.tickets[r.worker.id].text,
+	})
+	s.touch(g.job)
+	s.note(Note{
+		Kind:   NotePlaced,
+		Job:    g.job.ID,
+		Run:    r.id,
+		Worker: r.worker.id,
+		Reason: "has room",
+		Age:    s.now.Sub(r.worker.answered),
+	})
+}
+
+// nextGangRun returns the number that all members of the gang's next run
+// share: one more than any member has had, or that of the members that are
+// already recorded.
+func (g *stage) nextGangRun() RunNumber {
+	var most RunNumber
+	for _, t := range g.tasks {
+		most = max(most, t.lastRun)
+		if t.run != nil && t.run.phase == phaseRecorded {
+			return t.run.id.Number
+		}
+	}
+	return most + 1
+}
+
+// startFrom returns the saved progress to go on from. One member's is good
+// for its whole gang.
+func (t *task) startFrom() string {
+	if !t.stage.step.Gang {
+		return t.saved
+	}
+	for _, m := range t.stage.tasks {
+		if m.saved != "" {
+			return m.saved
+		}
+	}
+	return ""
+}
+
+func sortByFree(ws []*worker) {
+	slices.SortStableFunc(ws, func(a, b *worker) int {
+		return cmp.Compare(b.free().Processors, a.free().Processors)
+	})
+}
--- /dev/null
+++ b/sched/event.go
@@ -0,0 +1,212 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// A Worker is one life of a machine that runs tasks, as the platform lists it.
+type Worker struct {
+	ID       spoolsill.WorkerID
+	Machine  string
+	Service  spoolsill.ServiceID
+	Hall     spoolsill.HallID
+	Rack     spoolsill.RackID
+	Address  string
+	Labels   []string
+	Capacity spoolsill.Resources
+	Draining bool
+	// Remaining is the least time that a draining worker stays.
+	Remaining time.Duration
+}
+
+// EndKind tells how a run ended.
+type EndKind uint8
+
+// The ways in which a run ends.
+const (
+	EndDone    EndKind = iota // the work is done
+	EndFailed                 // by its own fault or the worker's
+	EndStopped                // as ordered
+	EndLapsed                 // the worker's lease ran out
+	EndBroken                 // another member of the gang ended
+	EndAlone                  // the other members of the gang did not come
+)
+
+var endKindNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+// String returns the kind's name.
+func (k EndKind) String() string {
+	if int(k) >= len(endKindNames) {
+		return "unknown"
+	}
+	return endKindNames[k]
+}
+
+// An End is a worker's word that a run has ended. Sequence counts the ends of
+// one life of the worker.
+type End struct {
+	Sequence uint64
+	Run      RunID
+	Kind     EndKind
+	Saved    string
+}
+
+// A RunningTask is a worker's word that it has a run.
+type RunningTask struct {
+	Run     RunID
+	Saved   string
+	Percent int
+	// Load is the tail of its answers in milliseconds for a task that serves
+	// users, else the processor use in millicores.
+	Load int
+}
+
+// A Heartbeat is a worker's answer to a lease renewal.
+type Heartbeat struct {
+	Worker spoolsill.WorkerID
+	// Sent is when the call was sent. What the answer does not list was not
+	// there at that time or later, until something else was started.
+	Sent    time.Time
+	Clock   ClockMillis
+	Running []RunningTask
+	Ended   []End
+	// Partial tells that more ends follow in the next answer.
+	Partial bool
+}
+
+// A StartOutcome tells what became of a start order.
+type StartOutcome uint8
+
+// The outcomes of a start order.
+const (
+	StartTaken     StartOutcome = iota // the run is there
+	StartRejected                      // the worker certainly did not start it
+	StartNoRoom                        // rejected: no room at the worker
+	StartNoTicket                      // rejected: the advisor's ticket was not valid
+	StartUnhealthy                     // the worker takes nothing at the moment
+	StartOtherLife                     // this life of the worker is over
+	StartUnknown                       // no answer: it may happen until its deadline
+)
+
+var startOutcomeNames = [...]string{"taken", "rejected", "no-room", "no-ticket", "unhealthy", "other-life", "unknown"}
+
+// String returns the outcome's name.
+func (o StartOutcome) String() string {
+	if int(o) >= len(startOutcomeNames) {
+		return "unknown"
+	}
+	return startOutcomeNames[o]
+}
+
+// A StartAnswer reports on a start order.
+type StartAnswer struct {
+	Worker  spoolsill.WorkerID
+	Run     RunID
+	Outcome StartOutcome
+	// Doubt tells that an earlier try of the same order was not answered.
+	Doubt bool
+	// Deadline is the latest time on the worker's clock at which any try of
+	// the order may still be carried out.
+	Deadline ClockMillis
+}
+
+// A StartOrder tells a worker to start a run.
+type StartOrder struct {
+	Worker spoolsill.WorkerID
+	Run    RunID
+	Spec   string
+	Saved  string
+	Ticket string
+}
+
+// A StopOrder tells a worker to stop a run.
+type StopOrder struct {
+	Worker spoolsill.WorkerID
+	Run    RunID
+}
+
+// An AdviceOrder asks the advisor which workers may run a stage.
+type AdviceOrder struct {
+	Stage    StageID
+	Workers  []spoolsill.WorkerID
+	Priority int
+	// Cost is how long the advisor needs.
+	Cost time.Duration
+}
+
+// A Ticket allows the tasks of a stage to start at a worker.
+type Ticket struct {
+	Worker spoolsill.WorkerID
+	Text   string
+}
+
+// Advice answers an [AdviceOrder]. Workers that were asked about and have no
+// ticket may never run the stage.
+type Advice struct {
+	Order   AdviceOrder
+	Tickets []Ticket
+	// Received is when the answer came, Valid how long the tickets hold.
+	Received time.Time
+	Valid    time.Duration
+	// Lost tells that no answer came.
+	Lost bool
+}
+
+// An Ack is the highest end of a worker that lasts in the store.
+type Ack struct {
+	Worker   spoolsill.WorkerID
+	Sequence uint64
+}
+
+// A JobRow is what the store keeps of a job's progress.
+type JobRow struct {
+	ID    spoolsill.JobID
+	Value []byte
+}
+
+// A JobStatus is what may be told of a job.
+type JobStatus struct {
+	ID    spoolsill.JobID
+	Queue QueueID
+	State JobState
+}
+
+// A Batch is what one write makes last: Rows go into the store, and only after
+// that the rest may leave the host.
+type Batch struct {
+	Rows     []JobRow
+	Starts   []StartOrder
+	Acks     []Ack
+	Statuses []JobStatus
+}
+
+// A NoteKind tells what a [Note] is about.
+type NoteKind string
+
+// The kinds of notes.
+const (
+	NotePlaced     NoteKind = "task placed"
+	NoteStarted    NoteKind = "task started"
+	NoteNotStarted NoteKind = "task not started"
+	NoteEnded      NoteKind = "task ended"
+	NoteGone       NoteKind = "run is gone"
+	NoteStop       NoteKind = "task stop ordered"
+	NoteJobAdded   NoteKind = "job added"
+	NoteJobEnded   NoteKind = "job ended"
+	NoteWorker     NoteKind = "worker changed"
+	NoteStray      NoteKind = "unknown run at worker"
+	NoteAdvised    NoteKind = "advice received"
+)
+
+// A Note explains one decision or change of belief, for logs.
+type Note struct {
+	Kind   NoteKind
+	Job    spoolsill.JobID
+	Run    RunID
+	Worker spoolsill.WorkerID
+	Reason string
+	// Age is how old the input was that decided.
+	Age time.Duration
+}
--- /dev/null
+++ b/sched/jobs.go
@@ -0,0 +1,241 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// AddJob takes in an accepted job with its progress; the zero Progress is that
+// of a new job. A job that is known is left as it is.
+func (s *State) AddJob(now time.Time, j Job, p Progress) {
+	s.now = now
+	if s.jobs[j.ID] != nil {
+		return
+	}
+	x := &job{
+		Job: j,
+	}
+	s.jobs[j.ID] = x
+	s.setState(x, p.State)
+	if p.State.Final() && len(p.Stages) == 0 {
+		x.Spec = ""
+		x.Steps = nil
+		return
+	}
+	s.makeStages(x)
+	for _, sp := range p.Stages {
+		s.restoreStage(x, sp)
+	}
+	if x.state.Final() {
+		s.stopJob(x, "job has ended")
+		return
+	}
+	for _, g := range x.stages {
+		s.openIfReady(g)
+	}
+}
+
+func (s *State) makeStages(j *job) {
+	for k := range j.rounds() {
+		for i := range j.Steps {
+			g := &stage{
+				id: StageID{
+					Job:   j.ID,
+					Round: k,
+					Step:  i,
+				},
+				job:  j,
+				step: &j.Steps[i],
+				left: j.Steps[i].Tasks,
+			}
+			if j.Rounds > 0 {
+				g.due = j.FirstRound.Add(time.Duration(k) * j.Interval)
+			}
+			j.stages = append(j.stages, g)
+			if g.left > 0 {
+				j.undone++
+			}
+		}
+	}
+}
+
+// makeTasks makes the stage's tasks; they are made late since a timed job may
+// have many rounds.
+func (g *stage) makeTasks() {
+	if g.tasks != nil {
+		return
+	}
+	g.tasks = make([]*task, g.step.Tasks)
+	for i := range g.tasks {
+		g.tasks[i] = &task{
+			stage: g,
+			index: i,
+		}
+	}
+}
+
+func (j *job) stage(round, step int) *stage {
+	i := round*len(j.Steps) + step
+	if round < 0 || step < 0 || step >= len(j.Steps) || i >= len(j.stages) {
+		return nil
+	}
+	return j.stages[i]
+}
+
+func (s *State) restoreStage(j *job, p StageProgress) {
+	g := j.stage(p.Round, p.Step)
+	if g == nil {
+		return
+	}
+	g.fails = p.Fails
+	if p.Done && len(p.Tasks) == 0 {
+		g.left = 0
+		j.undone--
+		return
+	}
+	g.makeTasks()
+	for i, tp := range p.Tasks {
+		if i >= len(g.tasks) {
+			return
+		}
+		t := g.tasks[i]
+		t.done = tp.Done
+		t.fails = tp.Fails
+		t.lastRun = tp.Run
+		t.saved = tp.Saved
+		if t.done {
+			g.left--
+		}
+		if tp.Worker != "" {
+			s.inherit(t, tp)
+		}
+	}
+	if g.left == 0 {
+		j.undone--
+	}
+}
+
+// inherit puts a run that a former leader recorded into its worker's books.
+func (s *State) inherit(t *task, p TaskProgress) {
+	w := s.worker(p.Worker)
+	r := &run{
+		id: RunID{
+			Task:   t.id(),
+			Number: p.Run,
+		},
+		task:   t,
+		worker: w,
+		need:   t.stage.step.room(),
+		phase:  phaseInherited,
+	}
+	s.book(r)
+}
+
+func (t *task) id() TaskID {
+	return TaskID{
+		Stage: t.stage.id,
+		Index: t.index,
+	}
+}
+
+// room returns what a task takes of a worker's capacity.
+func (p *Step) room() spoolsill.Resources {
+	r := p.Need
+	if p.Fills {
+		r.Processors = 0
+	}
+	return r
+}
+
+// openIfReady puts a stage among those to place when its turn has come.
+func (s *State) openIfReady(g *stage) {
+	if g.open || g.done() || g.job.state.Final() {
+		return
+	}
+	for _, a := range g.step.After {
+		b := g.job.stage(g.id.Round, a)
+		if b != nil && !b.done() {
+			return
+		}
+	}
+	g.open = true
+	if !g.due.IsZero() {
+		s.timed = append(s.timed, g)
+		return
+	}
+	g.makeTasks()
+	s.open = append(s.open, g)
+}
+
+// openDue moves the timed stages whose time has come to those to place.
+func (s *State) openDue() {
+	if len(s.timed) == 0 {
+		return
+	}
+	// Due times are times of day: drop the monotonic reading.
+	wall := s.now.Round(0)
+	rest := s.timed[:0]
+	for _, g := range s.timed {
+		if wall.Before(g.due) {
+			rest = append(rest, g)
+			continue
+		}
+		g.makeTasks()
+		s.open = append(s.open, g)
+	}
+	s.timed = rest
+}
+
+// CancelJob takes in that the client gave a job up.
+func (s *State) CancelJob(now time.Time, id spoolsill.JobID) {
+	s.now = now
+	j := s.jobs[id]
+	if j == nil || j.state.Final() {
+		return
+	}
+	s.endJob(j, Cancelled, "cancelled by its client")
+}
+
+// endJob makes a state final and stops what still runs.
+func (s *State) endJob(j *job, to JobState, reason string) {
+	s.setState(j, to)
+	s.stopJob(j, reason)
+	s.touch(j)
+	s.note(Note{
+		Kind:   NoteJobEnded,
+		Job:    j.ID,
+		Reason: to.String() + ": " + reason,
+		Age:    s.now.Sub(j.Received),
+	})
+}
+
+func (s *State) stopJob(j *job, reason string) {
+	j.starts = nil
+	for _, g := range j.stages {
+		s.dropPlan(g)
+		for _, t := range g.tasks {
+			if t.run == nil {
+				continue
+			}
+			if t.run.phase == phaseRecorded {
+				s.release(t.run)
+				continue
+			}
+			s.stop(t.run, reason)
+		}
+	}
+}
+
+// stageDone is called when the last task of a stage is done.
+func (s *State) stageDone(g *stage) {
+	j := g.job
+	j.undone--
+	if j.undone == 0 {
+		s.endJob(j, Completed, "all tasks are done")
+		return
+	}
+	for _, n := range j.stages[g.id.Round*len(j.Steps) : (g.id.Round+1)*len(j.Steps)] {
+		s.openIfReady(n)
+	}
+}
--- /dev/null
+++ b/sched/runs.go
@@ -0,0 +1,401 @@
+package sched
+
+import (
+	"cmp"
+	"strings"
+	"time"
+)
+
+func compareRuns(a, b RunID) int {
+	return cmp.Or(
+		strings.Compare(string(a.Task.Stage.Job), string(b.Task.Stage.Job)),
+		cmp.Compare(a.Task.Stage.Round, b.Task.Stage.Round),
+		cmp.Compare(a.Task.Stage.Step, b.Task.Stage.Step),
+		cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Number, b.Number),
+	)
+}
+
+// book puts a run into its worker's books.
+func (s *State) book(r *run) {
+	r.worker.runs[r.id] = r
+	r.worker.used = r.worker.used.Add(r.need)
+	r.task.run = r
+	r.task.stage.job.runs++
+}
+
+// release takes a run out of its worker's books: it is certainly not there.
+func (s *State) release(r *run) {
+	w := r.worker
+	if w.runs[r.id] != r {
+		return
+	}
+	delete(w.runs, r.id)
+	w.used = w.used.Sub(r.need)
+	if r.task.run == r {
+		r.task.run = nil
+	}
+	r.task.stage.job.runs--
+	s.touch(r.task.stage.job)
+}
+
+// stop orders a run to be stopped, once.
+func (s *State) stop(r *run, reason string) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	r.stopSent = s.now
+	s.stops = append(s.stops, StopOrder{
+		Worker: r.worker.id,
+		Run:    r.id,
+	})
+	s.note(Note{
+		Kind:   NoteStop,
+		Job:    r.task.stage.job.ID,
+		Run:    r.id,
+		Worker: r.worker.id,
+		Reason: reason,
+		Age:    s.now.Sub(r.begun),
+	})
+}
+
+// Stops returns the stop orders since the last call.
+func (s *State) Stops() []StopOrder {
+	o := s.stops
+	s.stops = nil
+	return o
+}
+
+// lose takes a run that is certainly gone out of the books; its task is open
+// again.
+func (s *State) lose(r *run, reason string) {
+	s.release(r)
+	s.note(Note{
+		Kind:   NoteGone,
+		Job:    r.task.stage.job.ID,
+		Run:    r.id,
+		Worker: r.worker.id,
+		Reason: reason,
+		Age:    s.now.Sub(r.begun),
+	})
+	s.breakGang(r, reason)
+}
+
+// breakGang stops the other members of a gang of which one is gone.
+func (s *State) breakGang(r *run, reason string) {
+	g := r.task.stage
+	if !g.step.Gang || g.done() {
+		return
+	}
+	for _, t := range g.tasks {
+		if t.run == nil || t.run == r || t.run.id.Number != r.id.Number {
+			continue
+		}
+		if t.run.phase == phaseRecorded {
+			s.withdraw(t.run)
+			continue
+		}
+		s.stop(t.run, "gang is broken: "+reason)
+	}
+}
+
+// withdraw takes back a run whose order has not left yet.
+func (s *State) withdraw(r *run) {
+	j := r.task.stage.job
+	kept := j.starts[:0]
+	for _, o := range j.starts {
+		if o.Run != r.id {
+			kept = append(kept, o)
+		}
+	}
+	j.starts = kept
+	s.release(r)
+}
+
+// StartAnswered takes in what became of a start order.
+func (s *State) StartAnswered(now time.Time, a StartAnswer) {
+	s.now = now
+	w := s.workers[a.Worker]
+	if w == nil {
+		return
+	}
+	if a.Outcome == StartOtherLife {
+		s.WorkerDied(now, a.Worker)
+		return
+	}
+	r := w.runs[a.Run]
+	if r == nil {
+		return
+	}
+	s.noteStart(r, a)
+	switch {
+	case a.Outcome == StartTaken:
+		s.confirm(r)
+	case a.Outcome == StartUnknown || a.Doubt:
+		r.phase = phaseDoubt
+		r.deadline = a.Deadline
+	default:
+		s.reject(r, a.Outcome)
+	}
+	if a.Outcome == StartUnhealthy || a.Outcome == StartUnknown {
+		w.unwell = now.Add(unwellFor)
+		w.health.reject(now)
+	}
+}
+
+func (s *State) noteStart(r *run, a StartAnswer) {
+	k := NoteStarted
+	if a.Outcome != StartTaken {
+		k = NoteNotStarted
+	}
+	s.note(Note{
+		Kind:   k,
+		Job:    r.task.stage.job.ID,
+		Run:    r.id,
+		Worker: r.worker.id,
+		Reason: a.Outcome.String(),
+		Age:    s.now.Sub(r.begun),
+	})
+}
+
+func (s *State) confirm(r *run) {
+	if r.phase == phaseConfirmed {
+		return
+	}
+	r.phase = phaseConfirmed
+	r.resolved = s.now
+	j := r.task.stage.job
+	if j.state == Pending {
+		s.setState(j, Running)
+		s.touch(j)
+	}
+}
+
+// reject drops a run that the worker certainly did not start.
+func (s *State) reject(r *run, o StartOutcome) {
+	g := r.task.stage
+	if o == StartNoTicket {
+		g.advice.expire(r.worker.id)
+	}
+	g.retryAt = s.now.Add(rejectedPause)
+	s.lose(r, "start: "+o.String())
+}
+
+// rejectedPause keeps a stage whose start was turned away from being tried
+// again in the same moment; about one round trip and one write.
+const rejectedPause = 50 * time.Millisecond
+
+// StopAnswered takes in that a worker has taken a stop order.
+func (s *State) StopAnswered(now time.Time, o StopOrder) {
+	s.now = now
+	w := s.workers[o.Worker]
+	if w == nil {
+		return
+	}
+	if r := w.runs[o.Run]; r != nil && r.stopped.IsZero() {
+		r.stopped = now
+	}
+}
+
+// Heartbeat takes in a worker's answer to a lease renewal.
+func (s *State) Heartbeat(now time.Time, h Heartbeat) {
+	s.now = now
+	w := s.workers[h.Worker]
+	if w == nil || w.dead {
+		return
+	}
+	if now.Sub(w.answered) > silentAfter {
+		s.noteWorker(w, "answers", now.Sub(w.answered))
+	}
+	w.answered = now
+	for _, e := range h.Ended {
+		s.takeEnd(w, e)
+	}
+	listed := make(map[RunID]bool, len(h.Running))
+	w.strays = 0
+	for _, x := range h.Running {
+		listed[x.Run] = true
+		s.seeRunning(w, x)
+	}
+	if h.Partial {
+		return
+	}
+	for _, r := range sortedRuns(w) {
+		if !listed[r.id] && r.absent(h) {
+			s.lose(r, "worker does not have it")
+		}
+	}
+}
+
+// absent reports whether a heartbeat that does not list r proves that the
+// worker neither has it nor may still start it.
+func (r *run) absent(h Heartbeat) bool {
+	if !r.stopped.IsZero() && h.Sent.After(r.stopped) {
+		return true
+	}
+	switch r.phase {
+	case phaseConfirmed:
+		return h.Sent.After(r.resolved)
+	case phaseInherited:
+		return true
+	case phaseDoubt:
+		return h.Clock > r.deadline
+	default:
+		return false
+	}
+}
+
+func (s *State) seeRunning(w *worker, x RunningTask) {
+	r := w.runs[x.Run]
+	if r == nil {
+		w.strays++
+		s.stops = append(s.stops, StopOrder{
+			Worker: w.id,
+			Run:    x.Run,
+		})
+		s.note(Note{
+			Kind:   NoteStray,
+			Job:    x.Run.Task.Stage.Job,
+			Run:    x.Run,
+			Worker: w.id,
+			Reason: "no record names it",
+		})
+		return
+	}
+	if r.phase != phaseRecorded && r.phase != phasePlanned {
+		s.confirm(r)
+	}
+	if r.begun.IsZero() {
+		r.begun = s.now
+	}
+	if x.Saved != "" {
+		r.task.saved = x.Saved
+	}
+	r.task.percent = x.Percent
+	if r.task.stage.job.state.Final() {
+		s.stop(r, "job has ended")
+	}
+}
+
+// takeEnd takes in one end of a run.
+func (s *State) takeEnd(w *worker, e End) {
+	if e.Sequence <= w.seen {
+		return
+	}
+	w.seen = e.Sequence
+	s.acks[w.id] = e.Sequence
+	r := w.runs[e.Run]
+	s.note(Note{
+		Kind:   NoteEnded,
+		Job:    e.Run.Task.Stage.Job,
+		Run:    e.Run,
+		Worker: w.id,
+		Reason: e.Kind.String(),
+		Age:    age(s.now, r),
+	})
+	if r == nil {
+		s.lateEnd(e)
+		return
+	}
+	t := r.task
+	if e.Saved != "" {
+		t.saved = e.Saved
+	}
+	s.release(r)
+	s.learn(r, e.Kind)
+	switch e.Kind {
+	case EndDone:
+		s.taskDone(t, e.Run.Number)
+	case EndFailed:
+		s.taskFailed(t, r)
+	default:
+		s.breakGang(r, e.Kind.String())
+	}
+}
+
+func age(now time.Time, r *run) time.Duration {
+	if r == nil || r.begun.IsZero() {
+		return 0
+	}
+	return now.Sub(r.begun)
+}
+
+// lateEnd takes in an end of a run that is not in the books any more: only
+// work that is done changes anything.
+func (s *State) lateEnd(e End) {
+	if e.Kind != EndDone {
+		return
+	}
+	j := s.jobs[e.Run.Task.Stage.Job]
+	if j == nil || j.state.Final() {
+		return
+	}
+	g := j.stage(e.Run.Task.Stage.Round, e.Run.Task.Stage.Step)
+	if g == nil || e.Run.Task.Index >= len(g.tasks) {
+		return
+	}
+	t := g.tasks[e.Run.Task.Index]
+	if e.Run.Number > t.lastRun {
+		return
+	}
+	s.taskDone(t, e.Run.Number)
+}
+
+// taskDone marks a task done. One member's end stands for its whole gang.
+func (s *State) taskDone(t *task, n RunNumber) {
+	g := t.stage
+	if g.step.Lasting || g.job.state.Final() {
+		return
+	}
+	members := []*task{t}
+	if g.step.Gang {
+		members = g.tasks
+	}
+	for _, m := range members {
+		s.markDone(m, n)
+	}
+	s.touch(g.job)
+	if g.done() {
+		s.stageDone(g)
+	}
+}
+
+func (s *State) markDone(t *task, n RunNumber) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.stage.left--
+	if t.run == nil || t.run.id.Number == n {
+		return
+	}
+	if t.run.phase == phaseRecorded {
+		s.withdraw(t.run)
+		return
+	}
+	s.stop(t.run, "an earlier run was done")
+}
+
+func (s *State) taskFailed(t *task, r *run) {
+	g := t.stage
+	if t.done || g.step.Lasting || g.job.state.Final() {
+		return
+	}
+	s.touch(g.job)
+	most := s.queue(g.job).MaxAttempts
+	fails := &t.fails
+	if g.step.Gang {
+		if g.failedRun == r.id.Number {
+			return
+		}
+		g.failedRun = r.id.Number
+		fails = &g.fails
+	}
+	*fails++
+	if most > 0 && *fails >= most {
+		s.endJob(g.job, Failed, "a task failed as often as its queue allows")
+		return
+	}
+	s.breakGang(r, "a member failed")
+}
--- /dev/null
+++ b/sched/state.go
@@ -0,0 +1,235 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// Config describes a [State].
+type Config struct {
+	// Lease is the longest lease that a worker grants; bounds of the platform
+	// say how long.
+	Lease time.Duration
+	// TakenOver is when the leadership began. Before InheritedLease has
+	// passed, a worker that has not answered yet may run what a former leader
+	// started.
+	TakenOver      time.Time
+	InheritedLease time.Duration
+	// StopTime is how long a worker needs to stop a run.
+	StopTime time.Duration
+	// FarFactor is how much longer tasks take away from their data, or a
+	// gang spread over racks.
+	FarFactor float64
+	// RestoreTime is what a start from saved progress costs.
+	RestoreTime time.Duration
+}
+
+// A State holds the cell's workers, jobs and runs.
+type State struct {
+	config  Config
+	now     time.Time
+	queues  map[QueueID]*Queue
+	jobs    map[spoolsill.JobID]*job
+	workers map[spoolsill.WorkerID]*worker
+	order   []*worker // as first seen, for a stable choice
+	open    []*stage  // stages that may have tasks to place
+	timed   []*stage  // stages that wait for their time
+	learnt  map[QueueID]*experience
+
+	dirty   []*job
+	acks    map[spoolsill.WorkerID]uint64
+	stops   []StopOrder
+	advices []AdviceOrder
+	notes   []Note
+	waiting map[QueueID]int
+}
+
+// New returns a state that knows of nothing.
+func New(c Config) *State {
+	return &State{
+		config:  c,
+		queues:  map[QueueID]*Queue{},
+		jobs:    map[spoolsill.JobID]*job{},
+		workers: map[spoolsill.WorkerID]*worker{},
+		learnt:  map[QueueID]*experience{},
+		acks:    map[spoolsill.WorkerID]uint64{},
+		waiting: map[QueueID]int{},
+	}
+}
+
+// A job is a job with its progress.
+type job struct {
+	Job
+	state  JobState
+	stages []*stage
+	// runs counts the runs in the workers' books.
+	runs    int
+	undone  int // stages that are not done
+	dirty   bool
+	starts  []StartOrder // leave once the job's row is written
+	counted bool         // in State.waiting
+}
+
+// A stage is one step in one round of a job.
+type stage struct {
+	id    StageID
+	job   *job
+	step  *Step
+	tasks []*task
+	fails int // of a gang as a whole
+	// failedRun is the gang's latest run of which a member failed.
+	failedRun RunNumber
+	left      int // tasks that are not done
+	open      bool
+	due       time.Time // not before, by the wall clock
+	// started is when the first of its tasks was placed.
+	started time.Time
+	// retryAt keeps a stage whose start was rejected from being tried at once.
+	retryAt time.Time
+	advice  advice
+	planned []*run // room taken while a ticket is renewed
+}
+
+// A task is one task of a stage.
+type task struct {
+	stage   *stage
+	index   int
+	done    bool
+	fails   int
+	lastRun RunNumber
+	saved   string
+	percent int
+	run     *run
+}
+
+// A phase tells how far a run has come.
+type phase uint8
+
+const (
+	phasePlanned   phase = iota // room is taken, nothing is recorded
+	phaseRecorded               // waits for its row to be written
+	phaseSent                   // the order is on its way
+	phaseDoubt                  // not answered: it may happen until its deadline
+	phaseInherited              // a former leader recorded it
+	phaseConfirmed              // the worker has it
+)
+
+// A run is one start of a task at a worker. Its room is taken as long as it
+// is in the worker's books.
+type run struct {
+	id       RunID
+	task     *task
+	worker   *worker
+	need     spoolsill.Resources
+	phase    phase
+	resolved time.Time   // when the worker confirmed it
+	deadline ClockMillis // of the latest try, for phaseDoubt
+	begun    time.Time
+	stopping bool
+	stopped  time.Time // when the stop was answered
+	stopSent time.Time
+}
+
+// SetQueues takes in the newest configuration. Queues that it lacks are kept
+// for the jobs that came in by them.
+func (s *State) SetQueues(queues []Queue) {
+	for _, q := range queues {
+		s.queues[q.ID] = &q
+	}
+}
+
+// Job returns the state of a job.
+func (s *State) Job(id spoolsill.JobID) (JobStatus, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return JobStatus{}, false
+	}
+	return j.status(), true
+}
+
+func (j *job) status() JobStatus {
+	return JobStatus{
+		ID:    j.ID,
+		Queue: j.Queue,
+		State: j.state,
+	}
+}
+
+// Waiting returns how many jobs of each queue are accepted and have not begun.
+func (s *State) Waiting() map[QueueID]int {
+	w := make(map[QueueID]int, len(s.waiting))
+	for q, n := range s.waiting {
+		w[q] = n
+	}
+	return w
+}
+
+// Notes returns what was noted since the last call.
+func (s *State) Notes() []Note {
+	n := s.notes
+	s.notes = nil
+	return n
+}
+
+func (s *State) note(n Note) {
+	s.notes = append(s.notes, n)
+}
+
+// setState moves a job on and keeps the count of waiting jobs.
+func (s *State) setState(j *job, to JobState) {
+	j.state = to
+	waits := to == Pending && j.Rounds == 0
+	if waits && !j.counted {
+		s.waiting[j.Queue]++
+	}
+	if !waits && j.counted {
+		s.waiting[j.Queue]--
+	}
+	j.counted = waits
+}
+
+// touch has the job's row written with the next batch.
+func (s *State) touch(j *job) {
+	if j.dirty {
+		return
+	}
+	j.dirty = true
+	s.dirty = append(s.dirty, j)
+}
+
+func (g *stage) done() bool {
+	return g.left == 0
+}
+
+func (g *stage) begun() bool {
+	if g.done() || g.fails > 0 {
+		return true
+	}
+	for _, t := range g.tasks {
+		if t.lastRun > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *stage) anyRun() bool {
+	for _, t := range g.tasks {
+		if t.run != nil && t.run.phase != phasePlanned {
+			return true
+		}
+	}
+	return false
+}
+
+// queue returns the queue of a job; a queue that no configuration has named
+// yet has no service, so that nothing starts.
+func (s *State) queue(j *job) *Queue {
+	if q := s.queues[j.Queue]; q != nil {
+		return q
+	}
+	return &Queue{
+		ID: j.Queue,
+	}
+}
--- /dev/null
+++ b/sched/workers.go
@@ -0,0 +1,221 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+const (
+	// clockSlack is how much slower than ours a worker's clock may run; the
+	// platform says at most 2%.
+	clockSlack = 0.02
+	// leaseMargin covers timers that go off late, on both sides.
+	leaseMargin = 250 * time.Millisecond
+	// silentAfter is how old a worker's last answer may be before nothing new
+	// is started there: two heartbeats of a second that waited for an end.
+	silentAfter = 2200 * time.Millisecond
+	// unwellFor is how long a worker that turned an order away is left alone.
+	unwellFor = 700 * time.Millisecond
+)
+
+// A worker is one life of a machine with its books.
+type worker struct {
+	Worker
+	id     spoolsill.WorkerID
+	listed bool
+	dead   bool
+	used   spoolsill.Resources
+	runs   map[RunID]*run
+	// seen is the highest end that was taken in.
+	seen uint64
+	// answered is when the latest heartbeat answer came under our leadership.
+	answered time.Time
+	// leased is until when, by our clock, its lease may last.
+	leased time.Time
+	// strays are runs that it has and no record names.
+	strays int
+	unwell time.Time // nothing new before
+	health health
+}
+
+// worker returns the books of a worker, and opens them when there are none.
+func (s *State) worker(id spoolsill.WorkerID) *worker {
+	w := s.workers[id]
+	if w != nil {
+		return w
+	}
+	w = &worker{
+		id:     id,
+		runs:   map[RunID]*run{},
+		leased: s.config.TakenOver.Add(s.config.InheritedLease),
+	}
+	s.workers[id] = w
+	s.order = append(s.order, w)
+	return w
+}
+
+// ListWorker takes in a worker as the platform lists it.
+func (s *State) ListWorker(now time.Time, l Worker) {
+	s.now = now
+	w := s.worker(l.ID)
+	if w.dead {
+		return
+	}
+	if l.Draining && !w.Draining {
+		s.noteWorker(w, "draining", 0)
+	}
+	if !w.listed {
+		s.noteWorker(w, "listed", 0)
+	}
+	w.listed = true
+	w.Worker = l
+	s.buryOlderLives(w)
+}
+
+// buryOlderLives declares the other lives of a machine dead: a machine has one
+// life at a time, and this one was listed later.
+func (s *State) buryOlderLives(w *worker) {
+	if w.Machine == "" {
+		return
+	}
+	for _, o := range s.order {
+		if o != w && !o.dead && o.Machine == w.Machine && !o.listed {
+			s.bury(o, "machine has a new life")
+		}
+	}
+}
+
+// UnlistWorker takes in that the platform lists a worker no more. It may still
+// run what it has.
+func (s *State) UnlistWorker(now time.Time, id spoolsill.WorkerID) {
+	s.now = now
+	w := s.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	s.noteWorker(w, "no longer listed", now.Sub(w.answered))
+	for _, o := range s.order {
+		if o != w && o.listed && w.Machine != "" && o.Machine == w.Machine {
+			s.bury(w, "machine has a new life")
+			return
+		}
+	}
+	s.forget(w)
+}
+
+// WorkerDied takes in proof that this life of a worker is over: its address
+// answers for another one.
+func (s *State) WorkerDied(now time.Time, id spoolsill.WorkerID) {
+	s.now = now
+	if w := s.workers[id]; w != nil && !w.dead {
+		s.bury(w, "its address answers for another life")
+	}
+}
+
+// LeaseAsked takes in that a call may extend a worker's lease until at most
+// the given time by our clock.
+func (s *State) LeaseAsked(id spoolsill.WorkerID, until time.Time) {
+	w := s.workers[id]
+	if w != nil && until.After(w.leased) {
+		w.leased = until
+	}
+}
+
+// LeaseEnd returns the latest time, by a clock that may run faster than the
+// worker's, at which a lease of length d asked for now has ended.
+func LeaseEnd(now time.Time, d time.Duration) time.Time {
+	return now.Add(d + time.Duration(float64(d)*clockSlack) + leaseMargin)
+}
+
+// bury drops all runs of a worker that is certainly gone.
+func (s *State) bury(w *worker, reason string) {
+	w.dead = true
+	w.listed = false
+	s.noteWorker(w, "dead: "+reason, s.now.Sub(w.answered))
+	s.dropRuns(w, reason)
+	s.forget(w)
+}
+
+func (s *State) dropRuns(w *worker, reason string) {
+	for _, r := range sortedRuns(w) {
+		s.lose(r, reason)
+	}
+}
+
+func sortedRuns(w *worker) []*run {
+	rs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b *run) int { return compareRuns(a.id, b.id) })
+	return rs
+}
+
+// forget drops the books of a worker that is not listed and has no runs. Dead
+// ones are kept as a name, so that a late list entry does not revive them.
+func (s *State) forget(w *worker) {
+	if w.listed || len(w.runs) > 0 || w.dead {
+		return
+	}
+	if s.now.Before(w.leased) {
+		return
+	}
+	delete(s.workers, w.id)
+	s.order = slices.DeleteFunc(s.order, func(o *worker) bool { return o == w })
+}
+
+// expireLeases drops the runs of workers that have been silent for so long
+// that their leases are over.
+func (s *State) expireLeases() {
+	for _, w := range slices.Clone(s.order) {
+		if w.dead || s.now.Before(w.leased) {
+			continue
+		}
+		if len(w.runs) > 0 {
+			s.noteWorker(w, "lease is over", s.now.Sub(w.answered))
+			s.dropRuns(w, "lease is over")
+		}
+		s.forget(w)
+	}
+}
+
+func (s *State) noteWorker(w *worker, reason string, age time.Duration) {
+	s.note(Note{
+		Kind:   NoteWorker,
+		Worker: w.id,
+		Reason: reason,
+		Age:    age,
+	})
+}
+
+// takes reports whether something new may be started at w now.
+func (w *worker) takes(now time.Time) bool {
+	return w.listed && !w.Draining && !w.dead && w.strays == 0 &&
+		now.Sub(w.answered) < silentAfter && !now.Before(w.unwell)
+}
+
+func (w *worker) free() spoolsill.Resources {
+	return w.Capacity.Sub(w.used)
+}
+
+// CheckRoom returns an error when the runs in a worker's books need more than
+// it has, or are counted wrong. It is meant for tests.
+func (s *State) CheckRoom() error {
+	for _, w := range s.order {
+		var sum spoolsill.Resources
+		for _, r := range w.runs {
+			sum = sum.Add(r.need)
+		}
+		if sum != w.used {
+			return fmt.Errorf("worker %s: books say %v, runs need %v", w.id, w.used, sum)
+		}
+		if w.listed && w.free().Negative() {
+			return fmt.Errorf("worker %s: %v used of %v", w.id, w.used, w.Capacity)
+		}
+	}
+	return nil
+}
