--- a/leader/leader.go
+++ b/leader/leader.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/jobstore"
@@ -53,7 +52,10 @@
 	state  *sched.State
 	events chan event
 	calls  sync.WaitGroup
-	ctx    context.Context //nolint:containedctx // calls outlive the functions that order them, not the leadership
+	// writes ends later than the calls; written counts the write under way.
+	writes  context.Context //nolint:containedctx // like ctx
+	written sync.WaitGroup
+	ctx     context.Context //nolint:containedctx // calls outlive the functions that order them, not the leadership
 
 	holds    map[spoolsill.WorkerID]*hold
 	advising *adviser
@@ -161,9 +163,9 @@
 	return l.ctx.Done()
 }
 
-// Run leads until ctx ends or another host leads; then it returns
+// run leads until ctx ends or another host leads; then it returns
 // [ErrDeposed]. All its calls have ended when it returns.
-func (l *Leader) Run(ctx context.Context) error {
+func (l *Leader) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer l.calls.Wait()
 	defer cancel()
@@ -248,7 +250,7 @@
 	}
 }
 
-// spawn runs f beside the loop; Run waits for it.
+// spawn runs f beside the loop; run waits for it.
 func (l *Leader) spawn(f func()) {
 	l.calls.Add(1)
 	go func() {
@@ -341,7 +343,10 @@
 		l.advising.add(o)
 	}
 	l.advising.dispatch(ctx)
-	l.keepHolds(ctx)
+	if l.loaded {
+		// Not before: an end of a job that is not known yet would be lost.
+		l.keepHolds(ctx)
+	}
 	l.logNotes()
 	return l.write(ctx, now)
 }
@@ -359,7 +364,12 @@
 		return nil
 	}
 	l.writing = true
-	l.spawn(func() {
+	// The write goes on when the leadership is being given up: its fate must
+	// be known before the row can be written again.
+	ctx = l.writes
+	l.written.Add(1)
+	go func() {
+		defer l.written.Done()
 		puts := make([]store.Put, len(b.Rows))
 		for i, r := range b.Rows {
 			puts[i] = store.Put{
@@ -377,7 +387,7 @@
 			batch: b,
 			begun: now,
 		})
-	})
+	}()
 	return nil
 }
 
@@ -501,15 +511,18 @@
 	}
 }
 
-// Lead runs l and gives the leadership up when ctx ends as planned.
+// Lead runs l and gives the leadership up when ctx ends as planned, within the
+// given time.
 func (l *Leader) Lead(ctx context.Context, release time.Duration) error {
-	err := l.Run(ctx)
+	writes, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	l.writes = writes
+	err := l.run(ctx)
+	end := time.AfterFunc(release, cancel)
+	defer end.Stop()
+	l.written.Wait()
 	if errors.Is(err, ErrDeposed) || ctx.Err() == nil {
 		return err
 	}
-	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), release)
-	defer cancel()
-	var g errgroup.Group
-	g.Go(func() error { return l.config.Chain.Release(c) })
-	return g.Wait()
+	return l.config.Chain.Release(writes)
 }
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -345,7 +345,7 @@
 // taskDone marks a task done. One member's end stands for its whole gang.
 func (s *State) taskDone(t *task, n RunNumber) {
 	g := t.stage
-	if g.step.Lasting || g.job.state.Final() {
+	if g.step.Lasting || g.job.state.Final() || t.done {
 		return
 	}
 	members := []*task{t}
