leader: a silent worker's lease is not asked for again and again

Change: after a call without an answer the next ones renew nothing until one is answered. Advice is noted in the log.

--- a/leader/hold.go
+++ b/leader/hold.go
@@ -106,17 +106,21 @@
 	return c + sched.ClockMillis(now.Sub(at).Milliseconds())
 }
 
-// run renews the lease until ctx ends. The first call renews nothing: it only
-// makes our epoch known and reads the worker's clock.
+// run renews the lease until ctx ends. The first call, and those after a call
+// that got no answer, renew nothing: they only make our epoch known and read the
+// worker's clock. An order without an answer may yet be carried out, so the
+// lease of a silent worker would otherwise never be certain to have ended.
 func (h *hold) run(ctx context.Context) {
 	var seen uint64
+	answers := false
 	for ctx.Err() == nil {
 		acked, _, _ := h.read()
 		wait := holdWait
 		if seen > acked {
 			wait = 0
 		}
-		b, r := h.renew(ctx, acked, wait)
+		b, r := h.renew(ctx, acked, wait, answers)
+		answers = r.Kind == Taken
 		switch r.Kind {
 		case Taken:
 			for _, e := range b.Ended {
@@ -160,9 +164,11 @@
 	}
 }
 
-func (h *hold) renew(ctx context.Context, acked uint64, wait time.Duration) (sched.Heartbeat, Reply) {
-	now := time.Now()
-	deadline := h.leaseDeadline(now)
+func (h *hold) renew(ctx context.Context, acked uint64, wait time.Duration, extend bool) (sched.Heartbeat, Reply) {
+	var deadline sched.ClockMillis
+	if extend {
+		deadline = h.leaseDeadline(time.Now())
+	}
 	if deadline == 0 {
 		wait = 0
 	}
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -114,6 +115,12 @@
 		return
 	}
 	x := &g.advice
+	s.note(Note{
+		Kind:   NoteAdvised,
+		Job:    j.ID,
+		Reason: fmt.Sprintf("stage %s: %d of %d workers may run it, lost %v", g.id, len(a.Tickets), len(a.Order.Workers), a.Lost),
+		Age:    now.Sub(x.pending),
+	})
 	x.pending = time.Time{}
 	if a.Lost {
 		s.dropPlan(g)
