sched, leader: questions that clog the advisor; leases of workers that answer again

Change: questions are never given up, at most 14 are under way, those with room held go first, two hosts are kept from long ones; a worker takes starts only with a second of its lease left, starts count for the lease; plans drop runs that are not in the books. Ruled out: the advisor's tickets (all were valid when they came).

--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -22,9 +22,10 @@
 const (
 	// askSlack is how much longer than its cost a question may take.
 	askSlack = 800 * time.Millisecond
-	// longQuestion may be asked by half of the hosts only, so that short
-	// ones always find a host that is free soon.
+	// longQuestion is from when a question counts as long. shortHosts are
+	// kept from long ones, so that short ones find a host that is free soon.
 	longQuestion = 150 * time.Millisecond
+	shortHosts   = 2
 )
 
 // An adviser spreads questions over hosts, one at a time each.
@@ -53,7 +54,7 @@
 	if len(a.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(a.queue, func(x, y sched.AdviceOrder) int { return cmp.Compare(x.Priority, y.Priority) })
+	slices.SortStableFunc(a.queue, compareQuestions)
 	hosts := a.leader.config.Advisor.Hosts()
 	slices.Sort(hosts)
 	rest := a.queue[:0]
@@ -79,11 +80,26 @@
 	}
 }
 
+// compareQuestions orders the most urgent queue's first, then those for which
+// room is held.
+func compareQuestions(a, b sched.AdviceOrder) int {
+	if c := cmp.Compare(min(a.Priority, 1), min(b.Priority, 1)); c != 0 {
+		return c
+	}
+	if a.Held != b.Held {
+		if a.Held {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Priority, b.Priority)
+}
+
 // free returns a host that asks nothing at the moment. Long questions go to
-// the first half of the hosts, short ones to the last free one.
+// the first hosts only, short ones to the last that is free.
 func (a *adviser) free(hosts []spoolsill.HostID, long bool) (spoolsill.HostID, bool) {
 	if long {
-		hosts = hosts[:(len(hosts)+1)/2]
+		hosts = hosts[:max(len(hosts)-shortHosts, (len(hosts)+1)/2)]
 	}
 	for _, h := range slices.Backward(hosts) {
 		if !a.busy[h] {
--- a/leader/order.go
+++ b/leader/order.go
@@ -19,6 +19,8 @@
 	stopTimeout = 400 * time.Millisecond
 	stopTries   = 4
 	orderPause  = 50 * time.Millisecond
+	// startLease is when the latest try of a start has lost its force.
+	startLease = startTries*(startTimeout+orderPause) + startWindow
 )
 
 // sendStart sends a start order, and again to the letter when it is not
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -11,9 +12,10 @@
 	// ticketMargin is how long a ticket must still hold when a start is
 	// decided: a write, the call itself and some queueing.
 	ticketMargin = 200 * time.Millisecond
-	// adviceTimeout is when a question is given up that nobody answered; the
-	// slowest advisors of today need about a second and may be waited for.
-	adviceTimeout = 4 * time.Second
+	// maxAsking bounds the questions under way, so that those of the stages
+	// ranked first are not stuck behind others: two for each of the hosts of
+	// today.
+	maxAsking = 14
 	// adviceWidth is the part of an advisor's base cost that is spent on
 	// asking about more workers at once.
 	adviceWidth = 0.45
@@ -30,7 +32,7 @@
 type advice struct {
 	asked   map[spoolsill.WorkerID]bool // and answered: good or never
 	tickets map[spoolsill.WorkerID]ticket
-	pending time.Time // when the question under way was sent
+	pending time.Time // when the question under way was ordered; zero if none is
 	last    time.Time // when the last answer came
 }
 
@@ -56,20 +58,25 @@
 	a.tickets[id] = t
 }
 
-func (a *advice) underWay(now time.Time) bool {
-	return !a.pending.IsZero() && now.Sub(a.pending) < adviceTimeout
+// underWay reports whether a question waits for its answer. Every question is
+// answered, if only to say that it was lost.
+func (a *advice) underWay() bool {
+	return !a.pending.IsZero()
 }
 
-// ask orders a question about workers.
-func (s *State) ask(g *stage, q *Queue, workers []spoolsill.WorkerID) {
+// ask orders a question about workers. Room is held for the tasks of a
+// question that only renews tickets.
+func (s *State) ask(g *stage, q *Queue, workers []spoolsill.WorkerID, held bool) {
 	if len(workers) == 0 {
 		return
 	}
 	g.advice.pending = s.now
+	s.asking++
 	s.advices = append(s.advices, AdviceOrder{
 		Stage:    g.id,
 		Workers:  workers,
 		Priority: q.Priority,
+		Held:     held,
 		Cost:     q.Advisor.cost(len(workers)),
 	})
 }
@@ -106,6 +113,7 @@
 // Advised takes in an answer of the advisor.
 func (s *State) Advised(now time.Time, a Advice) {
 	s.now = now
+	s.asking--
 	j := s.jobs[a.Order.Stage.Job]
 	if j == nil || j.state.Final() {
 		return
@@ -144,15 +152,16 @@
 }
 
 // usePlan records the planned runs whose tickets hold now and gives the room
-// of the others back. Of a gang all run or none.
+// of the others back. Of a gang all run or none. Runs whose workers are gone
+// meanwhile are no longer in the books.
 func (s *State) usePlan(g *stage) {
 	plan := g.planned
 	g.planned = nil
-	whole := true
+	planned := len(plan)
+	plan = slices.DeleteFunc(plan, func(r *run) bool { return r.worker.runs[r.id] != r })
+	whole := len(plan) == planned
 	for _, r := range plan {
-		if !s.usable(r) {
-			whole = false
-		}
+		whole = whole && s.usable(r)
 	}
 	for _, r := range plan {
 		if (g.step.Gang && !whole) || !s.usable(r) {
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -84,6 +84,8 @@
 		}
 		r.phase = phaseSent
 		r.begun = now
+		// A start renews the lease as well.
+		s.LeaseAsked(o.Worker, LeaseEnd(now, s.config.StartLease))
 		out = append(out, o)
 	}
 	return out
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -15,7 +15,6 @@
 	s.now = now
 	s.expireLeases()
 	s.openDue()
-	s.dropDonePlans()
 	d := decider{
 		State: s,
 		held:  map[*worker]bool{},
@@ -25,15 +24,6 @@
 	}
 }
 
-// dropDonePlans gives room back that a question was waited for in vain.
-func (s *State) dropDonePlans() {
-	for _, g := range s.open {
-		if len(g.planned) > 0 && !g.advice.underWay(s.now) {
-			s.dropPlan(g)
-		}
-	}
-}
-
 // A decider is one pass over the stages that wait.
 type decider struct {
 	*State
@@ -181,13 +171,13 @@
 // when the known ones have had no room for a while.
 func (d *decider) advised(g *stage, q *Queue) bool {
 	a := &g.advice
-	if a.underWay(d.now) {
+	if a.underWay() {
 		return false
 	}
 	if a.asked == nil || d.now.Sub(a.last) > askMore {
 		more := d.unasked(g, q)
-		if len(more) > 0 {
-			d.ask(g, q, more)
+		if len(more) > 0 && (q.Priority == 0 || d.asking < maxAsking) {
+			d.ask(g, q, more, false)
 			return false
 		}
 	}
@@ -240,7 +230,7 @@
 		}
 	}
 	if len(renew) > 0 {
-		d.ask(g, q, renew)
+		d.ask(g, q, renew, true)
 	}
 }
 
@@ -261,7 +251,7 @@
 		d.start(t, seats[i])
 	}
 	if len(renew) > 0 {
-		d.ask(g, q, renew)
+		d.ask(g, q, renew, true)
 	}
 }
 
--- a/sched/event.go
+++ b/sched/event.go
@@ -132,6 +132,8 @@
 	Stage    StageID
 	Workers  []spoolsill.WorkerID
 	Priority int
+	// Held tells that room is held until the answer comes.
+	Held bool
 	// Cost is how long the advisor needs.
 	Cost time.Duration
 }
--- a/sched/state.go
+++ b/sched/state.go
@@ -11,6 +11,9 @@
 	// Lease is the longest lease that a worker grants; bounds of the platform
 	// say how long.
 	Lease time.Duration
+	// StartLease is the longest after it is sent that a start, with all its
+	// tries, may let a run go on without a renewal.
+	StartLease time.Duration
 	// TakenOver is when the leadership began. Before InheritedLease has
 	// passed, a worker that has not answered yet may run what a former leader
 	// started.
@@ -41,6 +44,7 @@
 	acks    map[spoolsill.WorkerID]uint64
 	stops   []StopOrder
 	advices []AdviceOrder
+	asking  int // questions to the advisor that are not answered
 	notes   []Note
 	waiting map[QueueID]int
 }
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -17,6 +17,9 @@
 	// silentAfter is how old a worker's last answer may be before nothing new
 	// is started there: two heartbeats of a second that waited for an end.
 	silentAfter = 2200 * time.Millisecond
+	// leaseLeft is how much of its lease a worker must have left to be given
+	// something new.
+	leaseLeft = time.Second
 	// unwellFor is how long a worker that turned an order away is left alone.
 	unwellFor = 700 * time.Millisecond
 )
@@ -192,10 +195,13 @@
 	})
 }
 
-// takes reports whether something new may be started at w now.
+// takes reports whether something new may be started at w now. Its lease must
+// have been renewed: a worker that answers again after a silence may be about
+// to end all that it runs.
 func (w *worker) takes(now time.Time) bool {
 	return w.listed && !w.Draining && !w.dead && w.strays == 0 &&
-		now.Sub(w.answered) < silentAfter && !now.Before(w.unwell)
+		now.Sub(w.answered) < silentAfter && !now.Before(w.unwell) &&
+		w.leased.Sub(now) > leaseLeft
 }
 
 func (w *worker) free() spoolsill.Resources {
