sched: tests of the decisions; speeds of instant runs; leases taken over

Cause: tests for the faults mended so far. They found two more: a run that ends in the moment it began made its worker's speed not a number, and the worker got nothing any more; the long lease that a take-over assumes was kept for workers that had answered the new leader, and hid that their real lease was about to end. Change: run times are a millisecond or more; a worker's first answer ends the inherited lease; starts need a lease that this leader has renewed. Result: go test ./sched passes; with each mechanism taken out the test named after it fails (gang counted once, old leases, starts and leases, inherited leases, unanswered starts, plans of gone workers).

--- /dev/null
+++ b/sched/advice_test.go
@@ -0,0 +1,113 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// advise answers a question with tickets for some workers.
+func (x *cell) advise(o sched.AdviceOrder, good ...spoolsill.WorkerID) {
+	a := sched.Advice{
+		Order:    o,
+		Received: x.now,
+		Valid:    1500 * time.Millisecond,
+	}
+	for _, id := range good {
+		a.Tickets = append(a.Tickets, sched.Ticket{
+			Worker: id,
+			Text:   "ticket-" + string(id),
+		})
+	}
+	x.state.Advised(x.now, a)
+}
+
+func (x *cell) question() sched.AdviceOrder {
+	q := x.state.Advices()
+	x.c.Assert(q, qt.HasLen, 1)
+	return q[0]
+}
+
+func TestAdvisorIsAskedBeforeAStart(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.worker("b")
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	q := x.question()
+	x.c.Assert(q.Workers, qt.HasLen, 2)
+	x.advise(q, "b")
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 1)
+	x.c.Assert(o[0].Worker, qt.Equals, spoolsill.WorkerID("b"))
+	x.c.Assert(o[0].Ticket, qt.Equals, "ticket-b")
+}
+
+// Room stays taken while a ticket is renewed, and the question is never asked
+// twice: questions that nobody waits for any more would clog the advisor.
+func TestOldTicketIsRenewedWithRoomHeld(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("big", "q", tasks(1, 10)), sched.Progress{})
+	big := x.step()
+	x.take(big)
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 10)), sched.Progress{})
+	x.step()
+	x.advise(x.question(), "w")
+	x.pass(2*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"w": {big[0].Run},
+	})
+	x.end(big[0], sched.EndDone)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	q := x.question()
+	x.c.Assert(q.Held, qt.IsTrue)
+	x.state.AddJob(x.now, job("late", "q", tasks(1, 10)), sched.Progress{})
+	x.pass(6*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"w": nil,
+	})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.c.Assert(x.state.Advices(), qt.HasLen, 0)
+	x.advise(q, "w")
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1"})
+}
+
+func TestPlanForgetsWorkersThatAreGone(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "advised", gang(2, 1)), sched.Progress{})
+	x.step()
+	x.advise(x.question(), "w")
+	x.now = x.now.Add(1400 * time.Millisecond)
+	x.renew("w")
+	x.step()
+	q := x.question()
+	// The lease ends and the worker comes back before the answer does.
+	x.pass(7*time.Second, nil)
+	x.renew("w")
+	x.advise(q, "w")
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1", "j.0.0.1#1"})
+}
+
+func TestLostQuestionGivesTheRoomBack(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 10)), sched.Progress{})
+	x.step()
+	x.advise(x.question(), "w")
+	x.now = x.now.Add(1400 * time.Millisecond)
+	x.renew("w")
+	x.step()
+	x.state.Advised(x.now, sched.Advice{
+		Order: x.question(),
+		Lost:  true,
+	})
+	x.state.AddJob(x.now, job("k", "q", tasks(1, 10)), sched.Progress{})
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 0)
+	x.c.Assert(x.state.CheckRoom(), qt.IsNil)
+}
--- /dev/null
+++ b/sched/fixture_test.go
@@ -0,0 +1,208 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+const lease = 6 * time.Second
+
+// A cell is a State under test with a clock of its own and workers that do as
+// they are told.
+type cell struct {
+	c       *qt.C
+	now     time.Time
+	state   *sched.State
+	started []sched.StartOrder
+	// ends numbers the ends of each worker.
+	ends map[spoolsill.WorkerID]uint64
+}
+
+func newCell(t *testing.T) *cell {
+	x := &cell{
+		c:    qt.New(t),
+		now:  time.Unix(1000, 0),
+		ends: map[spoolsill.WorkerID]uint64{},
+	}
+	x.state = x.newState()
+	return x
+}
+
+func (x *cell) newState() *sched.State {
+	s := sched.New(sched.Config{
+		Lease:          lease,
+		StartLease:     3 * time.Second,
+		TakenOver:      x.now,
+		InheritedLease: 2 * lease,
+		FarFactor:      2,
+	})
+	s.SetQueues([]sched.Queue{
+		{
+			ID:          "q",
+			Service:     "work",
+			Priority:    1,
+			MaxAttempts: 2,
+			Stretch:     4,
+			Goal:        time.Second,
+		},
+		{
+			ID:          "advised",
+			Service:     "work",
+			Priority:    1,
+			MaxAttempts: 2,
+			Stretch:     4,
+			Goal:        time.Second,
+			Advisor: &sched.Advisor{
+				Base:      50 * time.Millisecond,
+				PerWorker: time.Millisecond,
+			},
+		},
+	})
+	return s
+}
+
+// worker lists a worker of ten cores and has it answer and renew its lease.
+func (x *cell) worker(id spoolsill.WorkerID) {
+	x.list(id, false)
+	x.renew(id)
+}
+
+func (x *cell) list(id spoolsill.WorkerID, draining bool) {
+	x.state.ListWorker(x.now, sched.Worker{
+		ID:       id,
+		Service:  "work",
+		Address:  string(id),
+		Capacity: cores(10),
+		Draining: draining,
+	})
+}
+
+// renew has a worker renew its lease and answer with what it runs.
+func (x *cell) renew(id spoolsill.WorkerID, running ...sched.RunID) {
+	x.state.LeaseAsked(id, sched.LeaseEnd(x.now, lease))
+	x.answer(id, running...)
+}
+
+// answer has a worker answer without renewing its lease.
+func (x *cell) answer(id spoolsill.WorkerID, running ...sched.RunID) {
+	h := sched.Heartbeat{
+		Worker: id,
+		Sent:   x.now,
+		Clock:  sched.ClockMillis(x.now.UnixMilli()),
+	}
+	for _, r := range running {
+		h.Running = append(h.Running, sched.RunningTask{
+			Run: r,
+		})
+	}
+	x.state.Heartbeat(x.now, h)
+}
+
+// end has a worker list the end of a run.
+func (x *cell) end(o sched.StartOrder, k sched.EndKind) {
+	x.ends[o.Worker]++
+	x.state.Heartbeat(x.now, sched.Heartbeat{
+		Worker: o.Worker,
+		Sent:   x.now,
+		Ended: []sched.End{
+			{
+				Sequence: x.ends[o.Worker],
+				Run:      o.Run,
+				Kind:     k,
+			},
+		},
+		Partial: true,
+	})
+}
+
+// step decides, writes and sends; it returns the starts that left.
+func (x *cell) step() []sched.StartOrder {
+	x.now = x.now.Add(10 * time.Millisecond)
+	x.state.Decide(x.now)
+	x.c.Assert(x.state.CheckRoom(), qt.IsNil)
+	b, any, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	if !any {
+		return nil
+	}
+	out := x.state.Written(x.now, b)
+	x.started = append(x.started, out...)
+	return out
+}
+
+// take has workers take start orders.
+func (x *cell) take(orders []sched.StartOrder) {
+	for _, o := range orders {
+		x.answerStart(o, sched.StartTaken)
+	}
+}
+
+func (x *cell) answerStart(o sched.StartOrder, k sched.StartOutcome) {
+	x.state.StartAnswered(x.now, sched.StartAnswer{
+		Worker:   o.Worker,
+		Run:      o.Run,
+		Outcome:  k,
+		Doubt:    k == sched.StartUnknown,
+		Deadline: sched.ClockMillis(x.now.Add(time.Second).UnixMilli()),
+	})
+}
+
+// pass lets time go by while some workers go on answering with what they run.
+func (x *cell) pass(d time.Duration, answering map[spoolsill.WorkerID][]sched.RunID) {
+	for end := x.now.Add(d); x.now.Before(end); {
+		x.now = x.now.Add(500 * time.Millisecond)
+		for id, runs := range answering {
+			x.renew(id, runs...)
+		}
+		x.state.Decide(x.now)
+	}
+}
+
+func (x *cell) jobState(id spoolsill.JobID) sched.JobState {
+	s, ok := x.state.Job(id)
+	x.c.Assert(ok, qt.IsTrue)
+	return s.State
+}
+
+func cores(n int) spoolsill.Resources {
+	return spoolsill.Resources{
+		Processors: spoolsill.Millicores(n) * spoolsill.Core,
+		Memory:     spoolsill.Bytes(n) * spoolsill.GiB,
+	}
+}
+
+func job(id spoolsill.JobID, q sched.QueueID, steps ...sched.Step) sched.Job {
+	return sched.Job{
+		ID:    id,
+		Queue: q,
+		Steps: steps,
+	}
+}
+
+func tasks(n, c int) sched.Step {
+	return sched.Step{
+		Tasks:    n,
+		Need:     cores(c),
+		Estimate: time.Second,
+	}
+}
+
+func gang(n, c int) sched.Step {
+	s := tasks(n, c)
+	s.Gang = true
+	return s
+}
+
+func taskNames(orders []sched.StartOrder) []string {
+	var names []string
+	for _, o := range orders {
+		names = append(names, fmt.Sprintf("%s#%d", o.Run.Task, o.Run.Number))
+	}
+	return names
+}
--- a/sched/learn.go
+++ b/sched/learn.go
@@ -45,7 +45,7 @@
 		r.worker.health.done(0)
 		return
 	}
-	took := float64(s.now.Sub(r.begun))
+	took := float64(max(s.now.Sub(r.begun), time.Millisecond))
 	q := r.task.stage.job.Queue
 	e := s.learnt[q]
 	if e == nil {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -205,6 +205,9 @@
 	if w == nil || w.dead {
 		return
 	}
+	if w.answered.IsZero() {
+		s.endInheritance(w)
+	}
 	if now.Sub(w.answered) > silentAfter {
 		s.noteWorker(w, "answers", now.Sub(w.answered))
 	}
--- /dev/null
+++ b/sched/sched_test.go
@@ -0,0 +1,306 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+func TestStepsRunOneAfterTheOther(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	second := tasks(2, 3)
+	second.After = []int{0}
+	x.state.AddJob(x.now, job("j", "q", tasks(2, 3), second), sched.Progress{})
+	first := x.step()
+	x.c.Assert(taskNames(first), qt.DeepEquals, []string{"j.0.0.0#1", "j.0.0.1#1"})
+	x.take(first)
+	x.end(first[0], sched.EndDone)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.end(first[1], sched.EndDone)
+	rest := x.step()
+	x.c.Assert(taskNames(rest), qt.DeepEquals, []string{"j.0.1.0#1", "j.0.1.1#1"})
+	x.take(rest)
+	x.end(rest[0], sched.EndDone)
+	x.c.Assert(x.jobState("j"), qt.Equals, sched.Running)
+	x.end(rest[1], sched.EndDone)
+	x.c.Assert(x.jobState("j"), qt.Equals, sched.Completed)
+}
+
+func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.worker("b")
+	x.state.AddJob(x.now, job("small", "q", tasks(1, 6)), sched.Progress{})
+	small := x.step()
+	x.take(small)
+	x.state.AddJob(x.now, job("g", "q", gang(3, 5)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.end(small[0], sched.EndDone)
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"g.0.0.0#1", "g.0.0.1#1", "g.0.0.2#1"})
+}
+
+// Two members of a gang that end in one answer must not count their stage done
+// twice: the steps after it would be skipped.
+func TestGangEndsOnce(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	second := tasks(1, 3)
+	second.After = []int{0}
+	x.state.AddJob(x.now, job("j", "q", gang(2, 3), second), sched.Progress{})
+	g := x.step()
+	x.take(g)
+	x.end(g[0], sched.EndDone)
+	x.end(g[1], sched.EndDone)
+	x.c.Assert(x.jobState("j"), qt.Equals, sched.Running)
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.1.0#1"})
+}
+
+func TestBrokenGangStartsAgainOnlyWhenAllMembersAreGone(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("g", "q", gang(2, 3)), sched.Progress{})
+	g := x.step()
+	x.take(g)
+	x.end(g[0], sched.EndFailed)
+	x.c.Assert(x.state.Stops(), qt.DeepEquals, []sched.StopOrder{
+		{
+			Worker: "w",
+			Run:    g[1].Run,
+		},
+	})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.end(g[1], sched.EndBroken)
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"g.0.0.0#2", "g.0.0.1#2"})
+}
+
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	for range 2 {
+		o := x.step()
+		x.c.Assert(o, qt.HasLen, 1)
+		x.take(o)
+		x.end(o[0], sched.EndFailed)
+	}
+	x.c.Assert(x.jobState("j"), qt.Equals, sched.Failed)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+}
+
+func TestNothingLeavesBeforeItIsWritten(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	x.state.Decide(x.now)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 1)
+	// The job is cancelled while its row is being written.
+	x.state.CancelJob(x.now, "j")
+	x.c.Assert(x.state.Written(x.now, b), qt.HasLen, 0)
+}
+
+func TestEndsAreAcknowledgedWithTheirRows(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.step()
+	x.end(o[0], sched.EndDone)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Acks, qt.DeepEquals, []sched.Ack{
+		{
+			Worker:   "w",
+			Sequence: 1,
+		},
+	})
+	x.c.Assert(b.Rows, qt.HasLen, 1)
+	p, err := sched.DecodeProgress(b.Rows[0].Value)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(p.State, qt.Equals, sched.Completed)
+}
+
+func TestDrainingWorkerGetsNothingNew(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.list("w", true)
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+}
+
+// A start without an answer may yet be carried out: the task stays there until
+// the worker shows, after the order's deadline, that it does not have it.
+func TestUnansweredStartIsNotRepeatedElsewhere(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.worker("b")
+	x.answerStart(o[0], sched.StartUnknown)
+	x.now = x.now.Add(800 * time.Millisecond)
+	x.renew("a")
+	x.renew("b")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.now = x.now.Add(300 * time.Millisecond)
+	x.renew("a")
+	x.renew("b")
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#2"})
+}
+
+func TestSilentWorkersTasksStartElsewhereAfterItsLease(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	x.take(x.step())
+	x.worker("b")
+	x.pass(5*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"b": nil,
+	})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.pass(2*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"b": nil,
+	})
+	x.step()
+	x.step()
+	x.c.Assert(x.started, qt.HasLen, 2)
+	x.c.Assert(x.started[1].Worker, qt.Equals, spoolsill.WorkerID("b"))
+}
+
+// A worker that answers again after a silence may be about to end all that it
+// runs: it gets nothing before its lease is renewed.
+func TestWorkerGetsNothingOnAnOldLease(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.now = x.now.Add(5500 * time.Millisecond)
+	x.answer("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.renew("w")
+	x.c.Assert(x.step(), qt.HasLen, 1)
+}
+
+// A start renews a worker's lease as well, so the end of the former lease does
+// not free what was started since.
+func TestStartCountsForTheLease(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.now = x.now.Add(2 * time.Second)
+	x.answer("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 10)), sched.Progress{})
+	x.now = x.now.Add(2 * time.Second)
+	x.answer("w")
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 1)
+	x.take(o)
+	x.now = x.now.Add(2700 * time.Millisecond)
+	x.answer("w", o[0].Run)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.c.Assert(x.state.Idle("w"), qt.IsFalse)
+}
+
+func TestNextLeaderGoesOnFromTheRows(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	j := job("j", "q", tasks(2, 1))
+	x.state.AddJob(x.now, j, sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.end(o[0], sched.EndDone)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	p, err := sched.DecodeProgress(b.Rows[0].Value)
+	x.c.Assert(err, qt.IsNil)
+
+	x.state = x.newState()
+	x.state.AddJob(x.now, j, p)
+	x.worker("other")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	// The worker shows that it still has the second task.
+	x.list("w", false)
+	x.renew("w", o[1].Run)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.end(o[1], sched.EndDone)
+	x.c.Assert(x.jobState("j"), qt.Equals, sched.Completed)
+}
+
+func TestNextLeaderWaitsOutWorkersThatItCannotReach(t *testing.T) {
+	x := newCell(t)
+	p := sched.Progress{
+		State: sched.Running,
+		Stages: []sched.StageProgress{
+			{
+				Tasks: []sched.TaskProgress{
+					{
+						Run:    1,
+						Worker: "gone",
+					},
+				},
+			},
+		},
+	}
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), p)
+	x.worker("w")
+	x.pass(11*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"w": nil,
+	})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.pass(time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"w": nil,
+	})
+	x.step()
+	x.c.Assert(taskNames(x.started), qt.DeepEquals, []string{"j.0.0.0#2"})
+}
+
+func TestUnknownRunIsStoppedAndKeepsTheWorkerFromNewWork(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	stray := sched.RunID{
+		Task: sched.TaskID{
+			Stage: sched.StageID{
+				Job: "other",
+			},
+		},
+		Number: 1,
+	}
+	x.renew("w", stray)
+	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.renew("w")
+	x.c.Assert(x.step(), qt.HasLen, 1)
+}
+
+func TestCancelledJobIsStopped(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.state.CancelJob(x.now, "j")
+	x.c.Assert(x.jobState("j"), qt.Equals, sched.Cancelled)
+	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
+	x.end(o[0], sched.EndStopped)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+}
+
+func TestTimedRoundsWaitForTheirTime(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	j := job("j", "q", tasks(1, 1))
+	j.Rounds = 2
+	j.FirstRound = x.now.Add(time.Second)
+	j.Interval = time.Second
+	x.state.AddJob(x.now, j, sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.pass(time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"w": nil,
+	})
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1"})
+}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -36,8 +36,10 @@
 	seen uint64
 	// answered is when the latest heartbeat answer came under our leadership.
 	answered time.Time
-	// leased is until when, by our clock, its lease may last.
-	leased time.Time
+	// leased is until when, by our clock, its lease may last; renewed is
+	// until when we have asked for it.
+	leased  time.Time
+	renewed time.Time
 	// strays are runs that it has and no record names.
 	strays int
 	unwell time.Time // nothing new before
@@ -123,11 +125,26 @@
 // the given time by our clock.
 func (s *State) LeaseAsked(id spoolsill.WorkerID, until time.Time) {
 	w := s.workers[id]
-	if w != nil && until.After(w.leased) {
+	if w == nil {
+		return
+	}
+	if until.After(w.renewed) {
+		w.renewed = until
+	}
+	if until.After(w.leased) {
 		w.leased = until
 	}
 }
 
+// endInheritance is called with a worker's first answer to us: from then on it
+// refuses former leaders, and no lease is longer than the longest.
+func (s *State) endInheritance(w *worker) {
+	most := LeaseEnd(s.now, s.config.Lease)
+	if w.leased.After(most) {
+		w.leased = most
+	}
+}
+
 // LeaseEnd returns the latest time, by a clock that may run faster than the
 // worker's, at which a lease of length d asked for now has ended.
 func LeaseEnd(now time.Time, d time.Duration) time.Time {
@@ -201,7 +218,7 @@
 func (w *worker) takes(now time.Time) bool {
 	return w.listed && !w.Draining && !w.dead && w.strays == 0 &&
 		now.Sub(w.answered) < silentAfter && !now.Before(w.unwell) &&
-		w.leased.Sub(now) > leaseLeft
+		w.renewed.Sub(now) > leaseLeft
 }
 
 func (w *worker) free() spoolsill.Resources {
