node: the time a write may take follows the store

Cause: with the store fifty times slower, each acceptance was given up after 350 ms, before its answer, and tried again until the client left. Change: four times the usual time, 350 ms to 1.5 s; a host tries for seven tenths of the client's time; it hands on to the leader only when the store turns it away.

--- a/node/jobs.go
+++ b/node/jobs.go
@@ -13,13 +13,10 @@
 )
 
 const (
-	// submitBudget is how long a host tries to keep a job before it tells the
-	// client to come back: long enough for a lost answer or a slow store,
-	// short against the three seconds that clients wait.
-	submitBudget = 1200 * time.Millisecond
-	// writeTimeout is for one try; the store takes some 10 ms, and several
-	// times longer when it is slow.
-	writeTimeout = 350 * time.Millisecond
+	// submitShare is the part of a client's waiting time for which a host
+	// tries to keep a job before it tells the client to come back: long
+	// enough for a lost answer or a slow store.
+	submitShare = 0.7
 	// writePause is between tries that the store refused.
 	writePause = 60 * time.Millisecond
 	// askTimeout is for a question to the leader.
@@ -39,7 +36,7 @@
 // Submit implements [platform.Jobs]: it keeps a job in the store, or has the
 // leader keep it when the store turns this host away.
 func (n *Node) Submit(ctx context.Context, j sched.Job) (platform.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, submitBudget)
+	ctx, cancel := shareOf(ctx, submitShare)
 	defer cancel()
 	maybe := false
 	var last error
@@ -72,22 +69,31 @@
 }
 
 func (n *Node) submitOnce(ctx context.Context, j sched.Job) (jobstore.Outcome, error) {
-	if n.health.tryable(time.Now()) {
-		c, cancel := context.WithTimeout(ctx, writeTimeout)
+	o := jobstore.Refused
+	var err error
+	now := time.Now()
+	if n.health.tryable(now) {
+		c, cancel := context.WithTimeout(ctx, n.health.writeTimeout())
 		defer cancel()
-		o, err := jobstore.Accept(c, n.store, j)
-		if o != jobstore.Refused && o != jobstore.Unknown {
+		o, err = jobstore.Accept(c, n.store, j)
+		settled := o != jobstore.Refused && o != jobstore.Unknown
+		if settled || o == jobstore.Unknown && n.health.reachable(now) {
 			return o, err
 		}
-		if h, ok := n.handOn(ctx, j); ok {
-			return h, nil
-		}
-		return o, err
 	}
 	if h, ok := n.handOn(ctx, j); ok {
 		return h, nil
 	}
-	return jobstore.Refused, nil
+	return o, err
+}
+
+// shareOf returns a context that ends after a share of the time that is left.
+func shareOf(ctx context.Context, share float64) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(share*float64(time.Until(end))))
 }
 
 // handOn has the leader keep a job. It reports false when the leader did not
@@ -176,7 +182,7 @@
 
 func (n *Node) cancelOnce(ctx context.Context, id spoolsill.JobID) (bool, error) {
 	if n.health.tryable(time.Now()) {
-		c, cancel := context.WithTimeout(ctx, 2*writeTimeout)
+		c, cancel := context.WithTimeout(ctx, 2*n.health.writeTimeout())
 		defer cancel()
 		known, err := jobstore.Cancel(c, n.store, id)
 		if err == nil {
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -15,6 +15,13 @@
 	awayAfter = 700 * time.Millisecond
 	// tryEvery is how often a store that is away is tried by a client's call.
 	tryEvery = 250 * time.Millisecond
+	// writeLeast and writeMost bound how long one write may take. The store
+	// needs some 10 ms for one, half a second when it is slow, and clients
+	// wait three seconds in all.
+	writeLeast = 350 * time.Millisecond
+	writeMost  = 1500 * time.Millisecond
+	// writeFactor times its usual time, a write has most likely been lost.
+	writeFactor = 4
 )
 
 // storeHealth tells from all calls whether the store can be reached. It is
@@ -23,6 +30,21 @@
 	mu      sync.Mutex
 	failing time.Time // since when every call has failed; zero if the last one did not
 	tried   time.Time
+	usual   time.Duration // a moving average of how long writes take
+}
+
+// took takes in how long a write took, or how long it was waited for in vain.
+func (h *storeHealth) took(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.usual += (d - h.usual) / 4
+}
+
+// writeTimeout returns how long a write may take.
+func (h *storeHealth) writeTimeout() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return min(max(writeFactor*h.usual, writeLeast), writeMost)
 }
 
 func (h *storeHealth) take(now time.Time, ok bool) {
@@ -74,7 +96,11 @@
 
 // Commit implements [store.Store].
 func (s *watchedStore) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
+	begun := time.Now()
 	r, err := s.Store.Commit(ctx, t)
+	if err == nil || errors.Is(err, store.ErrUnknown) {
+		s.health.took(time.Since(begun))
+	}
 	s.took(err)
 	return r, err
 }
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -164,8 +164,9 @@
 	}
 }
 
-func (x *cell) jobState(id spoolsill.JobID) sched.JobState {
-	s, ok := x.state.Job(id)
+// jobState returns the state of the job "j".
+func (x *cell) jobState() sched.JobState {
+	s, ok := x.state.Job("j")
 	x.c.Assert(ok, qt.IsTrue)
 	return s.State
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -26,9 +26,9 @@
 	x.c.Assert(taskNames(rest), qt.DeepEquals, []string{"j.0.1.0#1", "j.0.1.1#1"})
 	x.take(rest)
 	x.end(rest[0], sched.EndDone)
-	x.c.Assert(x.jobState("j"), qt.Equals, sched.Running)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Running)
 	x.end(rest[1], sched.EndDone)
-	x.c.Assert(x.jobState("j"), qt.Equals, sched.Completed)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Completed)
 }
 
 func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
@@ -56,7 +56,7 @@
 	x.take(g)
 	x.end(g[0], sched.EndDone)
 	x.end(g[1], sched.EndDone)
-	x.c.Assert(x.jobState("j"), qt.Equals, sched.Running)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Running)
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.1.0#1"})
 }
 
@@ -88,7 +88,7 @@
 		x.take(o)
 		x.end(o[0], sched.EndFailed)
 	}
-	x.c.Assert(x.jobState("j"), qt.Equals, sched.Failed)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Failed)
 	x.c.Assert(x.step(), qt.HasLen, 0)
 }
 
@@ -227,7 +227,7 @@
 	x.renew("w", o[1].Run)
 	x.c.Assert(x.step(), qt.HasLen, 0)
 	x.end(o[1], sched.EndDone)
-	x.c.Assert(x.jobState("j"), qt.Equals, sched.Completed)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Completed)
 }
 
 func TestNextLeaderWaitsOutWorkersThatItCannotReach(t *testing.T) {
@@ -284,7 +284,7 @@
 	o := x.step()
 	x.take(o)
 	x.state.CancelJob(x.now, "j")
-	x.c.Assert(x.jobState("j"), qt.Equals, sched.Cancelled)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Cancelled)
 	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
 	x.end(o[0], sched.EndStopped)
 	x.c.Assert(x.step(), qt.HasLen, 0)
