jobstore: a partition for each host, jobs kept several at once

Change: each host keeps jobs in a partition of its own, and all that wait in one transaction; the older row counts if a job lies in two. That a job has begun is told at once and not written for itself.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -2,20 +2,21 @@
 // handed them in, the marks of those that were cancelled, and the progress that
 // the cell's leader writes.
 //
-// Any host accepts and cancels jobs by itself with one conditional write; the
-// leader learns of both by following the table. So a job that is accepted lasts
-// before its client is told, whoever leads the cell, and also when nobody does.
+// Any host accepts and cancels jobs by itself, with writes to a partition of
+// its own; the leader learns of both by following the table. So a job that is
+// accepted lasts before its client is told, whoever leads the cell, and also
+// when nobody does. A job whose client came back to another host may lie in two
+// partitions; it is one job, and the row with the lower version counts.
 package jobstore
 
 import (
 	"bytes"
 	"context"
-	"errors"
-	"strconv"
 	"strings"
+	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/sched"
@@ -32,38 +33,18 @@
 	CellPartition = "cell"
 )
 
-// partitions is over how many partitions jobs are spread. A partition takes
-// 150 transactions a second on the platforms of today; at the size designed
-// for, 240 jobs a second are handed in.
-const partitions = 8
-
 // cancelSuffix marks the row that says that a job was cancelled.
 const cancelSuffix = "/cancel"
 
-// Partitions returns the partitions of the jobs table.
-func Partitions() []string {
-	p := make([]string, partitions)
-	for i := range p {
-		p[i] = "p" + strconv.Itoa(i)
-	}
-	return p
-}
-
-// JobKey returns the key of a job.
-func JobKey(id spoolsill.JobID) store.Key {
+// jobKey returns the key of a job that a host keeps in its partition.
+func jobKey(partition string, id spoolsill.JobID) store.Key {
 	return store.Key{
 		Table:     JobsTable,
-		Partition: "p" + strconv.FormatUint(xxhash.Sum64String(string(id))%partitions, 10),
+		Partition: partition,
 		Name:      string(id),
 	}
 }
 
-func cancelKey(id spoolsill.JobID) store.Key {
-	k := JobKey(id)
-	k.Name += cancelSuffix
-	return k
-}
-
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id spoolsill.JobID) store.Key {
 	return store.Key{
@@ -110,48 +91,6 @@
 	return outcomeNames[o]
 }
 
-// Accept tries once to keep a job.
-func Accept(ctx context.Context, s store.Store, j sched.Job) (Outcome, error) {
-	v, err := EncodeJob(j)
-	if err != nil {
-		return Refused, err
-	}
-	k := JobKey(j.ID)
-	r, err := s.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{
-			{
-				Key:     k,
-				Version: 0,
-			},
-		},
-		Puts: []store.Put{
-			{
-				Key:   k,
-				Value: v,
-			},
-		},
-	})
-	if err != nil {
-		return failure(err), err
-	}
-	if r.Applied {
-		return Accepted, nil
-	}
-	for _, row := range r.Current {
-		if row.Key == k && row.Version > 0 {
-			return compare(j, row.Value)
-		}
-	}
-	return Refused, nil
-}
-
-func failure(err error) Outcome {
-	if errors.Is(err, store.ErrRefused) {
-		return Refused
-	}
-	return Unknown
-}
-
 // compare tells whether a kept job is the one that was handed in again; when
 // it was handed in does not matter.
 func compare(j sched.Job, kept []byte) (Outcome, error) {
@@ -170,68 +109,76 @@
 	return Known, nil
 }
 
-// Cancel marks a job as cancelled. It returns false when there is no such job.
-func Cancel(ctx context.Context, s store.Store, id spoolsill.JobID) (bool, error) {
-	row, err := store.Get(ctx, s, JobKey(id))
-	if err != nil || row.Version == 0 {
-		return false, err
-	}
-	_, err = s.Commit(ctx, store.Transaction{
+// Cancel marks a job as cancelled, in a host's own partition. The caller knows
+// that there is such a job.
+func Cancel(ctx context.Context, s store.Store, partition string, id spoolsill.JobID) error {
+	k := jobKey(partition, id)
+	k.Name += cancelSuffix
+	_, err := s.Commit(ctx, store.Transaction{
 		Puts: []store.Put{
 			{
-				Key:   cancelKey(id),
+				Key:   k,
 				Value: []byte{1},
 			},
 		},
 	})
-	return err == nil, err
+	return err
 }
 
 // State reads a job's state from the store. It returns false when there is no
-// such job.
+// such job. A job that has begun costs one read, others one for each
+// partition.
 func State(ctx context.Context, s store.Store, id spoolsill.JobID) (sched.JobStatus, bool, error) {
-	k := JobKey(id)
-	p, err := s.List(ctx, k.Table, k.Partition, k.Name, 2)
-	if err != nil {
-		return sched.JobStatus{}, false, err
-	}
-	var known, cancelled bool
 	st := sched.JobStatus{
 		ID: id,
 	}
-	for _, r := range p.Rows {
-		switch r.Key.Name {
-		case k.Name:
-			known = true
-			j, err := DecodeJob(r.Value)
-			if err != nil {
-				return st, true, err
-			}
-			st.Queue = j.Queue
-		case cancelKey(id).Name:
-			cancelled = true
-		}
-	}
-	if !known {
-		return st, false, nil
-	}
 	row, err := store.Get(ctx, s, ProgressKey(id))
 	if err != nil {
-		return st, true, err
+		return st, false, err
 	}
 	if row.Version > 0 {
-		pr, err := DecodeProgress(row.Value)
-		if err != nil {
-			return st, true, err
-		}
-		st.State = pr.State
+		p, err := DecodeProgress(row.Value)
+		st.State = p.State
+		return st, true, err
 	}
-	if cancelled && !st.State.Final() {
+	known, cancelled, err := find(ctx, s, id)
+	if cancelled {
 		st.State = sched.Cancelled
 	}
-	return st, true, nil
+	return st, known, err
 }
 
+// find looks for a job and its mark in all partitions.
+func find(ctx context.Context, s store.Store, id spoolsill.JobID) (known, cancelled bool, err error) {
+	parts, err := s.Partitions(ctx, JobsTable)
+	if err != nil {
+		return false, false, err
+	}
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(readsAtOnce)
+	for _, part := range parts {
+		g.Go(func() error {
+			p, err := s.List(ctx, JobsTable, part, string(id), 2)
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, r := range p.Rows {
+				known = known || r.Key.Name == string(id)
+				cancelled = cancelled || r.Key.Name == string(id)+cancelSuffix
+			}
+			return nil
+		})
+	}
+	err = g.Wait()
+	return known, cancelled, err
+}
+
+// readsAtOnce bounds the reads that one look-up has under way.
+const readsAtOnce = 8
+
 // DecodeProgress reads a row of the progress table.
 func DecodeProgress(b []byte) (sched.Progress, error) {
 	return sched.DecodeProgress(b)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -217,22 +219,20 @@
 func (l *Leader) follow(ctx context.Context) {
 	followers := []*store.Follower{
 		{
-			Store:      l.config.Store,
-			Table:      jobstore.JobsTable,
-			Partitions: jobstore.Partitions(),
-			Wait:       followWait,
-			Listed:     func(rows []store.Row) { l.send(jobsListed{rows: rows}) },
-			Changed:    func(r store.Row) { l.send(jobChanged{row: r}) },
-			Failed:     l.reportFeed(jobstore.JobsTable),
+			Store:   l.config.Store,
+			Table:   jobstore.JobsTable,
+			Wait:    followWait,
+			Listed:  func(rows []store.Row) { l.send(jobsListed{rows: rows}) },
+			Changed: func(r store.Row) { l.send(jobChanged{row: r}) },
+			Failed:  l.reportFeed(jobstore.JobsTable),
 		},
 		{
-			Store:      l.config.Store,
-			Table:      l.config.WorkersTable,
-			Partitions: []string{""},
-			Wait:       followWait,
-			Listed:     func(rows []store.Row) { l.send(workersListed{rows: rows}) },
-			Changed:    func(r store.Row) { l.send(workerChanged{row: r}) },
-			Failed:     l.reportFeed("workers"),
+			Store:   l.config.Store,
+			Table:   l.config.WorkersTable,
+			Wait:    followWait,
+			Listed:  func(rows []store.Row) { l.send(workersListed{rows: rows}) },
+			Changed: func(r store.Row) { l.send(workerChanged{row: r}) },
+			Failed:  l.reportFeed("workers"),
 		},
 	}
 	for _, f := range followers {
@@ -337,6 +337,9 @@
 		l.decided = now
 		l.state.Decide(now)
 	}
+	if t := l.state.Told(); len(t) > 0 {
+		l.publish(l.lastWrite, t)
+	}
 	for _, o := range l.state.Stops() {
 		l.sendStop(ctx, o)
 	}
@@ -414,7 +417,9 @@
 	l.waiting = w
 	l.known = l.loaded
 	for _, s := range statuses {
-		l.statuses[s.ID] = s
+		if !l.statuses[s.ID].State.Final() {
+			l.statuses[s.ID] = s
+		}
 	}
 }
 
@@ -447,6 +452,8 @@
 }
 
 func (l *Leader) takeJobs(now time.Time, rows []store.Row) {
+	// Of two rows of one job the older one counts.
+	slices.SortStableFunc(rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
 	for _, r := range rows {
 		if _, ok := jobstore.Cancelled(r.Key.Name); !ok {
 			l.takeJob(now, r)
@@ -457,8 +464,12 @@
 			l.takeJob(now, r)
 		}
 	}
+	if l.loaded {
+		return
+	}
 	l.loaded = true
 	l.rows = nil
+	// All of it was read from the store, so it lasts.
 	l.publish(l.lastWrite, l.state.Jobs())
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -68,10 +68,9 @@
 		}
 	}
 	f := store.Follower{
-		Store:      n.store,
-		Table:      platform.OperatorTable,
-		Partitions: []string{""},
-		Wait:       configWait,
+		Store: n.store,
+		Table: platform.OperatorTable,
+		Wait:  configWait,
 		Listed: func(rows []store.Row) {
 			for _, r := range rows {
 				take(r)
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -73,9 +73,7 @@
 	var err error
 	now := time.Now()
 	if n.health.tryable(now) {
-		c, cancel := context.WithTimeout(ctx, n.health.writeTimeout())
-		defer cancel()
-		o, err = jobstore.Accept(c, n.store, j)
+		o, err = n.jobs.Accept(ctx, j)
 		settled := o != jobstore.Refused && o != jobstore.Unknown
 		if settled || o == jobstore.Unknown && n.health.reachable(now) {
 			return o, err
@@ -182,9 +180,7 @@
 
 func (n *Node) cancelOnce(ctx context.Context, id spoolsill.JobID) (bool, error) {
 	if n.health.tryable(time.Now()) {
-		c, cancel := context.WithTimeout(ctx, 2*n.health.writeTimeout())
-		defer cancel()
-		known, err := jobstore.Cancel(c, n.store, id)
+		known, err := n.cancelHere(ctx, id)
 		if err == nil {
 			return known, nil
 		}
@@ -201,6 +197,17 @@
 	return r.Known, err
 }
 
+// cancelHere marks a job as cancelled in the store, if there is such a job.
+func (n *Node) cancelHere(ctx context.Context, id spoolsill.JobID) (bool, error) {
+	_, o, err := n.State(ctx, id)
+	if o != platform.Done {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.health.writeTimeout())
+	defer cancel()
+	return true, jobstore.Cancel(ctx, n.store, n.partition(), id)
+}
+
 // Waiting implements [platform.Jobs].
 func (n *Node) Waiting(ctx context.Context, q sched.QueueID) (int, platform.Outcome, error) {
 	if l := n.leaderHere(); l != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
@@ -60,6 +61,7 @@
 	peers    *peer.Node
 	life     spoolsill.Incarnation
 	health   *storeHealth
+	jobs     *jobstore.Writer
 
 	configs configs
 	hosts   hostList
@@ -100,10 +102,20 @@
 		Incarnation: life,
 		Dial:        peerDial(c.Dial),
 	})
+	n.jobs = jobstore.NewWriter(jobstore.Writer{
+		Store:     n.store,
+		Partition: n.partition(),
+		Timeout:   h.writeTimeout,
+	})
 	n.handlePeers()
 	return n
 }
 
+// partition is where this host keeps the jobs that it accepts.
+func (n *Node) partition() string {
+	return string(n.settings.Host)
+}
+
 func peerDial(d platform.Dialer) func(context.Context, string) (net.Conn, error) {
 	if d == nil {
 		d = platform.Dial
@@ -144,6 +156,7 @@
 	g.Go(func() error { return serve(balancer, ready) })
 	g.Go(func() error { return n.peers.Serve(work, peers) })
 	g.Go(func() error { n.followConfig(work); return nil })
+	g.Go(func() error { n.jobs.Run(work); return nil })
 	electing, stopElecting := context.WithCancel(work)
 	defer stopElecting()
 	elected := make(chan struct{})
--- a/node/peers.go
+++ b/node/peers.go
@@ -156,7 +156,9 @@
 	if err != nil {
 		return submitReply{}, err
 	}
-	o, err := jobstore.Accept(ctx, n.store, j)
+	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
+	defer cancel()
+	o, err := n.jobs.Accept(ctx, j)
 	if err != nil {
 		n.log.WithError(err).WithField("job", string(j.ID)).Warn("job handed on by a host was not written")
 	}
@@ -166,7 +168,7 @@
 }
 
 func (n *Node) cancelAsked(ctx context.Context, _ peer.Caller, q cancelRequest) (cancelReply, error) {
-	known, err := jobstore.Cancel(ctx, n.store, q.Job)
+	known, err := n.cancelHere(ctx, q.Job)
 	return cancelReply{
 		Known: known,
 	}, err
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -18,6 +18,7 @@
 	}
 	s.jobs[j.ID] = x
 	s.setState(x, p.State)
+	s.told = append(s.told, x.status())
 	if p.State.Final() && len(p.Stages) == 0 {
 		x.Spec = ""
 		x.Steps = nil
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -63,6 +63,9 @@
 	for _, g := range j.stages {
 		if g.begun() {
 			p.Stages = append(p.Stages, g.progress())
+			if p.State == Pending {
+				p.State = Running
+			}
 		}
 	}
 	return p
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -167,8 +167,9 @@
 	r.resolved = s.now
 	j := r.task.stage.job
 	if j.state == Pending {
+		// Not written for its own sake: the recorded start implies it.
 		s.setState(j, Running)
-		s.touch(j)
+		s.told = append(s.told, j.status())
 	}
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -46,6 +46,7 @@
 	advices []AdviceOrder
 	asking  int // questions to the advisor that are not answered
 	notes   []Note
+	told    []JobStatus
 	waiting map[QueueID]int
 }
 
@@ -160,6 +161,14 @@
 	}
 }
 
+// Told returns the jobs that were added or have begun since the last call. That
+// may be told at once, since it need not last.
+func (s *State) Told() []JobStatus {
+	t := s.told
+	s.told = nil
+	return t
+}
+
 // Waiting returns how many jobs of each queue are accepted and have not begun.
 func (s *State) Waiting() map[QueueID]int {
 	w := make(map[QueueID]int, len(s.waiting))
--- a/store/follow.go
+++ b/store/follow.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/spoolsill/spoolsill/internal/pause"
 )
 
@@ -15,14 +18,15 @@
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// listsAtOnce bounds the partitions that are read side by side.
+	listsAtOnce = 8
 )
 
-// A Follower keeps up with a table: it lists some partitions and then takes in
+// A Follower keeps up with a table: it lists its partitions and then takes in
 // the changes, anew whenever the store has forgotten the history.
 type Follower struct {
-	Store      Store
-	Table      string
-	Partitions []string
+	Store Store
+	Table string
 	// Wait is how long one call of the feed waits for a change; a feed that
 	// is silently cut is noticed after it.
 	Wait time.Duration
@@ -74,21 +78,32 @@
 	}
 }
 
+// list reads the whole table. The version to go on from is read first, so that
+// no change is missed, also of partitions that are made meanwhile.
 func (f *Follower) list(ctx context.Context) (Version, error) {
-	var all []Row
-	var first Version
-	for i, p := range f.Partitions {
-		rows, v, err := ListAll(ctx, f.Store, f.Table, p)
-		if err != nil {
-			return 0, err
-		}
-		if i == 0 {
-			first = v
-		}
-		all = append(all, rows...)
+	p, err := f.Store.List(ctx, f.Table, "", "", 1)
+	if err != nil {
+		return 0, err
+	}
+	parts, err := f.Store.Partitions(ctx, f.Table)
+	if err != nil {
+		return 0, err
+	}
+	pages := make([][]Row, len(parts))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(listsAtOnce)
+	for i, part := range parts {
+		g.Go(func() error {
+			rows, _, err := ListAll(ctx, f.Store, f.Table, part)
+			pages[i] = rows
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return 0, err
 	}
-	f.Listed(all)
-	return first, nil
+	f.Listed(slices.Concat(pages...))
+	return p.Version, nil
 }
 
 func (f *Follower) step(ctx context.Context, at Version) (Version, error) {
