leader, node: quick return after an outage, rows of ended jobs deleted

Change: only time-outs raise a write's limit; feeds that fail ask without waiting; the leader deletes the rows of jobs that have ended, a transaction a partition each 1.5 s; hosts that are not ready close connections; a host tries for 0.3 s when the store is away; a host that says it does not lead is replaced after 0.15 s; progress is deleted after twice the time it must be shown.

--- a/leader/chain.go
+++ b/leader/chain.go
@@ -79,7 +79,7 @@
 		version: v,
 	}
 	c.head.Epoch = old.Epoch + 1
-	if err := c.write(ctx, c.head, nil); err != nil {
+	if err := c.write(ctx, c.head, nil, nil); err != nil {
 		return nil, err
 	}
 	return c, nil
@@ -90,12 +90,12 @@
 	return c.head.Epoch
 }
 
-// Write makes rows last, whatever it takes, until ctx ends or another host
+// Write puts and deletes rows, whatever it takes, until ctx ends or another host
 // leads.
-func (c *Chain) Write(ctx context.Context, puts []store.Put) error {
+func (c *Chain) Write(ctx context.Context, puts []store.Put, deletes []store.Key) error {
 	h := c.head
 	h.Write++
-	return c.write(ctx, h, puts)
+	return c.write(ctx, h, puts, deletes)
 }
 
 // Release gives the leadership up as planned.
@@ -103,10 +103,10 @@
 	h := c.head
 	h.Write++
 	h.Released = true
-	return c.write(ctx, h, nil)
+	return c.write(ctx, h, nil, nil)
 }
 
-func (c *Chain) write(ctx context.Context, h Head, puts []store.Put) error {
+func (c *Chain) write(ctx context.Context, h Head, puts []store.Put, deletes []store.Key) error {
 	v, err := msgpack.Marshal(&h)
 	if err != nil {
 		return err
@@ -124,6 +124,7 @@
 				Value: v,
 			},
 		}, puts...),
+		Deletes: deletes,
 	}
 	begun := time.Now()
 	limit := max(tryFirst, 4*c.usual)
@@ -139,8 +140,11 @@
 		case errors.Is(err, store.ErrRefused):
 			pause.For(ctx, delay)
 			delay = min(2*delay, pauseMost)
-		default:
+		case errors.Is(err, context.DeadlineExceeded):
 			limit *= 2
+		default:
+			// The connection broke: the store may come back at any moment.
+			pause.For(ctx, tryPause)
 		}
 	}
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -61,6 +61,7 @@
 
 	holds    map[spoolsill.WorkerID]*hold
 	advising *adviser
+	sweeper  *sweeper
 	rows     map[spoolsill.JobID][]byte
 
 	writing   bool
@@ -110,6 +111,7 @@
 		waiting:  map[sched.QueueID]int{},
 	}
 	l.advising = newAdviser(l)
+	l.sweeper = newSweeper(l)
 	return l
 }
 
@@ -210,7 +212,7 @@
 		}
 		l.config.Log.WithError(err).Warn("load progress")
 		// The row must go on changing while the store is slow to list.
-		if err := l.config.Chain.Write(ctx, nil); err != nil {
+		if err := l.config.Chain.Write(ctx, nil, nil); err != nil {
 			return nil, err
 		}
 	}
@@ -347,6 +349,7 @@
 		l.advising.add(o)
 	}
 	l.advising.dispatch(ctx)
+	l.sweeper.sweep(ctx, now)
 	if l.loaded {
 		// Not before: an end of a job that is not known yet would be lost.
 		l.keepHolds(ctx)
@@ -381,7 +384,11 @@
 				Value: r.Value,
 			}
 		}
-		if err := l.config.Chain.Write(ctx, puts); err != nil {
+		deletes := make([]store.Key, len(b.Forgotten))
+		for i, id := range b.Forgotten {
+			deletes[i] = jobstore.ProgressKey(id)
+		}
+		if err := l.config.Chain.Write(ctx, puts, deletes); err != nil {
 			l.send(leadershipEnded{
 				err: err,
 			})
@@ -402,6 +409,8 @@
 	for _, o := range l.state.Written(now, e.batch) {
 		l.sendStart(o)
 	}
+	l.sweeper.add(e.batch.Ended)
+	l.forget(e.batch.Forgotten)
 	for _, a := range e.batch.Acks {
 		if h := l.holds[a.Worker]; h != nil {
 			h.ack(a.Sequence)
@@ -409,6 +418,14 @@
 	}
 }
 
+func (l *Leader) forget(ids []spoolsill.JobID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		delete(l.statuses, id)
+	}
+}
+
 func (l *Leader) publish(begun time.Time, statuses []sched.JobStatus) {
 	w := l.state.Waiting()
 	l.mu.Lock()
@@ -468,11 +485,27 @@
 		return
 	}
 	l.loaded = true
+	for id, v := range l.rows {
+		l.takeEnded(now, id, v)
+	}
 	l.rows = nil
 	// All of it was read from the store, so it lasts.
 	l.publish(l.lastWrite, l.state.Jobs())
 }
 
+// takeEnded takes in a job of which only the progress is left.
+func (l *Leader) takeEnded(now time.Time, id spoolsill.JobID, v []byte) {
+	if _, ok := l.state.Job(id); ok {
+		return
+	}
+	p, err := sched.DecodeProgress(v)
+	if err != nil || !p.State.Final() {
+		l.config.Log.WithError(err).WithField("job", string(id)).WithField("state", p.State.String()).Error("progress without a job")
+		return
+	}
+	l.state.AddEnded(now, id, p.State)
+}
+
 // takeJob takes in a row of the jobs table: a job or the mark of a cancelled
 // one.
 func (l *Leader) takeJob(now time.Time, r store.Row) {
@@ -480,10 +513,15 @@
 		return
 	}
 	if id, ok := jobstore.Cancelled(r.Key.Name); ok {
+		l.sweeper.locate(id, r.Key)
 		l.state.CancelJob(now, id)
+		l.sweepEnded(id)
 		return
 	}
-	if _, ok := l.state.Job(spoolsill.JobID(r.Key.Name)); ok {
+	id := spoolsill.JobID(r.Key.Name)
+	l.sweeper.locate(id, r.Key)
+	if _, ok := l.state.Job(id); ok {
+		l.sweepEnded(id)
 		return
 	}
 	j, err := jobstore.DecodeJob(r.Value)
@@ -500,6 +538,25 @@
 		}
 	}
 	l.state.AddJob(now, j, p)
+	l.sweepEnded(id)
+}
+
+// sweepEnded has the rows of a job deleted that has ended for good: a client
+// came back after its end, or a former leader had no time for it.
+func (l *Leader) sweepEnded(id spoolsill.JobID) {
+	if l.state.Settled(id) && l.endLasts(id) {
+		l.sweeper.add([]spoolsill.JobID{id})
+	}
+}
+
+// endLasts reports whether the end of a job that has ended is in the store:
+// what is loaded comes from there, and what was published was written.
+func (l *Leader) endLasts(id spoolsill.JobID) bool {
+	if !l.loaded {
+		return true
+	}
+	s, _ := l.Status(id)
+	return s.State.Final()
 }
 
 func (l *Leader) logNotes() {
--- a/node/elect.go
+++ b/node/elect.go
@@ -25,8 +25,9 @@
 	// takes half a second for a write.
 	lapse = 1200 * time.Millisecond
 	// lapseGone is the same when the leader's process is gone: its port
-	// refuses connections.
-	lapseGone = 250 * time.Millisecond
+	// refuses connections, or it says that it does not lead. A host that has
+	// just taken over needs a moment to know it.
+	lapseGone = 150 * time.Millisecond
 	// stale is how old the leader's latest write may be by its own word.
 	stale = 1200 * time.Millisecond
 	// watchEvery is how often the row is read while the leader is in doubt.
@@ -123,8 +124,8 @@
 	if h.Host == n.settings.Host {
 		return lapseGone // an earlier life of this host
 	}
-	_, err := n.greetLeader(ctx, h)
-	if refused(err) {
+	r, err := n.greetLeader(ctx, h)
+	if refused(err) || err == nil && !r.Leads {
 		return lapseGone
 	}
 	return lapse
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -19,6 +19,9 @@
 	submitShare = 0.7
 	// writePause is between tries that the store refused.
 	writePause = 60 * time.Millisecond
+	// awayBudget is how long a host tries when it reaches neither the store
+	// nor a leader that does: a tenth of the time that clients wait.
+	awayBudget = 300 * time.Millisecond
 	// askTimeout is for a question to the leader.
 	askTimeout = 250 * time.Millisecond
 	// handOnTimeout is for a job that the leader is to keep.
@@ -40,6 +43,7 @@
 	defer cancel()
 	maybe := false
 	var last error
+	begun := time.Now()
 	for ctx.Err() == nil {
 		o, err := n.submitOnce(ctx, j)
 		last = err
@@ -52,7 +56,8 @@
 		case jobstore.Unknown:
 			maybe = true
 		case jobstore.Refused:
-			if !n.health.reachable(time.Now()) {
+			now := time.Now()
+			if !n.health.reachable(now) && now.Sub(begun) > awayBudget {
 				return outcomeOf(maybe), err
 			}
 			pause.For(ctx, writePause)
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,9 @@
 	headerTimeout = 3 * time.Second
 	// idleTimeout closes clients' idle connections.
 	idleTimeout = 30 * time.Second
+	// keepFactor is how many times longer than must be the states of jobs that
+	// ended are kept.
+	keepFactor = 2
 	// maxHeader is the longest header that is read, in bytes.
 	maxHeader = 16 << 10
 )
@@ -219,7 +222,7 @@
 		Handler: &platform.Ingress{
 			Jobs:    n,
 			Log:     n.log,
-			Closing: n.closing.Load,
+			Closing: func() bool { return !n.ready() },
 		},
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -277,6 +280,7 @@
 		DecodeWorker: platform.DecodeWorker,
 		Sched: sched.Config{
 			Lease:       b.Lease,
+			KeepEnded:   keepFactor * b.StatusKept,
 			StopTime:    b.StopTime,
 			FarFactor:   b.FarFactor,
 			RestoreTime: b.Restore,
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -31,13 +31,19 @@
 		b.Starts = append(b.Starts, j.starts...)
 		j.starts = nil
 		b.Statuses = append(b.Statuses, j.status())
+		if j.state.Final() && j.runs == 0 && j.stages != nil {
+			b.Ended = append(b.Ended, j.ID)
+		}
 		s.slim(j)
 	}
 	s.dirty = slices.Delete(s.dirty, 0, n)
 	if len(s.dirty) == 0 {
 		b.Acks = s.takeAcks()
 	}
-	return b, n > 0 || len(b.Acks) > 0, nil
+	if s.config.KeepEnded > 0 {
+		b.Forgotten = s.forgetEnded(MaxRows - n)
+	}
+	return b, n > 0 || len(b.Acks) > 0 || len(b.Forgotten) > 0, nil
 }
 
 // slim drops what is not needed of a job that has ended for good.
@@ -48,6 +54,32 @@
 	j.Spec = ""
 	j.Steps = nil
 	j.stages = nil
+	s.keepEnded(j.ID)
+}
+
+// An endedJob is to be forgotten some time after its end.
+type endedJob struct {
+	id spoolsill.JobID
+	at time.Time
+}
+
+func (s *State) keepEnded(id spoolsill.JobID) {
+	s.ended = append(s.ended, endedJob{
+		id: id,
+		at: s.now,
+	})
+}
+
+// forgetEnded forgets the jobs that ended long ago, and returns at most n of
+// them: their progress need not be kept either.
+func (s *State) forgetEnded(n int) []spoolsill.JobID {
+	var ids []spoolsill.JobID
+	for len(s.ended) > 0 && len(ids) < n && s.now.Sub(s.ended[0].at) > s.config.KeepEnded {
+		ids = append(ids, s.ended[0].id)
+		delete(s.jobs, s.ended[0].id)
+		s.ended = s.ended[1:]
+	}
+	return ids
 }
 
 // takeAcks returns the ends whose rows are all in this batch or earlier ones.
--- a/sched/event.go
+++ b/sched/event.go
@@ -182,6 +182,10 @@
 	Starts   []StartOrder
 	Acks     []Ack
 	Statuses []JobStatus
+	// Ended has the jobs that need no more than their progress from now on.
+	Ended []spoolsill.JobID
+	// Forgotten has the jobs whose progress is to be deleted.
+	Forgotten []spoolsill.JobID
 }
 
 // A NoteKind tells what a [Note] is about.
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -22,6 +22,7 @@
 	if p.State.Final() && len(p.Stages) == 0 {
 		x.Spec = ""
 		x.Steps = nil
+		s.keepEnded(j.ID)
 		return
 	}
 	s.makeStages(x)
@@ -188,6 +189,22 @@
 	s.timed = rest
 }
 
+// AddEnded takes in a job of which only its final state is kept.
+func (s *State) AddEnded(now time.Time, id spoolsill.JobID, state JobState) {
+	s.AddJob(now, Job{
+		ID: id,
+	}, Progress{
+		State: state,
+	})
+}
+
+// Settled reports whether a job has ended and nothing of it is left to be
+// written or stopped.
+func (s *State) Settled(id spoolsill.JobID) bool {
+	j := s.jobs[id]
+	return j != nil && j.state.Final() && j.stages == nil && !j.dirty
+}
+
 // CancelJob takes in that the client gave a job up.
 func (s *State) CancelJob(now time.Time, id spoolsill.JobID) {
 	s.now = now
--- a/sched/state.go
+++ b/sched/state.go
@@ -19,6 +19,8 @@
 	// started.
 	TakenOver      time.Time
 	InheritedLease time.Duration
+	// KeepEnded is how long the state of a job that ended is kept.
+	KeepEnded time.Duration
 	// StopTime is how long a worker needs to stop a run.
 	StopTime time.Duration
 	// FarFactor is how much longer tasks take away from their data, or a
@@ -47,6 +49,7 @@
 	asking  int // questions to the advisor that are not answered
 	notes   []Note
 	told    []JobStatus
+	ended   []endedJob
 	waiting map[QueueID]int
 }
 
--- a/store/follow.go
+++ b/store/follow.go
@@ -17,7 +17,7 @@
 	followPause = 8 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
-	retryMost  = 400 * time.Millisecond
+	retryMost  = 250 * time.Millisecond
 	// listsAtOnce bounds the partitions that are read side by side.
 	listsAtOnce = 8
 )
@@ -47,7 +47,11 @@
 	for ctx.Err() == nil {
 		var err error
 		if listed {
-			at, err = f.step(ctx, at)
+			w := f.Wait
+			if failing {
+				w = 0 // to learn at once that calls work again
+			}
+			at, err = f.step(ctx, at, w)
 		} else {
 			at, err = f.list(ctx)
 			listed = err == nil
@@ -106,8 +110,8 @@
 	return p.Version, nil
 }
 
-func (f *Follower) step(ctx context.Context, at Version) (Version, error) {
-	c, err := f.Store.Feed(ctx, f.Table, at, f.Wait)
+func (f *Follower) step(ctx context.Context, at Version, wait time.Duration) (Version, error) {
+	c, err := f.Store.Feed(ctx, f.Table, at, wait)
 	if err != nil {
 		return at, err
 	}
