leader: tests on stand-ins; watches that a silent leader does not hold up

Change: the watch greets beside its reads, and takes over when the row stays as it is for 0.7 s and four usual writes; renewals wait a quarter of a second for ends while more than 1.5% of them get no answer. internal/cellfake has a store, workers and an advisor with the platform's failures; tests of package leader run on them in virtual time.

--- /dev/null
+++ b/internal/cellfake/workers.go
@@ -0,0 +1,349 @@
+package cellfake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// An OrderFault tells what becomes of one order to a worker.
+type OrderFault uint8
+
+// The faults of an order.
+const (
+	OrderWell OrderFault = iota
+	OrderLose            // carried out, without an answer
+	OrderDrop            // neither carried out nor answered
+	OrderLate            // carried out two seconds later, without an answer
+)
+
+const orderLateBy = 2 * time.Second
+
+// errLost explains an order without an answer.
+var errLost = errors.New("cellfake: no answer")
+
+// Workers are the workers of a cell, and the judge of what they are told. They
+// implement [leader.Workers].
+type Workers struct {
+	// Lease is the longest lease; Work is how long a task runs.
+	Lease time.Duration
+	Work  func(r sched.RunID) (time.Duration, sched.EndKind)
+	// Fault chooses the fate of each order; nil means that all is well.
+	Fault func(w spoolsill.WorkerID) OrderFault
+
+	mu      sync.Mutex
+	workers map[spoolsill.WorkerID]*worker
+	done    map[sched.TaskID]bool // ended done, and acknowledged
+	broken  []string
+	starts  int
+}
+
+type worker struct {
+	id       spoolsill.WorkerID
+	began    time.Time
+	cut      bool
+	fence    spoolsill.Epoch
+	deadline sched.ClockMillis
+	running  map[sched.RunID]time.Time
+	highest  map[sched.TaskID]sched.RunNumber
+	ended    []sched.End
+	sequence uint64
+	changed  chan struct{}
+}
+
+// NewWorkers returns workers with the given ids.
+func NewWorkers(lease time.Duration, ids ...spoolsill.WorkerID) *Workers {
+	f := &Workers{
+		Lease:   lease,
+		workers: map[spoolsill.WorkerID]*worker{},
+		done:    map[sched.TaskID]bool{},
+	}
+	for _, id := range ids {
+		f.Add(id)
+	}
+	return f
+}
+
+// Add adds a worker. Workers' clocks have nothing in common.
+func (f *Workers) Add(id spoolsill.WorkerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id] = &worker{
+		id:      id,
+		began:   time.Now().Add(-time.Duration(1+len(f.workers)) * clockStep),
+		running: map[sched.RunID]time.Time{},
+		highest: map[sched.TaskID]sched.RunNumber{},
+		changed: make(chan struct{}),
+	}
+}
+
+// clockStep is how far the workers' clocks are apart.
+const clockStep = 17 * time.Minute
+
+// Cut keeps a worker from answering; what it runs goes on under its lease.
+func (f *Workers) Cut(id spoolsill.WorkerID, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].cut = cut
+}
+
+// Broken returns the promises that were broken.
+func (f *Workers) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.broken
+}
+
+// Starts returns how many runs have begun.
+func (f *Workers) Starts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
+func (w *worker) clock() sched.ClockMillis {
+	return sched.ClockMillis(time.Since(w.began).Milliseconds())
+}
+
+// meet lets an order reach a worker, or not. It returns the worker when the
+// order is to be carried out now and answered.
+func (f *Workers) meet(ctx context.Context, id spoolsill.WorkerID, carryOut func(*worker)) (*worker, leader.Reply) {
+	if err := spend(ctx, time.Millisecond); err != nil {
+		return nil, leader.Reply{
+			Kind: leader.NoAnswer,
+			Err:  err,
+		}
+	}
+	f.mu.Lock()
+	w := f.workers[id]
+	cut := w == nil || w.cut
+	f.mu.Unlock()
+	fault := OrderWell
+	if f.Fault != nil {
+		fault = f.Fault(id)
+	}
+	if cut {
+		fault = OrderDrop
+	}
+	switch fault {
+	case OrderWell:
+		return w, leader.Reply{}
+	case OrderLose:
+		f.locked(w, carryOut)
+	case OrderLate:
+		time.AfterFunc(orderLateBy, func() { f.locked(w, carryOut) })
+	case OrderDrop:
+	}
+	<-ctx.Done()
+	return nil, leader.Reply{
+		Kind: leader.NoAnswer,
+		Err:  errLost,
+	}
+}
+
+func (f *Workers) locked(w *worker, g func(*worker)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lapse(w)
+	g(w)
+}
+
+// lapse ends what runs when the lease is over.
+func (f *Workers) lapse(w *worker) {
+	if w.clock() <= w.deadline {
+		return
+	}
+	for r := range w.running {
+		f.end(w, r, sched.EndLapsed)
+	}
+}
+
+func (f *Workers) end(w *worker, r sched.RunID, k sched.EndKind) {
+	if _, ok := w.running[r]; !ok {
+		return
+	}
+	delete(w.running, r)
+	w.sequence++
+	w.ended = append(w.ended, sched.End{
+		Sequence: w.sequence,
+		Run:      r,
+		Kind:     k,
+	})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// admit checks the fence of an order.
+func (w *worker) admit(fence spoolsill.Epoch) bool {
+	if fence < w.fence {
+		return false
+	}
+	w.fence = fence
+	return true
+}
+
+func (f *Workers) fenced(w *worker) leader.Reply {
+	return leader.Reply{
+		Kind:  leader.Fenced,
+		Clock: w.clock(),
+		Err:   errors.New("cellfake: a later leader was here"),
+	}
+}
+
+// Renew implements [leader.Workers].
+func (f *Workers) Renew(ctx context.Context, r leader.Renewal) (sched.Heartbeat, leader.Reply) {
+	sent := time.Now()
+	renew := func(w *worker) { f.renew(w, r) }
+	w, reply := f.meet(ctx, r.Worker, renew)
+	if w == nil {
+		return sched.Heartbeat{}, reply
+	}
+	f.locked(w, renew)
+	f.waitForEnd(ctx, w, r)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.Fence < w.fence {
+		return sched.Heartbeat{}, f.fenced(w)
+	}
+	f.lapse(w)
+	h := sched.Heartbeat{
+		Worker: w.id,
+		Sent:   sent,
+		Clock:  w.clock(),
+		Ended:  append([]sched.End(nil), w.ended...),
+	}
+	for x := range w.running {
+		h.Running = append(h.Running, sched.RunningTask{
+			Run: x,
+		})
+	}
+	return h, leader.Reply{
+		Kind:  leader.Taken,
+		Clock: w.clock(),
+	}
+}
+
+func (f *Workers) renew(w *worker, r leader.Renewal) {
+	if !w.admit(r.Fence) {
+		return
+	}
+	most := w.clock() + sched.ClockMillis(f.Lease.Milliseconds())
+	w.deadline = max(w.deadline, min(r.Deadline, most))
+	for len(w.ended) > 0 && w.ended[0].Sequence <= r.LastSeen {
+		if w.ended[0].Kind == sched.EndDone {
+			f.done[w.ended[0].Run.Task] = true
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
+func (f *Workers) waitForEnd(ctx context.Context, w *worker, r leader.Renewal) {
+	f.mu.Lock()
+	changed := w.changed
+	any := len(w.ended) > 0
+	f.mu.Unlock()
+	if any || r.Wait == 0 {
+		return
+	}
+	t := time.NewTimer(r.Wait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Start implements [leader.Workers].
+func (f *Workers) Start(ctx context.Context, o leader.Start) leader.Reply {
+	var reply leader.Reply
+	start := func(w *worker) { reply = f.start(w, o) }
+	w, lost := f.meet(ctx, o.Worker, start)
+	if w == nil {
+		return lost
+	}
+	f.locked(w, start)
+	return reply
+}
+
+func (f *Workers) start(w *worker, o leader.Start) leader.Reply {
+	k := f.startKind(w, o)
+	if k == leader.Fenced {
+		return f.fenced(w)
+	}
+	w.deadline = max(w.deadline, min(o.Deadline, w.clock()+sched.ClockMillis(f.Lease.Milliseconds())))
+	return leader.Reply{
+		Kind:  k,
+		Clock: w.clock(),
+	}
+}
+
+func (f *Workers) startKind(w *worker, o leader.Start) leader.ReplyKind {
+	if !w.admit(o.Fence) {
+		return leader.Fenced
+	}
+	r := o.Order.Run
+	if w.clock() > o.Deadline {
+		return leader.TooLate
+	}
+	if _, ok := w.running[r]; ok {
+		return leader.Taken
+	}
+	if w.highest[r.Task] >= r.Number {
+		return leader.RunIsOver
+	}
+	w.highest[r.Task] = r.Number
+	f.begin(w, r)
+	return leader.Taken
+}
+
+func (f *Workers) begin(w *worker, r sched.RunID) {
+	f.starts++
+	if f.done[r.Task] {
+		f.broken = append(f.broken, fmt.Sprintf("%s#%d started after its end was acknowledged", r.Task, r.Number))
+	}
+	for _, o := range f.workers {
+		f.lapse(o)
+		for x := range o.running {
+			if x.Task == r.Task {
+				f.broken = append(f.broken, fmt.Sprintf("%s runs at %s as #%d and at %s as #%d", r.Task, o.id, x.Number, w.id, r.Number))
+			}
+		}
+	}
+	w.running[r] = time.Now()
+	took, kind := time.Second, sched.EndDone
+	if f.Work != nil {
+		took, kind = f.Work(r)
+	}
+	time.AfterFunc(took, func() {
+		f.locked(w, func(w *worker) { f.end(w, r, kind) })
+	})
+}
+
+// Stop implements [leader.Workers].
+func (f *Workers) Stop(ctx context.Context, o leader.Stop) leader.Reply {
+	reply := leader.Reply{
+		Kind: leader.Taken,
+	}
+	stop := func(w *worker) {
+		reply.Clock = w.clock()
+		if !w.admit(o.Fence) {
+			reply = f.fenced(w)
+			return
+		}
+		w.highest[o.Run.Task] = max(w.highest[o.Run.Task], o.Run.Number)
+		f.end(w, o.Run, sched.EndStopped)
+	}
+	w, lost := f.meet(ctx, o.Worker, stop)
+	if w == nil {
+		return lost
+	}
+	f.locked(w, stop)
+	return reply
+}
--- a/leader/hold.go
+++ b/leader/hold.go
@@ -17,6 +17,16 @@
 	holdWait = time.Second
 	// holdSlack is how much longer than asked an answer may take.
 	holdSlack = 600 * time.Millisecond
+	// lossyWait and lossySlack take their places while orders get lost, so
+	// that an end is not heard of a second and a half late. They cost more
+	// calls.
+	lossyWait  = 250 * time.Millisecond
+	lossySlack = 250 * time.Millisecond
+	// lossy is from what share of renewals without an answer orders are taken
+	// to get lost; lossRate is the weight of the newest one, so that some
+	// fifty count: a second of a cell of today.
+	lossy    = 0.015
+	lossRate = 0.02
 	// holdRetry is between renewals that got no answer.
 	holdRetry = 100 * time.Millisecond
 	// ackWait is how long a renewal waits for the ends of the last answer to
@@ -115,11 +125,11 @@
 	answers := false
 	for ctx.Err() == nil {
 		acked, _, _ := h.read()
-		wait := holdWait
+		wait, slack := h.leader.losses.waits()
 		if seen > acked {
 			wait = 0
 		}
-		b, r := h.renew(ctx, acked, wait, answers)
+		b, r := h.renew(ctx, acked, wait, slack, answers)
 		answers = r.Kind == Taken
 		switch r.Kind {
 		case Taken:
@@ -164,7 +174,7 @@
 	}
 }
 
-func (h *hold) renew(ctx context.Context, acked uint64, wait time.Duration, extend bool) (sched.Heartbeat, Reply) {
+func (h *hold) renew(ctx context.Context, acked uint64, wait, slack time.Duration, extend bool) (sched.Heartbeat, Reply) {
 	var deadline sched.ClockMillis
 	if extend {
 		deadline = h.leaseDeadline(time.Now())
@@ -172,7 +182,7 @@
 	if deadline == 0 {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+holdSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	b, r := h.leader.config.Workers.Renew(ctx, Renewal{
 		Target:   h.target,
@@ -182,9 +192,41 @@
 		Wait:     wait,
 	})
 	h.setClock(r.Clock, time.Now())
+	if extend {
+		// Calls to a worker that has been silent already say nothing new.
+		h.leader.losses.take(r.Kind == NoAnswer)
+	}
 	return b, r
 }
 
+// losses follows which share of the renewals gets no answer. It is safe for
+// concurrent use.
+type losses struct {
+	mu    sync.Mutex
+	share float64
+}
+
+func (l *losses) take(lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := 0.0
+	if lost {
+		x = 1
+	}
+	l.share += lossRate * (x - l.share)
+}
+
+// waits returns how long workers are to wait for an end, and how much longer
+// an answer may take.
+func (l *losses) waits() (wait, slack time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.share > lossy {
+		return lossyWait, lossySlack
+	}
+	return holdWait, holdSlack
+}
+
 // leaseDeadline returns until when the worker may keep what it runs, on its
 // clock. It is never later than twice the lease after our last write that
 // lasts: a later leader waits that long for workers that it can't reach.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -62,6 +62,7 @@
 	holds    map[spoolsill.WorkerID]*hold
 	advising *adviser
 	sweeper  *sweeper
+	losses   losses
 	rows     map[spoolsill.JobID][]byte
 
 	writing   bool
--- /dev/null
+++ b/leader/leader_test.go
@@ -0,0 +1,390 @@
+package leader_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+const (
+	lease        = 6 * time.Second
+	workersTable = "workers"
+)
+
+// A cell is a store, workers and the hosts that lead one after the other.
+type cell struct {
+	c       *qt.C
+	ctx     context.Context
+	store   *cellfake.Store
+	workers *cellfake.Workers
+	ids     []spoolsill.WorkerID
+	hosts   sync.WaitGroup
+	leaders []*leader.Leader
+	kills   []context.CancelFunc
+}
+
+func newCell(ctx context.Context, t *testing.T, workers int) *cell {
+	x := &cell{
+		c:     qt.New(t),
+		ctx:   ctx,
+		store: cellfake.NewStore(),
+	}
+	for i := range workers {
+		x.ids = append(x.ids, spoolsill.WorkerID(fmt.Sprintf("w%d", i)))
+	}
+	x.workers = cellfake.NewWorkers(lease, x.ids...)
+	for _, id := range x.ids {
+		x.list(id)
+	}
+	return x
+}
+
+func workerKey(id spoolsill.WorkerID) store.Key {
+	return store.Key{
+		Table: workersTable,
+		Name:  string(id),
+	}
+}
+
+func (x *cell) list(id spoolsill.WorkerID) {
+	b, err := json.Marshal(sched.Worker{
+		ID:      id,
+		Service: "work",
+		Address: string(id),
+		Capacity: spoolsill.Resources{
+			Processors: 10 * spoolsill.Core,
+		},
+	})
+	x.c.Assert(err, qt.IsNil)
+	x.store.Put(store.Put{
+		Key:   workerKey(id),
+		Value: b,
+	})
+}
+
+func decodeWorker(r store.Row) (sched.Worker, error) {
+	var w sched.Worker
+	err := json.Unmarshal(r.Value, &w)
+	return w, err
+}
+
+// lead has a host take the cell over. The former leader is not told.
+func (x *cell) lead(host spoolsill.HostID) *leader.Leader {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for {
+		old, v, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		c, err := leader.Take(x.ctx, x.store, old, v, leader.Head{
+			Host: host,
+		})
+		if err != nil {
+			continue // the former leader was faster
+		}
+		l := leader.New(leader.Config{
+			Store:   x.store,
+			Chain:   c,
+			Workers: x.workers,
+			Advisor: &cellfake.Advisor{
+				HostIDs: []spoolsill.HostID{host, "other"},
+			},
+			WorkersTable: workersTable,
+			DecodeWorker: decodeWorker,
+			Sched: sched.Config{
+				Lease:     lease,
+				FarFactor: 1,
+				KeepEnded: time.Hour,
+			},
+			Log: logrus.NewEntry(log),
+		})
+		l.SetQueues(queues())
+		ctx, cancel := context.WithCancel(x.ctx)
+		x.leaders = append(x.leaders, l)
+		x.kills = append(x.kills, cancel)
+		x.hosts.Go(func() { _ = l.Lead(ctx, time.Second) })
+		return l
+	}
+}
+
+// end stops all hosts.
+func (x *cell) end() {
+	for _, k := range x.kills {
+		k()
+	}
+	x.hosts.Wait()
+}
+
+func queues() []sched.Queue {
+	return []sched.Queue{
+		{
+			ID:          "plain",
+			Service:     "work",
+			MaxAttempts: 3,
+			Stretch:     3,
+			Goal:        time.Second,
+		},
+		{
+			ID:          "advised",
+			Service:     "work",
+			Priority:    1,
+			MaxAttempts: 3,
+			Stretch:     3,
+			Goal:        time.Second,
+			Advisor: &sched.Advisor{
+				Base:      5 * time.Millisecond,
+				PerWorker: time.Microsecond,
+			},
+		},
+	}
+}
+
+func step(tasks, cores int) sched.Step {
+	return sched.Step{
+		Tasks:    tasks,
+		Estimate: time.Second,
+		Need: spoolsill.Resources{
+			Processors: spoolsill.Millicores(cores) * spoolsill.Core,
+		},
+	}
+}
+
+// submit keeps a job in the store as a host does.
+func (x *cell) submit(j sched.Job) {
+	v, err := jobstore.EncodeJob(j)
+	x.c.Assert(err, qt.IsNil)
+	x.store.Put(store.Put{
+		Key: store.Key{
+			Table:     jobstore.JobsTable,
+			Partition: "host",
+			Name:      string(j.ID),
+		},
+		Value: v,
+	})
+}
+
+func (x *cell) submitMixed(n int) []spoolsill.JobID {
+	var ids []spoolsill.JobID
+	for i := range n {
+		second := step(2, 2)
+		second.After = []int{0}
+		gang := step(3, 3)
+		gang.Gang = true
+		j := sched.Job{
+			ID:    spoolsill.JobID(fmt.Sprintf("job%02d", i)),
+			Queue: "plain",
+			Steps: []sched.Step{step(2, 1), second},
+		}
+		if i%3 == 1 {
+			j.Queue = "advised"
+		}
+		if i%3 == 2 {
+			j.Steps = []sched.Step{gang}
+		}
+		x.submit(j)
+		ids = append(ids, j.ID)
+	}
+	return ids
+}
+
+func (x *cell) assertCompleted(l *leader.Leader, ids []spoolsill.JobID) {
+	for _, id := range ids {
+		s, ok := l.Status(id)
+		x.c.Assert(ok, qt.IsTrue, qt.Commentf("job %s", id))
+		x.c.Assert(s.State, qt.Equals, sched.Completed, qt.Commentf("job %s", id))
+	}
+}
+
+func TestJobsAreDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 4)
+		defer x.end()
+		l := x.lead("a")
+		ids := x.submitMixed(12)
+		time.Sleep(20 * time.Second)
+		x.assertCompleted(l, ids)
+		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
+
+// Leaders change every few seconds, and the former one is not told; answers of
+// the store and of workers are lost, and some orders come late.
+func TestNothingRunsTwiceWhileLeadersChange(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { changingLeaders(t, seed) })
+		})
+	}
+}
+
+func changingLeaders(t *testing.T, seed uint64) {
+	x := newCell(t.Context(), t, 5)
+	defer x.end()
+	d := &dice{
+		r: rand.New(rand.NewPCG(seed, 1)),
+	}
+	x.store.Fault = func(store.Transaction) cellfake.StoreFault {
+		return cellfake.StoreFault(d.roll(0.85, 0.05, 0.05, 0.05))
+	}
+	x.workers.Fault = func(spoolsill.WorkerID) cellfake.OrderFault {
+		return cellfake.OrderFault(d.roll(0.85, 0.05, 0.05, 0.05))
+	}
+	var ids []spoolsill.JobID
+	for i := range 5 {
+		x.lead(spoolsill.HostID(fmt.Sprintf("host%d", i)))
+		if i == 0 {
+			ids = x.submitMixed(20)
+		}
+		cut := x.ids[d.r.IntN(len(x.ids))]
+		x.workers.Cut(cut, true)
+		time.Sleep(time.Duration(1500+d.r.IntN(3000)) * time.Millisecond)
+		x.workers.Cut(cut, false)
+		x.store.Forget()
+	}
+	x.store.Fault = nil
+	x.workers.Fault = nil
+	time.Sleep(time.Minute)
+	x.assertCompleted(x.leaders[len(x.leaders)-1], ids)
+	x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+}
+
+// A dice is safe for concurrent use.
+type dice struct {
+	mu sync.Mutex
+	r  *rand.Rand
+}
+
+// roll returns an index, each with its probability.
+func (d *dice) roll(shares ...float64) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.r.Float64()
+	for i, s := range shares {
+		if f < s {
+			return i
+		}
+		f -= s
+	}
+	return 0
+}
+
+// The tasks of a worker that is gone for good start elsewhere: calls that get
+// no answer must not move the end of its lease on.
+func TestGoneWorkersTasksStartElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		x.workers.Work = func(sched.RunID) (time.Duration, sched.EndKind) {
+			return 3 * time.Second, sched.EndDone
+		}
+		l := x.lead("a")
+		x.submit(sched.Job{
+			ID:    "j",
+			Queue: "plain",
+			Steps: []sched.Step{step(1, 1)},
+		})
+		time.Sleep(time.Second)
+		x.c.Assert(x.workers.Starts(), qt.Equals, 1)
+		x.workers.Cut("w0", true)
+		x.store.Delete(workerKey("w0"))
+		time.Sleep(time.Second)
+		x.workers.Add("w1")
+		x.list("w1")
+		time.Sleep(14 * time.Second)
+		s, _ := l.Status("j")
+		x.c.Assert(s.State, qt.Equals, sched.Completed)
+		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
+
+// A leader that loads for long must not take ends of jobs that it does not
+// know yet: they would be acknowledged and the tasks run again.
+func TestEndsWaitUntilJobsAreLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 2)
+		defer x.end()
+		x.lead("a")
+		ids := x.submitMixed(6)
+		time.Sleep(900 * time.Millisecond)
+		x.kills[0]()
+		x.hosts.Wait()
+		time.Sleep(2 * time.Second) // the tasks end meanwhile
+		starts := x.workers.Starts()
+		x.store.SlowLists(jobstore.JobsTable, 300*time.Millisecond)
+		l := x.lead("b")
+		time.Sleep(20 * time.Second)
+		x.assertCompleted(l, ids)
+		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+		x.c.Assert(x.workers.Starts() >= starts, qt.IsTrue)
+	})
+}
+
+// A planned stop ends the write under way first, so that the next leader does
+// not have to wait.
+func TestPlannedStopReleasesTheLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 2)
+		defer x.end()
+		for i := range 12 {
+			x.lead("a")
+			time.Sleep(time.Second)
+			x.submit(sched.Job{
+				ID:    spoolsill.JobID(fmt.Sprintf("j%d", i)),
+				Queue: "plain",
+				Steps: []sched.Step{step(1, 1)},
+			})
+			time.Sleep(time.Duration(i) * time.Millisecond / 2)
+			x.kills[i]()
+			x.hosts.Wait()
+			h, _, err := leader.ReadHead(x.ctx, x.store)
+			x.c.Assert(err, qt.IsNil)
+			x.c.Assert(h.Released, qt.IsTrue, qt.Commentf("stop %d", i))
+		}
+	})
+}
+
+// Rows of jobs that have ended are deleted, and their states stay known to the
+// next leader and in the store.
+func TestEndedJobsKeepOnlyTheirState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 4)
+		defer x.end()
+		x.lead("a")
+		ids := x.submitMixed(6)
+		time.Sleep(20 * time.Second)
+		p, err := x.store.List(x.ctx, jobstore.JobsTable, "host", "", 0)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Assert(p.Rows, qt.HasLen, 0)
+		// A client comes back late: it is the same job and runs no more.
+		starts := x.workers.Starts()
+		x.submit(sched.Job{
+			ID:    ids[0],
+			Queue: "plain",
+			Steps: []sched.Step{step(2, 1)},
+		})
+		time.Sleep(3 * time.Second)
+		x.assertCompleted(x.lead("b"), nil)
+		time.Sleep(3 * time.Second)
+		x.assertCompleted(x.leaders[1], ids)
+		x.c.Assert(x.workers.Starts(), qt.Equals, starts)
+		s, known, err := jobstore.State(x.ctx, x.store, ids[0])
+		x.c.Assert(err, qt.IsNil)
+		x.c.Assert(known, qt.IsTrue)
+		x.c.Assert(s.State, qt.Equals, sched.Completed)
+	})
+}
--- a/leader/order.go
+++ b/leader/order.go
@@ -13,10 +13,10 @@
 	// out: as long as its tries take, and a little.
 	startWindow = 1500 * time.Millisecond
 	// startTimeout is for one try; a worker answers in milliseconds.
-	startTimeout = 400 * time.Millisecond
-	startTries   = 3
+	startTimeout = 250 * time.Millisecond
+	startTries   = 4
 	// stopTimeout and stopTries are the same for stops.
-	stopTimeout = 400 * time.Millisecond
+	stopTimeout = 300 * time.Millisecond
 	stopTries   = 4
 	orderPause  = 50 * time.Millisecond
 	// startLease is when the latest try of a start has lost its force.
--- a/node/elect.go
+++ b/node/elect.go
@@ -17,13 +17,15 @@
 	// greetEvery is how often a host calls the leader.
 	greetEvery = 250 * time.Millisecond
 	// greetTimeout is for one call; hosts of a region answer in milliseconds,
-	// and one that does not get the processor for half a second is of no use
-	// as a leader.
-	greetTimeout = 500 * time.Millisecond
+	// and one that does not get the processor for so long is of no use as a
+	// leader.
+	greetTimeout = 400 * time.Millisecond
 	// lapse is how long the leader's row must stay as it is before another
-	// host takes over; the leader writes it every 0.4 s, and a slow store
-	// takes half a second for a write.
-	lapse = 1200 * time.Millisecond
+	// host takes over, when the leader does not answer this host either. The
+	// leader writes the row every 0.4 s; lapseWrites times the usual time of a
+	// write is added, which tells when the store is slow.
+	lapse       = 700 * time.Millisecond
+	lapseWrites = 4
 	// lapseGone is the same when the leader's process is gone: its port
 	// refuses connections, or it says that it does not lead. A host that has
 	// just taken over needs a moment to know it.
@@ -31,7 +33,7 @@
 	// stale is how old the leader's latest write may be by its own word.
 	stale = 1200 * time.Millisecond
 	// watchEvery is how often the row is read while the leader is in doubt.
-	watchEvery = 120 * time.Millisecond
+	watchEvery = 100 * time.Millisecond
 	// takeTimeout bounds one try to take over.
 	takeTimeout = 3 * time.Second
 )
@@ -55,11 +57,16 @@
 		return false
 	}
 	r, err := n.greetLeader(ctx, h)
-	ok := err == nil && r.Leads && r.Epoch == h.Epoch && r.Age < stale
+	ok := err == nil && r.leads(h)
 	n.setLost(!ok)
 	return ok
 }
 
+// leads reports whether an answer shows that the leader of a row is well.
+func (r greetReply) leads(h leader.Head) bool {
+	return r.Leads && r.Epoch == h.Epoch && r.Age < stale
+}
+
 func (n *Node) greetLeader(ctx context.Context, h leader.Head) (greetReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
@@ -75,12 +82,15 @@
 	return r, err
 }
 
-// watch reads the leader's row until it changes, or until it has stayed as it
-// is for so long that this host tries to take over.
+// watch reads the leader's row until the leader is well, or until the row has
+// stayed as it is for so long that this host tries to take over.
 func (n *Node) watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var at store.Version
 	var since time.Time
 	first := true
+	var call greeting
 	for ctx.Err() == nil {
 		h, v, err := leader.ReadHead(ctx, n.store)
 		if err != nil {
@@ -89,14 +99,17 @@
 		}
 		now := time.Now()
 		if first || v != at {
-			first = false
 			at = v
 			since = now
-			if n.follow(ctx, h) {
-				return
-			}
 		}
-		if h.Released || v == 0 || now.Sub(since) >= n.lapseOf(ctx, h) {
+		if first || n.takeHead(h) {
+			call = greeting{}
+		}
+		first = false
+		if call.well(ctx, n, h) {
+			return
+		}
+		if h.Released || v == 0 || now.Sub(since) >= n.lapseOf(h, &call) {
 			n.lead(ctx, h, v)
 			return
 		}
@@ -104,31 +117,71 @@
 	}
 }
 
-// follow takes in what the row says, and reports whether that leader is well.
-func (n *Node) follow(ctx context.Context, h leader.Head) bool {
+// takeHead takes in what the row says, and reports whether another host leads
+// than was known.
+func (n *Node) takeHead(h leader.Head) bool {
 	n.mu.Lock()
-	if h.Epoch != n.head.Epoch || h.Released != n.head.Released {
+	defer n.mu.Unlock()
+	changed := h.Epoch != n.head.Epoch
+	if changed || h.Released != n.head.Released {
 		n.log.WithField("leader", string(h.Host)).WithField("epoch", uint64(h.Epoch)).WithField("released", h.Released).Info("leader changed")
 	}
 	n.head = h
-	n.mu.Unlock()
-	if h.Host == n.settings.Host {
+	return changed
+}
+
+// A greeting calls the leader while its row is being watched; the calls of a
+// leader that is silent must not hold the watch up.
+type greeting struct {
+	result chan greetResult
+	last   greetResult
+}
+
+type greetResult struct {
+	well bool
+	gone bool
+}
+
+// well begins a call when none is under way, and reports whether the latest
+// one found the leader well.
+func (g *greeting) well(ctx context.Context, n *Node, h leader.Head) bool {
+	if h.Host == n.settings.Host || h.Host == "" || h.Released {
 		return false
 	}
-	return n.greet(ctx)
+	if g.result == nil {
+		g.result = make(chan greetResult, 1)
+		go func(to chan<- greetResult) { to <- n.greetResult(ctx, h) }(g.result)
+		pause.For(ctx, greetAtOnce)
+	}
+	select {
+	case g.last = <-g.result:
+		g.result = nil
+		n.setLost(!g.last.well)
+	default:
+	}
+	return g.last.well
 }
 
-// lapseOf is how long a row must stay as it is: shorter when the leader's
-// process is known to be gone.
-func (n *Node) lapseOf(ctx context.Context, h leader.Head) time.Duration {
-	if h.Host == n.settings.Host {
-		return lapseGone // an earlier life of this host
-	}
+// greetAtOnce is how long the watch waits for the answer of a leader that is
+// there: some round trips.
+const greetAtOnce = 15 * time.Millisecond
+
+func (n *Node) greetResult(ctx context.Context, h leader.Head) greetResult {
 	r, err := n.greetLeader(ctx, h)
-	if refused(err) || err == nil && !r.Leads {
+	return greetResult{
+		well: err == nil && r.leads(h),
+		gone: refused(err) || err == nil && !r.Leads,
+	}
+}
+
+// lapseOf is how long a row must stay as it is.
+func (n *Node) lapseOf(h leader.Head, g *greeting) time.Duration {
+	if h.Host == n.settings.Host || g.last.gone {
+		// The leader's process is gone; here it was an earlier life of this
+		// host.
 		return lapseGone
 	}
-	return lapse
+	return lapse + lapseWrites*n.health.usualWrite()
 }
 
 // lead tries to take over and leads until it is deposed or ctx ends.
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -40,6 +40,13 @@
 	h.usual += (d - h.usual) / 4
 }
 
+// usualWrite returns how long writes take at present.
+func (h *storeHealth) usualWrite() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.usual
+}
+
 // writeTimeout returns how long a write may take.
 func (h *storeHealth) writeTimeout() time.Duration {
 	h.mu.Lock()
