leader, node: a leader whose store is slow is well, one with an old view says so

Change: what a leader may be behind grows with the time of its answered writes, 1.5 s at most; the watch takes in every reading; the count of waiting jobs is told only when the jobs' feed was heard within 2 s.

--- a/internal/cellfake/store.go
+++ b/internal/cellfake/store.go
@@ -43,6 +43,21 @@
 	since   store.Version // changes up to it are forgotten
 	changed chan struct{}
 	slow    map[string]time.Duration // added to each listing of a table
+	away    bool
+}
+
+// TurnAway has the store refuse all calls, or none any more.
+func (s *Store) TurnAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// turnsAway reports whether calls are refused.
+func (s *Store) turnsAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
 }
 
 // NewStore returns an empty store.
@@ -101,6 +116,9 @@
 	if s.Fault != nil {
 		f = s.Fault(t)
 	}
+	if s.turnsAway() {
+		f = StoreRefuse
+	}
 	switch f {
 	case StoreRefuse:
 		return store.Result{}, store.ErrRefused
@@ -169,6 +187,9 @@
 	if err := spend(ctx, callTime+s.listDelay(table)); err != nil {
 		return store.Page{}, fmt.Errorf("%w: %w", store.ErrUnknown, err)
 	}
+	if s.turnsAway() {
+		return store.Page{}, store.ErrRefused
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := store.Page{
@@ -216,6 +237,9 @@
 		return store.Changes{}, fmt.Errorf("%w: %w", store.ErrUnknown, err)
 	}
 	for {
+		if s.turnsAway() {
+			return store.Changes{}, store.ErrRefused
+		}
 		c, changed, err := s.changesAfter(table, after)
 		if err != nil || len(c.Rows) > 0 || !time.Now().Before(end) {
 			return c, err
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -30,6 +30,9 @@
 	decideEvery = 4 * time.Millisecond
 	// tickEvery is how often time alone may change a decision.
 	tickEvery = 50 * time.Millisecond
+	// countAge is how old the count of waiting jobs may be: the platform allows
+	// two seconds, and a feed that has nothing to tell answers each second.
+	countAge = 2 * time.Second
 	// eventBuffer is how many events may wait for the loop.
 	eventBuffer = 4096
 )
@@ -75,6 +78,7 @@
 	statuses map[spoolsill.JobID]sched.JobStatus
 	waiting  map[sched.QueueID]int
 	known    bool
+	heard    time.Time // when the latest answer of the jobs' feed was asked for
 }
 
 // An event is what the loop takes in.
@@ -137,12 +141,20 @@
 	return s, ok
 }
 
-// Waiting returns the waiting jobs of a queue, and false before all jobs are
-// loaded.
+// Waiting returns the waiting jobs of a queue. It returns false when that is
+// not known: before all jobs are loaded, and while the store keeps what other
+// hosts accept from this one.
 func (l *Leader) Waiting(q sched.QueueID) (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.waiting[q], l.known
+	return l.waiting[q], l.known && time.Since(l.heard) < countAge
+}
+
+// hearJobs takes in that all jobs accepted before a time are known.
+func (l *Leader) hearJobs(sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = sent
 }
 
 // Fresh returns when the latest write that lasts was begun.
@@ -227,6 +239,7 @@
 			Wait:    followWait,
 			Listed:  func(rows []store.Row) { l.send(jobsListed{rows: rows}) },
 			Changed: func(r store.Row) { l.send(jobChanged{row: r}) },
+			Heard:   l.hearJobs,
 			Failed:  l.reportFeed(jobstore.JobsTable),
 		},
 		{
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -358,6 +358,28 @@
 	})
 }
 
+// A leader that the store turns away does not know what other hosts accept,
+// and must not say that nothing waits.
+func TestWaitingIsNotToldFromAnOldView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		l := x.lead("a")
+		time.Sleep(2 * time.Second)
+		n, ok := l.Waiting("plain")
+		x.c.Assert(ok, qt.IsTrue)
+		x.c.Assert(n, qt.Equals, 0)
+		x.store.TurnAway(true)
+		time.Sleep(3 * time.Second)
+		_, ok = l.Waiting("plain")
+		x.c.Assert(ok, qt.IsFalse)
+		x.store.TurnAway(false)
+		time.Sleep(2 * time.Second)
+		_, ok = l.Waiting("plain")
+		x.c.Assert(ok, qt.IsTrue)
+	})
+}
+
 // Rows of jobs that have ended are deleted, and their states stay known to the
 // next leader and in the store.
 func TestEndedJobsKeepOnlyTheirState(t *testing.T) {
--- a/node/elect.go
+++ b/node/elect.go
@@ -30,8 +30,10 @@
 	// refuses connections, or it says that it does not lead. A host that has
 	// just taken over needs a moment to know it.
 	lapseGone = 150 * time.Millisecond
-	// stale is how old the leader's latest write may be by its own word.
-	stale = 1200 * time.Millisecond
+	// stale is how old the leader's latest write may be by its own word, and
+	// lapseWrites of its usual writes more.
+	stale     = 1200 * time.Millisecond
+	staleMost = 1500 * time.Millisecond // added when the store is slow
 	// watchEvery is how often the row is read while the leader is in doubt.
 	watchEvery = 100 * time.Millisecond
 	// takeTimeout bounds one try to take over.
@@ -64,7 +66,7 @@
 
 // leads reports whether an answer shows that the leader of a row is well.
 func (r greetReply) leads(h leader.Head) bool {
-	return r.Leads && r.Epoch == h.Epoch && r.Age < stale
+	return r.Leads && r.Epoch == h.Epoch && r.Age < stale+min(lapseWrites*r.UsualWrite, staleMost)
 }
 
 func (n *Node) greetLeader(ctx context.Context, h leader.Head) (greetReply, error) {
@@ -102,7 +104,7 @@
 			at = v
 			since = now
 		}
-		if first || n.takeHead(h) {
+		if n.takeHead(h) || first {
 			call = greeting{}
 		}
 		first = false
--- a/node/peers.go
+++ b/node/peers.go
@@ -38,6 +38,8 @@
 	Epoch spoolsill.Epoch
 	// Age is how long ago the leader's latest write was begun.
 	Age time.Duration
+	// UsualWrite is how long the leader's writes take at present.
+	UsualWrite time.Duration
 	// Config is the configuration when it is newer than the caller's.
 	Config []byte
 }
@@ -107,6 +109,7 @@
 		r.Leads = true
 		r.Epoch = l.Epoch()
 		r.Age = time.Since(l.Fresh())
+		r.UsualWrite = n.health.usualWrite()
 	}
 	return r, nil
 }
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -30,21 +30,27 @@
 	mu      sync.Mutex
 	failing time.Time // since when every call has failed; zero if the last one did not
 	tried   time.Time
-	usual   time.Duration // a moving average of how long writes take
+	// usual is a moving average of how long writes take or are waited for in
+	// vain, answered of how long those take that are answered.
+	usual    time.Duration
+	answered time.Duration
 }
 
 // took takes in how long a write took, or how long it was waited for in vain.
-func (h *storeHealth) took(d time.Duration) {
+func (h *storeHealth) took(d time.Duration, answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.usual += (d - h.usual) / 4
+	if answered {
+		h.answered += (d - h.answered) / 4
+	}
 }
 
-// usualWrite returns how long writes take at present.
+// usualWrite returns how long writes take that are answered.
 func (h *storeHealth) usualWrite() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.usual
+	return h.answered
 }
 
 // writeTimeout returns how long a write may take.
@@ -106,7 +112,7 @@
 	begun := time.Now()
 	r, err := s.Store.Commit(ctx, t)
 	if err == nil || errors.Is(err, store.ErrUnknown) {
-		s.health.took(time.Since(begun))
+		s.health.took(time.Since(begun), err == nil)
 	}
 	s.took(err)
 	return r, err
--- a/store/follow.go
+++ b/store/follow.go
@@ -34,6 +34,9 @@
 	Listed func(rows []Row)
 	// Changed takes in one changed row. A row may come more than once.
 	Changed func(r Row)
+	// Heard is told of each answer, with the time when the call was sent: what
+	// was written before has been taken in. May be nil.
+	Heard func(sent time.Time)
 	// Failed takes in a failed call, and nil when calls work again; may be nil.
 	Failed func(err error)
 }
@@ -45,6 +48,7 @@
 	listed := false
 	failing := false
 	for ctx.Err() == nil {
+		sent := time.Now()
 		var err error
 		if listed {
 			w := f.Wait
@@ -59,6 +63,9 @@
 		switch {
 		case err == nil:
 			delay = retryFirst
+			if f.Heard != nil {
+				f.Heard(sent)
+			}
 			if failing {
 				f.report(nil)
 			}
