oplog, telemetry: bounded logs that never block, metrics

Change: lines go through a bounded queue, each kind at a bounded rate, and what is left out is told and counted; metrics by OpenTelemetry at port 9464; SIGHUP reads the settings again and says so. The workers' feed gathers for 0.2 s.

--- a/cmd/spoolsill-host/main.go
+++ b/cmd/spoolsill-host/main.go
@@ -11,9 +11,12 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
 
 	"github.com/spoolsill/spoolsill/node"
+	"github.com/spoolsill/spoolsill/oplog"
 	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/telemetry"
 )
 
 // The exit codes.
@@ -30,6 +33,7 @@
 type flags struct {
 	Settings string `help:"The platform's settings file (TOML)." env:"SPOOLSILL_BOOT" type:"existingfile" required:""`
 	Check    bool   `help:"Check the settings and start nothing."`
+	Metrics  int    `help:"The port that the metrics are served at; 0 serves none." default:"9464"`
 }
 
 func main() {
@@ -54,12 +58,24 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	ignore := make(chan os.Signal, 1)
-	signal.Notify(ignore, syscall.SIGHUP)
-	log := newLog()
-	err = node.New(node.Config{
-		Settings: s,
-		Log:      log,
+	return serve(ctx, f, s)
+}
+
+// serve runs the host until ctx ends.
+func serve(ctx context.Context, f flags, s platform.Settings) int {
+	log := oplog.New(os.Stdout)
+	logging, stop := context.WithCancel(context.Background())
+	go log.Run(logging)
+	defer log.Wait()
+	defer stop()
+	go reload(ctx, f.Settings, s, log.Logger)
+	m := telemetry.New()
+	m.Gauge("spoolsill.log.left", "log lines left out", log.LeftOut)
+	err := node.New(node.Config{
+		Settings:    s,
+		Log:         log.Logger,
+		Metrics:     m,
+		MetricsPort: f.Metrics,
 	}).Run(ctx)
 	if err != nil {
 		log.WithError(err).Error("host ended")
@@ -67,3 +83,25 @@
 	}
 	return exitOK
 }
+
+// reload checks the settings file at each SIGHUP and tells what it finds. What
+// the file says of addresses and limits holds from the next start on: a host
+// keeps the ones that it listens on.
+func reload(ctx context.Context, file string, now platform.Settings, log *logrus.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		s, err := platform.LoadSettings(file)
+		if err != nil {
+			log.WithError(err).Error("settings can't be reloaded, the former ones stay")
+			continue
+		}
+		log.WithField("changed", s != now).Info("settings read again")
+	}
+}
--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -115,7 +115,9 @@
 	l.spawn(func() {
 		c, cancel := context.WithTimeout(ctx, o.Cost+askSlack)
 		defer cancel()
+		begun := time.Now()
 		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, o.Workers)
+		l.config.Observer.Asked(outcome(err), time.Since(begun))
 		if err != nil {
 			l.config.Log.WithError(err).WithField("host", string(h)).WithField("stage", o.Stage.String()).Warn("advice failed")
 		}
@@ -131,3 +133,10 @@
 		})
 	})
 }
+
+func outcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "answered"
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -20,6 +20,9 @@
 	// followWait is how long a feed waits for a change: half of the time
 	// within which a draining worker must get nothing new.
 	followWait = time.Second
+	// workersPause lets the workers' entries gather, each of which is written
+	// anew every second or two. A draining worker is heard of so much later.
+	workersPause = 200 * time.Millisecond
 	// keepAlive is how often the leader writes its row when it has nothing
 	// else to write. Others take over when the row does not change for
 	// [Lapse].
@@ -49,8 +52,24 @@
 	// Sched configures the decisions; its times of taking over are set here.
 	Sched sched.Config
 	Log   *logrus.Entry
+	// Observer is told what happens, for metrics; nil means nobody is.
+	Observer Observer
 }
 
+// An Observer takes in what a leader does.
+type Observer interface {
+	Note(n sched.Note)
+	Asked(outcome string, took time.Duration)
+	TookOver(took time.Duration)
+}
+
+// nobody is the observer that takes nothing in.
+type nobody struct{}
+
+func (nobody) Note(sched.Note)             {}
+func (nobody) Asked(string, time.Duration) {}
+func (nobody) TookOver(time.Duration)      {}
+
 // A Leader leads the cell for one epoch.
 type Leader struct {
 	config Config
@@ -108,6 +127,9 @@
 
 // New returns a leader that has not begun.
 func New(c Config) *Leader {
+	if c.Observer == nil {
+		c.Observer = nobody{}
+	}
 	l := &Leader{
 		config:   c,
 		events:   make(chan event, eventBuffer),
@@ -246,6 +268,7 @@
 			Store:   l.config.Store,
 			Table:   l.config.WorkersTable,
 			Wait:    followWait,
+			Pause:   workersPause,
 			Listed:  func(rows []store.Row) { l.send(workersListed{rows: rows}) },
 			Changed: func(r store.Row) { l.send(workerChanged{row: r}) },
 			Failed:  l.reportFeed("workers"),
@@ -503,6 +526,9 @@
 		l.takeEnded(now, id, v)
 	}
 	l.rows = nil
+	took := now.Sub(l.config.Sched.TakenOver)
+	l.config.Observer.TookOver(took)
+	l.config.Log.WithField("jobs", len(l.state.Jobs())).WithField("took_ms", took.Milliseconds()).Info("jobs loaded")
 	// All of it was read from the store, so it lasts.
 	l.publish(l.lastWrite, l.state.Jobs())
 }
@@ -575,6 +601,7 @@
 
 func (l *Leader) logNotes() {
 	for _, n := range l.state.Notes() {
+		l.config.Observer.Note(n)
 		f := logrus.Fields{
 			"epoch":  uint64(l.Epoch()),
 			"reason": n.Reason,
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
+	"github.com/spoolsill/spoolsill/telemetry"
 )
 
 const (
@@ -47,6 +48,10 @@
 type Config struct {
 	Settings platform.Settings
 	Log      *logrus.Logger
+	// Metrics takes in what happens; they are served at MetricsPort if that
+	// is not 0.
+	Metrics     *telemetry.Metrics
+	MetricsPort int
 	// Dial opens connections to the platform and to workers; nil means TCP.
 	Dial platform.Dialer
 	// Listen opens a listener; nil means TCP.
@@ -64,6 +69,8 @@
 	peers    *peer.Node
 	life     spoolsill.Incarnation
 	health   *storeHealth
+	metrics  *telemetry.Metrics
+	port     int // of the metrics
 	jobs     *jobstore.Writer
 
 	configs configs
@@ -87,12 +94,15 @@
 		log:      log,
 		listen:   c.Listen,
 		store: &watchedStore{
-			Store:  platform.NewStore(s.StoreAddress, c.Dial),
-			health: h,
+			Store:   platform.NewStore(s.StoreAddress, c.Dial),
+			health:  h,
+			metrics: c.Metrics,
 		},
 		workers: platform.NewWorkers(c.Dial),
 		life:    life,
 		health:  h,
+		metrics: c.Metrics,
+		port:    c.MetricsPort,
 	}
 	if n.listen == nil {
 		n.listen = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
@@ -111,6 +121,7 @@
 		Timeout:   h.writeTimeout,
 	})
 	n.handlePeers()
+	n.gauges()
 	return n
 }
 
@@ -160,6 +171,7 @@
 	g.Go(func() error { return n.peers.Serve(work, peers) })
 	g.Go(func() error { n.followConfig(work); return nil })
 	g.Go(func() error { n.jobs.Run(work); return nil })
+	g.Go(func() error { n.serveMetrics(work); return nil })
 	electing, stopElecting := context.WithCancel(work)
 	defer stopElecting()
 	elected := make(chan struct{})
@@ -223,6 +235,7 @@
 			Jobs:    n,
 			Log:     n.log,
 			Closing: func() bool { return !n.ready() },
+			Observe: n.metrics.Call,
 		},
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -285,6 +298,48 @@
 			FarFactor:   b.FarFactor,
 			RestoreTime: b.Restore,
 		},
-		Log: n.log,
+		Log:      n.log,
+		Observer: n.metrics,
 	})
 }
+
+// serveMetrics serves the metrics until ctx ends. A port that is taken costs
+// the metrics only.
+func (n *Node) serveMetrics(ctx context.Context) {
+	if n.metrics == nil || n.port == 0 {
+		return
+	}
+	a := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.port))
+	l, err := n.listen(a)
+	if err != nil {
+		n.log.WithError(err).WithField("address", a).Error("metrics can't be served")
+		return
+	}
+	s := &http.Server{
+		Handler:           n.metrics.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := serve(s, l); err != nil {
+		n.log.WithError(err).Error("metrics ended")
+	}
+}
+
+// gauges has the figures read that the metrics show.
+func (n *Node) gauges() {
+	if n.metrics == nil {
+		return
+	}
+	n.metrics.Gauge("spoolsill.leads", "1 while this host leads the cell", func() int64 { return flag(n.leaderHere() != nil) })
+	n.metrics.Gauge("spoolsill.ready", "1 while the balancer may send connections", func() int64 { return flag(n.ready()) })
+	n.metrics.Gauge("spoolsill.config.version", "version of the configuration in force", func() int64 { return int64(n.configs.get().version) })
+	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
+}
+
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill/store"
+	"github.com/spoolsill/spoolsill/telemetry"
 )
 
 const (
@@ -97,7 +98,8 @@
 // A watchedStore tells a storeHealth how the calls go.
 type watchedStore struct {
 	store.Store
-	health *storeHealth
+	health  *storeHealth
+	metrics *telemetry.Metrics
 }
 
 func (s *watchedStore) took(err error) {
@@ -115,9 +117,23 @@
 		s.health.took(time.Since(begun), err == nil)
 	}
 	s.took(err)
+	s.metrics.Wrote(writeOutcome(r, err), time.Since(begun))
 	return r, err
 }
 
+func writeOutcome(r store.Result, err error) string {
+	switch {
+	case errors.Is(err, store.ErrRefused):
+		return "refused"
+	case err != nil:
+		return "unknown"
+	case r.Applied:
+		return "applied"
+	default:
+		return "conflict"
+	}
+}
+
 // List implements [store.Store].
 func (s *watchedStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
 	p, err := s.Store.List(ctx, table, partition, from, limit)
--- /dev/null
+++ b/oplog/oplog_test.go
@@ -0,0 +1,87 @@
+package oplog_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/oplog"
+)
+
+func TestLinesAreJSON(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		l := oplog.New(&out)
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		l.WithField("job", "a1").Info("job accepted")
+		synctest.Wait()
+		cancel()
+		l.Wait()
+		var line map[string]any
+		c.Assert(json.Unmarshal(out.Bytes(), &line), qt.IsNil)
+		c.Assert(line["job"], qt.Equals, "a1")
+		c.Assert(line["msg"], qt.Equals, "job accepted")
+	})
+}
+
+// A reader that stalls must not hold the program up.
+func TestStalledReaderBlocksNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := &stalled{
+			release: make(chan struct{}),
+		}
+		l := oplog.New(w)
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		begun := time.Now()
+		for i := range 40_000 {
+			l.WithField("i", i).Info(strings.Repeat("x", i%40))
+		}
+		c.Assert(time.Since(begun), qt.Equals, time.Duration(0))
+		c.Assert(l.LeftOut() > 0, qt.IsTrue)
+		close(w.release)
+		cancel()
+		l.Wait()
+	})
+}
+
+type stalled struct {
+	release chan struct{}
+}
+
+func (s *stalled) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+// One kind of line that floods the log is cut down and counted; errors and
+// other kinds go on.
+func TestFloodOfOneKindIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		l := oplog.New(&out)
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		for range 5000 {
+			l.Info("flood")
+		}
+		l.Error("lease lost")
+		time.Sleep(1500 * time.Millisecond)
+		cancel()
+		l.Wait()
+		s := out.String()
+		c.Assert(strings.Count(s, "flood") <= 1600, qt.IsTrue)
+		c.Assert(strings.Count(s, "lease lost"), qt.Equals, 1)
+		c.Assert(strings.Contains(s, `"lines":3400,"msg":"log lines left out"`), qt.IsTrue, qt.Commentf("%d left out", l.LeftOut()))
+	})
+}
--- a/store/follow.go
+++ b/store/follow.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -12,9 +13,9 @@
 )
 
 const (
-	// followPause is between two calls of a feed that has much to tell: it
+	// DefaultPause is between two calls of a feed that has much to tell: it
 	// lets changes gather, which costs fewer calls.
-	followPause = 8 * time.Millisecond
+	DefaultPause = 8 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 250 * time.Millisecond
@@ -30,6 +31,8 @@
 	// Wait is how long one call of the feed waits for a change; a feed that
 	// is silently cut is noticed after it.
 	Wait time.Duration
+	// Pause is between two calls that tell of changes; 0 means DefaultPause.
+	Pause time.Duration
 	// Listed takes in all rows of the partitions.
 	Listed func(rows []Row)
 	// Changed takes in one changed row. A row may come more than once.
@@ -126,7 +129,7 @@
 		f.Changed(r)
 	}
 	if len(c.Rows) > 0 {
-		pause.For(ctx, followPause)
+		pause.For(ctx, cmp.Or(f.Pause, DefaultPause))
 	}
 	return max(c.Version, at), nil
 }
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,150 @@
+// Package telemetry has a host's metrics: counters of outcomes and histograms of
+// latencies, by OpenTelemetry, served in the Prometheus format.
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// Metrics are the metrics of one host. They are safe for concurrent use; nil
+// takes nothing in.
+type Metrics struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+	calls    metric.Int64Counter
+	callTime metric.Float64Histogram
+	writes   metric.Float64Histogram
+	advice   metric.Float64Histogram
+	events   metric.Int64Counter
+	started  metric.Float64Histogram
+	jobs     metric.Float64Histogram
+	taken    metric.Float64Histogram
+}
+
+// seconds are the buckets' bounds: from a store call to a long job.
+var seconds = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 60}
+
+// New returns metrics that are all zero. An instrument that can't be made is a
+// broken invariant: names and units are constants.
+func New() *Metrics {
+	r := prometheus.NewRegistry()
+	e, err := otelprom.New(otelprom.WithRegisterer(r), otelprom.WithoutScopeInfo())
+	must(err)
+	m := sdk.NewMeterProvider(sdk.WithReader(e)).Meter("spoolsill")
+	x := &Metrics{
+		registry: r,
+		meter:    m,
+	}
+	x.calls = counter(m, "spoolsill.calls", "clients' calls by kind and outcome")
+	x.events = counter(m, "spoolsill.events", "decisions and changes of belief of the leader, by kind and reason")
+	x.callTime = histogram(m, "spoolsill.call.duration", "from a client's call to its answer, by kind")
+	x.writes = histogram(m, "spoolsill.store.write.duration", "writes to the store, by outcome")
+	x.advice = histogram(m, "spoolsill.advice.duration", "questions to the advisor, by outcome")
+	x.started = histogram(m, "spoolsill.start.duration", "from the decision to start a task to the worker's answer, by outcome")
+	x.jobs = histogram(m, "spoolsill.job.duration", "from a job's acceptance to its end")
+	x.taken = histogram(m, "spoolsill.takeover.duration", "from becoming the leader to knowing all jobs")
+	return x
+}
+
+func counter(m metric.Meter, name, text string) metric.Int64Counter {
+	c, err := m.Int64Counter(name, metric.WithDescription(text))
+	must(err)
+	return c
+}
+
+func histogram(m metric.Meter, name, text string) metric.Float64Histogram {
+	h, err := m.Float64Histogram(name,
+		metric.WithUnit("s"),
+		metric.WithDescription(text),
+		metric.WithExplicitBucketBoundaries(seconds...),
+	)
+	must(err)
+	return h
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Gauge has a figure read whenever the metrics are asked for.
+func (m *Metrics) Gauge(name, text string, read func() int64) {
+	_, err := m.meter.Int64ObservableGauge(name,
+		metric.WithDescription(text),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}),
+	)
+	must(err)
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Call takes in a client's call.
+func (m *Metrics) Call(kind, outcome string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	ctx := context.Background()
+	k := attribute.String("kind", kind)
+	m.calls.Add(ctx, 1, metric.WithAttributes(k, attribute.String("outcome", outcome)))
+	m.callTime.Record(ctx, took.Seconds(), metric.WithAttributes(k))
+}
+
+// Wrote takes in a write to the store.
+func (m *Metrics) Wrote(outcome string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.writes.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// Asked takes in a question to the advisor.
+func (m *Metrics) Asked(outcome string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.advice.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// TookOver takes in that a leader knows all jobs.
+func (m *Metrics) TookOver(took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.taken.Record(context.Background(), took.Seconds())
+}
+
+// Note takes in a decision or a change of belief of the leader.
+func (m *Metrics) Note(n sched.Note) {
+	if m == nil {
+		return
+	}
+	ctx := context.Background()
+	switch n.Kind {
+	case sched.NoteStarted, sched.NoteNotStarted:
+		m.started.Record(ctx, n.Age.Seconds(), metric.WithAttributes(attribute.String("outcome", n.Reason)))
+	case sched.NoteJobEnded:
+		m.jobs.Record(ctx, n.Age.Seconds())
+	case sched.NoteEnded:
+		m.events.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", string(n.Kind)), attribute.String("reason", n.Reason)))
+	default:
+		m.events.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", string(n.Kind))))
+	}
+}
