node: silent and ill leaders are replaced sooner

Change: greetings each 0.15 s with 0.3 s to answer, the row written each 0.25 s when idle, a lapse of 0.5 s, ill after 0.7 s without a write; all of them more when writes are slow.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -24,9 +24,9 @@
 	// anew every second or two. A draining worker is heard of so much later.
 	workersPause = 200 * time.Millisecond
 	// keepAlive is how often the leader writes its row when it has nothing
-	// else to write. Others take over when the row does not change for
-	// [Lapse].
-	keepAlive = 400 * time.Millisecond
+	// else to write. Others take over when the row does not change for twice
+	// as long.
+	keepAlive = 250 * time.Millisecond
 	// writeEvery lets decisions gather for one write.
 	writeEvery = 10 * time.Millisecond
 	// decideEvery bounds how often stages are looked at.
--- a/node/elect.go
+++ b/node/elect.go
@@ -15,16 +15,16 @@
 
 const (
 	// greetEvery is how often a host calls the leader.
-	greetEvery = 250 * time.Millisecond
+	greetEvery = 150 * time.Millisecond
 	// greetTimeout is for one call; hosts of a region answer in milliseconds,
 	// and one that does not get the processor for so long is of no use as a
 	// leader.
-	greetTimeout = 400 * time.Millisecond
+	greetTimeout = 300 * time.Millisecond
 	// lapse is how long the leader's row must stay as it is before another
 	// host takes over, when the leader does not answer this host either. The
-	// leader writes the row every 0.4 s; lapseWrites times the usual time of a
-	// write is added, which tells when the store is slow.
-	lapse       = 700 * time.Millisecond
+	// leader writes the row every quarter of a second; lapseWrites times the
+	// usual time of a write is added, which tells when the store is slow.
+	lapse       = 500 * time.Millisecond
 	lapseWrites = 4
 	// lapseGone is the same when the leader's process is gone: its port
 	// refuses connections, or it says that it does not lead. A host that has
@@ -32,7 +32,7 @@
 	lapseGone = 150 * time.Millisecond
 	// stale is how old the leader's latest write may be by its own word, and
 	// lapseWrites of its usual writes more.
-	stale     = 1200 * time.Millisecond
+	stale     = 700 * time.Millisecond
 	staleMost = 1500 * time.Millisecond // added when the store is slow
 	// watchEvery is how often the row is read while the leader is in doubt.
 	watchEvery = 100 * time.Millisecond
