--- a/leader/hold.go
+++ b/leader/hold.go
@@ -47,8 +47,16 @@
 	wake    chan struct{}
 }
 
+// keepEvery is how often the holds are compared with the workers: a worker that
+// comes or goes is noticed so much later.
+const keepEvery = 50 * time.Millisecond
+
 // keepHolds starts and ends holds as workers come and go.
-func (l *Leader) keepHolds(ctx context.Context) {
+func (l *Leader) keepHolds(ctx context.Context, now time.Time) {
+	if now.Sub(l.kept) < keepEvery {
+		return
+	}
+	l.kept = now
 	wanted := map[spoolsill.WorkerID]bool{}
 	for _, id := range l.state.Workers() {
 		wanted[id] = true
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -90,6 +90,7 @@
 	writing   bool
 	lastWrite time.Time // when the latest write that lasts was begun
 	decided   time.Time
+	kept      time.Time // when the holds were last compared with the workers
 	loaded    bool
 
 	mu       sync.Mutex
@@ -389,7 +390,7 @@
 	l.sweeper.sweep(ctx, now)
 	if l.loaded {
 		// Not before: an end of a job that is not known yet would be lost.
-		l.keepHolds(ctx)
+		l.keepHolds(ctx, now)
 	}
 	l.logNotes()
 	return l.write(ctx, now)
--- a/node/elect.go
+++ b/node/elect.go
@@ -36,6 +36,10 @@
 	staleMost = 1500 * time.Millisecond // added when the store is slow
 	// watchEvery is how often the row is read while the leader is in doubt.
 	watchEvery = 100 * time.Millisecond
+	// handicap is how long a host with one core waits before it takes over;
+	// smaller ones wait longer, so that a large host leads where there is one.
+	// The figure is some writes' time, which decides the race.
+	handicap = 20 * time.Millisecond
 	// takeTimeout bounds one try to take over.
 	takeTimeout = 3 * time.Second
 )
@@ -112,6 +116,7 @@
 			return
 		}
 		if h.Released || v == 0 || now.Sub(since) >= n.lapseOf(h, &call) {
+			pause.For(ctx, n.handicap())
 			n.lead(ctx, h, v)
 			return
 		}
@@ -119,6 +124,14 @@
 	}
 }
 
+// handicap is how long this host lets larger ones go first.
+func (n *Node) handicap() time.Duration {
+	return time.Duration(float64(handicap) / max(n.settings.Cores, leastCores))
+}
+
+// leastCores bounds the handicap of very small hosts.
+const leastCores = 0.1
+
 // takeHead takes in what the row says, and reports whether another host leads
 // than was known.
 func (n *Node) takeHead(h leader.Head) bool {
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -32,6 +32,7 @@
 type advice struct {
 	asked   map[spoolsill.WorkerID]bool // and answered: good or never
 	tickets map[spoolsill.WorkerID]ticket
+	good    []*worker // those with a ticket, valid or not
 	pending time.Time // when the question under way was ordered; zero if none is
 	last    time.Time // when the last answer came
 }
@@ -41,12 +42,6 @@
 	until time.Time
 }
 
-// good reports whether a worker may run the stage.
-func (a *advice) good(id spoolsill.WorkerID) bool {
-	_, ok := a.tickets[id]
-	return ok
-}
-
 // valid reports whether the ticket for a worker can be used now.
 func (a *advice) valid(id spoolsill.WorkerID, now time.Time) bool {
 	return a.tickets[id].until.Sub(now) > ticketMargin
@@ -143,6 +138,10 @@
 		x.asked[id] = true
 	}
 	for _, t := range a.Tickets {
+		w := s.workers[t.Worker]
+		if _, known := x.tickets[t.Worker]; !known && w != nil {
+			x.good = append(x.good, w)
+		}
 		x.tickets[t.Worker] = ticket{
 			text:  t.Text,
 			until: a.Received.Add(a.Valid),
--- /dev/null
+++ b/sched/bench_test.go
@@ -0,0 +1,115 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// busyState returns a state of n workers that are full, with stages waiting for
+// room: what a leader looks at again and again when the cell is overloaded.
+func busyState(n, waiting int, now time.Time) *sched.State {
+	s := sched.New(sched.Config{
+		Lease:      lease,
+		StartLease: 3 * time.Second,
+		TakenOver:  now,
+	})
+	s.SetQueues([]sched.Queue{
+		{
+			ID:          "q",
+			Service:     "work",
+			Priority:    1,
+			MaxAttempts: 2,
+			Stretch:     4,
+			Goal:        time.Second,
+		},
+	})
+	for i := range n {
+		id := spoolsill.WorkerID(fmt.Sprintf("worker-%d", i))
+		s.ListWorker(now, sched.Worker{
+			ID:       id,
+			Service:  "work",
+			Address:  string(id),
+			Capacity: cores(64),
+		})
+		s.LeaseAsked(id, sched.LeaseEnd(now, lease))
+		s.Heartbeat(now, sched.Heartbeat{
+			Worker: id,
+			Sent:   now,
+			Clock:  1,
+		})
+	}
+	for i := range n {
+		s.AddJob(now, job(spoolsill.JobID(fmt.Sprintf("full-%d", i)), "q", tasks(6, 10)), sched.Progress{})
+	}
+	s.Decide(now)
+	for i := range waiting {
+		s.AddJob(now, job(spoolsill.JobID(fmt.Sprintf("wait-%d", i)), "q", tasks(10, 5)), sched.Progress{})
+	}
+	return s
+}
+
+// BenchmarkDecideFull measures one look at a full cell of 350 workers with 200
+// stages that wait: the grown deployments at their peak.
+func BenchmarkDecideFull(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := busyState(350, 200, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Decide(now)
+	}
+}
+
+// BenchmarkJob measures all decisions on one job of two tasks, from its
+// acceptance to its end, in a cell of 350 workers.
+func BenchmarkJob(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := busyState(350, 0, now)
+	id := spoolsill.WorkerID("fast")
+	s.ListWorker(now, sched.Worker{
+		ID:       id,
+		Service:  "work",
+		Address:  "fast",
+		Capacity: cores(64),
+	})
+	s.LeaseAsked(id, sched.LeaseEnd(now, lease))
+	var sequence uint64
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		s.Heartbeat(now, sched.Heartbeat{
+			Worker: id,
+			Sent:   now,
+		})
+		s.AddJob(now, job(spoolsill.JobID(fmt.Sprintf("job-%d", n)), "q", tasks(2, 1)), sched.Progress{})
+		s.Decide(now)
+		x, _, err := s.Batch(now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, o := range s.Written(now, x) {
+			s.StartAnswered(now, sched.StartAnswer{
+				Worker: o.Worker,
+				Run:    o.Run,
+			})
+			sequence++
+			s.Heartbeat(now, sched.Heartbeat{
+				Worker: o.Worker,
+				Sent:   now,
+				Ended: []sched.End{
+					{
+						Sequence: sequence,
+						Run:      o.Run,
+					},
+				},
+				Partial: true,
+			})
+		}
+		s.Notes()
+		s.Told()
+	}
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -18,18 +18,50 @@
 	d := decider{
 		State: s,
 		held:  map[*worker]bool{},
+		ready: map[spoolsill.ServiceID]*readyWorkers{},
 	}
+	d.collectReady()
 	for _, g := range s.ranked() {
 		d.place(g)
 	}
 }
 
+// readyWorkers are the workers of one service that take something now.
+type readyWorkers struct {
+	workers []*worker
+	// most is no less than what any of them has free. It is not lowered as
+	// room is taken within a pass.
+	most spoolsill.Resources
+}
+
+// collectReady looks once at each worker, so that a pass over many stages costs
+// little for those that find no room.
+func (d *decider) collectReady() {
+	for _, w := range d.order {
+		w.ready = w.takes(d.now) && w.health.takes(d.now)
+		if !w.ready {
+			continue
+		}
+		r := d.ready[w.Service]
+		if r == nil {
+			r = &readyWorkers{}
+			d.ready[w.Service] = r
+		}
+		r.workers = append(r.workers, w)
+		free := w.free()
+		r.most.Processors = max(r.most.Processors, free.Processors)
+		r.most.Memory = max(r.most.Memory, free.Memory)
+		r.most.Accelerators = max(r.most.Accelerators, free.Accelerators)
+	}
+}
+
 // A decider is one pass over the stages that wait.
 type decider struct {
 	*State
 	// held are the workers that a gang, ranked higher, gathers room at.
-	held map[*worker]bool
-	gang *stage
+	held  map[*worker]bool
+	gang  *stage
+	ready map[spoolsill.ServiceID]*readyWorkers
 }
 
 // ranked returns the open stages in the order in which they are served, and
@@ -175,11 +207,15 @@
 		return false
 	}
 	if a.asked == nil || d.now.Sub(a.last) > askMore {
+		if q.Priority > 0 && d.asking >= maxAsking {
+			return a.asked != nil
+		}
 		more := d.unasked(g, q)
-		if len(more) > 0 && (q.Priority == 0 || d.asking < maxAsking) {
+		if len(more) > 0 {
 			d.ask(g, q, more, false)
 			return false
 		}
+		a.last = d.now // all are known: look again after a while
 	}
 	return a.asked != nil
 }
@@ -190,14 +226,24 @@
 		(g.step.Requires == "" || slices.Contains(w.Labels, g.step.Requires))
 }
 
-// candidates returns the workers where g may start something now.
+// candidates returns the workers where g may start something now and that have
+// room for a task.
 func (d *decider) candidates(g *stage, q *Queue) []*worker {
+	r := d.ready[q.Service]
+	need := g.step.room()
+	if r == nil || !need.Fits(r.most) {
+		return nil
+	}
+	from := r.workers
+	if q.Advisor != nil {
+		from = g.advice.good
+	}
 	var ws []*worker
-	for _, w := range d.order {
-		if !d.eligible(g, q, w) || !w.takes(d.now) || !w.health.takes(d.now) {
+	for _, w := range from {
+		if !w.ready || !need.Fits(w.free()) || w.Service != q.Service {
 			continue
 		}
-		if q.Advisor != nil && !g.advice.good(w.id) {
+		if g.step.Requires != "" && !slices.Contains(w.Labels, g.step.Requires) {
 			continue
 		}
 		if d.held[w] && q.Priority > 0 && g != d.gang {
@@ -239,7 +285,7 @@
 	ws := d.candidates(g, q)
 	seats := d.seats(g, ws)
 	if seats == nil {
-		d.gather(g, ws)
+		d.gather(g, q)
 		return
 	}
 	renew := d.stale(g, q, seats)
@@ -255,14 +301,20 @@
 	}
 }
 
-// gather keeps the candidates of the first gang that waits from those ranked
-// below it, so that it does not wait for ever.
-func (d *decider) gather(g *stage, ws []*worker) {
-	if d.gang != nil || len(ws) == 0 {
+// gather keeps the workers of the first gang that waits from those ranked below
+// it, so that it does not wait for ever.
+func (d *decider) gather(g *stage, q *Queue) {
+	if d.gang != nil {
 		return
 	}
-	d.gang = g
-	for _, w := range ws {
+	from := g.advice.good
+	if q.Advisor == nil && d.ready[q.Service] != nil {
+		from = d.ready[q.Service].workers
+	}
+	if len(from) > 0 {
+		d.gang = g
+	}
+	for _, w := range from {
 		d.held[w] = true
 	}
 }
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -43,6 +43,7 @@
 	// strays are runs that it has and no record names.
 	strays int
 	unwell time.Time // nothing new before
+	ready  bool      // takes something new, as of the pass under way
 	health health
 }
 
