sched, logstory: leaving workers; the story of a job from saved logs

Cause: tasks of a worker that left as announced waited six seconds for its lease; a refused job's line did not say what decided it.

--- a/leader/hold.go
+++ b/leader/hold.go
@@ -158,6 +158,11 @@
 				worker: h.target.Worker,
 			})
 			return
+		case NobodyThere:
+			h.leader.send(workerRefused{
+				worker: h.target.Worker,
+			})
+			pause.For(ctx, holdRetry)
 		default:
 			pause.For(ctx, holdRetry)
 		}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -112,6 +112,7 @@
 	jobChanged     struct{ row store.Row }
 	heartbeatTaken struct{ heartbeat sched.Heartbeat }
 	workerReplaced struct{ worker spoolsill.WorkerID }
+	workerRefused  struct{ worker spoolsill.WorkerID }
 	leaseAsked     struct {
 		worker spoolsill.WorkerID
 		until  time.Time
@@ -354,6 +355,8 @@
 		l.state.Heartbeat(now, e.heartbeat)
 	case workerReplaced:
 		l.state.WorkerDied(now, e.worker)
+	case workerRefused:
+		l.state.WorkerRefused(now, e.worker)
 	case leaseAsked:
 		l.state.LeaseAsked(e.worker, e.until)
 	case startAnswered:
--- a/leader/order.go
+++ b/leader/order.go
@@ -60,7 +60,7 @@
 			a.Doubt = true
 			a.Deadline = max(a.Deadline, deadline)
 			continue
-		case Unreachable:
+		case Unreachable, NobodyThere:
 			continue
 		case Fenced:
 			h.leader.send(leadershipEnded{
@@ -130,7 +130,7 @@
 					order: o,
 				})
 				return
-			case NoAnswer, Unreachable, Unhealthy:
+			case NoAnswer, Unreachable, NobodyThere, Unhealthy:
 				pause.For(ctx, orderPause)
 			default:
 				return
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -59,6 +59,7 @@
 	Unhealthy                    // it takes nothing at the moment
 	OtherLife                    // the address answers for another life
 	Unreachable                  // the order was not sent
+	NobodyThere                  // the same: nothing listens at the address
 	NoAnswer                     // it may have been carried out, or may be later
 )
 
--- /dev/null
+++ b/logstory/logstory_test.go
@@ -0,0 +1,47 @@
+package logstory_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/logstory"
+)
+
+const log = `
+ 2.5 h2 {"host":"h2","job":"a1","msg":"task started","reason":"taken","task":"a1.0.0.1","time":"2026-01-01T00:00:02.5Z"}
+{"host":"h1","level":"info","msg":"job accepted","job":"a1","time":"2026-01-01T00:00:02Z"}
+{"host":"h1","msg":"job accepted","job":"b2","time":"2026-01-01T00:00:02.1Z"}
+{"host":"h2","msg":"this host leads","epoch":3,"time":"2026-01-01T00:00:01Z"}
+{"host":"h2","msg":"this host leads","epoch":2,"time":"2025-12-31T23:59:00Z"}
+{"host":"h1","msg":"request refused","path":"/q/a1","status":502,"time":"2026-01-01T00:00:01.9Z"}
+not a line of ours
+`
+
+func TestStoryTellsWhatNamesAJobAndWhatExplainsIt(t *testing.T) {
+	c := qt.New(t)
+	lines, skipped, err := logstory.Read(strings.NewReader(log))
+	c.Assert(err, qt.IsNil)
+	c.Assert(skipped, qt.Equals, 2)
+	var messages []string
+	for _, l := range logstory.Story(lines, "a1") {
+		messages = append(messages, l.Message)
+	}
+	c.Assert(messages, qt.DeepEquals, []string{"this host leads", "request refused", "job accepted", "task started"})
+	c.Assert(logstory.Story(lines, "none"), qt.HasLen, 0)
+}
+
+func ExampleWrite() {
+	lines, _, err := logstory.Read(strings.NewReader(log))
+	if err != nil {
+		panic(err)
+	}
+	if err := logstory.Write(os.Stdout, logstory.Story(lines, "b2")); err != nil {
+		panic(err)
+	}
+	// Output:
+	//    +0.000s h2                 this host leads: epoch=3
+	//    +1.100s h1                 job accepted: job=b2
+}
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
@@ -44,9 +46,11 @@
 	maybe := false
 	var last error
 	begun := time.Now()
+	tries := 0
 	for ctx.Err() == nil {
 		o, err := n.submitOnce(ctx, j)
 		last = err
+		tries++
 		switch o {
 		case jobstore.Accepted, jobstore.Known:
 			n.log.WithField("job", string(j.ID)).WithField("queue", string(j.Queue)).WithField("outcome", o.String()).Info("job accepted")
@@ -58,12 +62,28 @@
 		case jobstore.Refused:
 			now := time.Now()
 			if !n.health.reachable(now) && now.Sub(begun) > awayBudget {
-				return outcomeOf(maybe), err
+				return n.notKept(j, maybe, tries, begun, err)
 			}
 			pause.For(ctx, writePause)
 		}
 	}
-	return outcomeOf(maybe), last
+	return n.notKept(j, maybe, tries, begun, last)
+}
+
+// notKept tells why a job was not kept, or is not known to be.
+func (n *Node) notKept(j sched.Job, maybe bool, tries int, begun time.Time, err error) (platform.Outcome, error) {
+	now := time.Now()
+	leader, answers := n.leaderHost()
+	n.log.WithError(err).WithFields(logrus.Fields{
+		"job":              string(j.ID),
+		"may_be_kept":      maybe,
+		"tries":            tries,
+		"waited_ms":        now.Sub(begun).Milliseconds(),
+		"store_failing_ms": n.health.failingFor(now).Milliseconds(),
+		"leader":           string(leader),
+		"leader_answers":   answers,
+	}).Warn("job not kept")
+	return outcomeOf(maybe), err
 }
 
 func outcomeOf(maybe bool) platform.Outcome {
--- a/node/node.go
+++ b/node/node.go
@@ -97,6 +97,7 @@
 			Store:   platform.NewStore(s.StoreAddress, c.Dial),
 			health:  h,
 			metrics: c.Metrics,
+			log:     log,
 		},
 		workers: platform.NewWorkers(c.Dial),
 		life:    life,
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/spoolsill/spoolsill/store"
 	"github.com/spoolsill/spoolsill/telemetry"
 )
@@ -31,6 +33,7 @@
 	mu      sync.Mutex
 	failing time.Time // since when every call has failed; zero if the last one did not
 	tried   time.Time
+	away    bool // as last told
 	// usual is a moving average of how long writes take or are waited for in
 	// vain, answered of how long those take that are answered.
 	usual    time.Duration
@@ -61,16 +64,19 @@
 	return min(max(writeFactor*h.usual, writeLeast), writeMost)
 }
 
-func (h *storeHealth) take(now time.Time, ok bool) {
+// take takes in the end of a call, and reports whether the store's being
+// reachable has changed.
+func (h *storeHealth) take(now time.Time, ok bool) (changed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	was := h.away
 	if ok {
 		h.failing = time.Time{}
-		return
-	}
-	if h.failing.IsZero() {
+	} else if h.failing.IsZero() {
 		h.failing = now
 	}
+	h.away = !h.failing.IsZero() && now.Sub(h.failing) >= awayAfter
+	return h.away != was
 }
 
 // reachable reports whether the store has answered lately.
@@ -80,6 +86,16 @@
 	return h.failing.IsZero() || now.Sub(h.failing) < awayAfter
 }
 
+// failingFor returns for how long every call has failed.
+func (h *storeHealth) failingFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failing.IsZero() {
+		return 0
+	}
+	return now.Sub(h.failing)
+}
+
 // tryable reports whether a client's call should try the store: always while
 // it is reachable, and now and then while it is away.
 func (h *storeHealth) tryable(now time.Time) bool {
@@ -100,13 +116,22 @@
 	store.Store
 	health  *storeHealth
 	metrics *telemetry.Metrics
+	log     *logrus.Entry
 }
 
 func (s *watchedStore) took(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	s.health.take(time.Now(), err == nil || errors.Is(err, store.ErrHistoryGone))
+	ok := err == nil || errors.Is(err, store.ErrHistoryGone)
+	if !s.health.take(time.Now(), ok) {
+		return
+	}
+	if ok {
+		s.log.Info("store reachable")
+		return
+	}
+	s.log.WithError(err).Warn("store not reachable")
 }
 
 // Commit implements [store.Store].
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -14,6 +14,7 @@
 func (s *State) Decide(now time.Time) {
 	s.now = now
 	s.expireLeases()
+	s.saveLeaving()
 	s.openDue()
 	d := decider{
 		State: s,
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -304,3 +304,52 @@
 	})
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1"})
 }
+
+// A worker that announced that it leaves, is no longer listed and refuses
+// connections is gone: its tasks need not wait for the end of its lease.
+func TestWorkerThatLeftIsNotWaitedFor(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	x.take(x.step())
+	x.worker("b")
+	x.state.WorkerRefused(x.now, "a")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.list("a", true)
+	x.state.UnlistWorker(x.now, "a")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.state.WorkerRefused(x.now, "a")
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#2"})
+}
+
+// What a leaving worker can't finish is stopped in time to save its progress,
+// and goes on from there.
+func TestProgressIsSavedBeforeAWorkerLeaves(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	p := tasks(1, 1)
+	p.Checkpoints = true
+	x.state.AddJob(x.now, job("j", "q", p), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.worker("b")
+	x.list("a", true) // leaves at once
+	x.step()
+	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
+	x.state.Heartbeat(x.now, sched.Heartbeat{
+		Worker: "a",
+		Sent:   x.now,
+		Ended: []sched.End{
+			{
+				Sequence: 1,
+				Run:      o[0].Run,
+				Kind:     sched.EndStopped,
+				Saved:    "half",
+			},
+		},
+	})
+	next := x.step()
+	x.c.Assert(next, qt.HasLen, 1)
+	x.c.Assert(next[0].Worker, qt.Equals, spoolsill.WorkerID("b"))
+	x.c.Assert(next[0].Saved, qt.Equals, "half")
+}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -42,6 +42,8 @@
 	renewed time.Time
 	// strays are runs that it has and no record names.
 	strays int
+	// leaves is when a draining worker may be gone at the earliest.
+	leaves time.Time
 	unwell time.Time // nothing new before
 	ready  bool      // takes something new, as of the pass under way
 	health health
@@ -72,6 +74,7 @@
 	}
 	if l.Draining && !w.Draining {
 		s.noteWorker(w, "draining", 0)
+		w.leaves = now.Add(l.Remaining)
 	}
 	if !w.listed {
 		s.noteWorker(w, "listed", 0)
@@ -122,6 +125,36 @@
 	}
 }
 
+// WorkerRefused takes in that nothing listens at a worker's address. That alone
+// proves nothing, since a cut may look the same; but one that said that it
+// leaves, and is no longer listed, has left.
+func (s *State) WorkerRefused(now time.Time, id spoolsill.WorkerID) {
+	s.now = now
+	w := s.workers[id]
+	if w != nil && !w.dead && w.Draining && !w.listed {
+		s.bury(w, "it has left as announced")
+	}
+}
+
+// saveLeaving stops what a worker about to leave can't finish, if its progress
+// is saved at the stop: it goes on elsewhere.
+func (s *State) saveLeaving() {
+	for _, w := range s.order {
+		if !w.Draining || w.dead || len(w.runs) == 0 || w.leaves.Sub(s.now) > s.config.StopTime+saveMargin {
+			continue
+		}
+		for _, r := range sortedRuns(w) {
+			p := r.task.stage.step
+			if p.Checkpoints && !p.Lasting && r.phase == phaseConfirmed {
+				s.stop(r, "its worker leaves")
+			}
+		}
+	}
+}
+
+// saveMargin is the time to give a stop order and to hear of its end.
+const saveMargin = 400 * time.Millisecond
+
 // LeaseAsked takes in that a call may extend a worker's lease until at most
 // the given time by our clock.
 func (s *State) LeaseAsked(id spoolsill.WorkerID, until time.Time) {
