sched, node: done gangs are not stopped; hosts hold a job for 1.2 s at most

Change: members that are done are stopped only if their worker lists them again; a host tries for four tenths of a client's time.

--- a/node/jobs.go
+++ b/node/jobs.go
@@ -17,8 +17,9 @@
 const (
 	// submitShare is the part of a client's waiting time for which a host
 	// tries to keep a job before it tells the client to come back: long
-	// enough for a lost answer or a slow store.
-	submitShare = 0.7
+	// enough for a lost answer or a slow store, and well under half, so that
+	// a client whose host is cut off can still be served by another.
+	submitShare = 0.4
 	// writePause is between tries that the store refused.
 	writePause = 60 * time.Millisecond
 	// awayBudget is how long a host tries when it reaches neither the store
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -233,7 +233,9 @@
 	for _, g := range j.stages {
 		s.dropPlan(g)
 		for _, t := range g.tasks {
-			if t.run == nil {
+			if t.run == nil || t.done {
+				// A gang's members end together; those that don't are stopped
+				// when their worker lists them again.
 				continue
 			}
 			if t.run.phase == phaseRecorded {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -58,6 +58,22 @@
 	x.end(g[1], sched.EndDone)
 	x.c.Assert(x.jobState(), qt.Equals, sched.Running)
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.1.0#1"})
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+}
+
+// The members of a gang end by themselves: stopping them would only cost calls.
+// One that is still listed later is stopped.
+func TestDoneGangIsNotStopped(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", gang(2, 3)), sched.Progress{})
+	g := x.step()
+	x.take(g)
+	x.end(g[0], sched.EndDone)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Completed)
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+	x.renew("w", g[1].Run)
+	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
 }
 
 func TestBrokenGangStartsAgainOnlyWhenAllMembersAreGone(t *testing.T) {
