--- a/leader/leader.go
+++ b/leader/leader.go
@@ -36,6 +36,15 @@
 	// countAge is how old the count of waiting jobs may be: the platform allows
 	// two seconds, and a feed that has nothing to tell answers each second.
 	countAge = 2 * time.Second
+	// probeEvery is how often the loop measures how late it is.
+	probeEvery = 100 * time.Millisecond
+	// lateMost is how late the loop may be, on average over about a second,
+	// before another host should lead: a quarter of the time in which the
+	// most urgent work of today has to be done.
+	lateMost = 300 * time.Millisecond
+	// lateAfter is how long after a take-over it is not looked at: loading
+	// and the first look at all workers take their time.
+	lateAfter = 3 * time.Second
 	// eventBuffer is how many events may wait for the loop.
 	eventBuffer = 4096
 )
@@ -90,7 +99,8 @@
 	writing   bool
 	lastWrite time.Time // when the latest write that lasts was begun
 	decided   time.Time
-	kept      time.Time // when the holds were last compared with the workers
+	late      time.Duration // a moving average of how late the loop is
+	kept      time.Time     // when the holds were last compared with the workers
 	loaded    bool
 
 	mu       sync.Mutex
@@ -125,6 +135,7 @@
 		begun time.Time
 	}
 	leadershipEnded struct{ err error }
+	probeSent       struct{ at time.Time }
 )
 
 // New returns a leader that has not begun.
@@ -226,6 +237,7 @@
 	}
 	l.rows = rows
 	l.follow(ctx)
+	l.spawn(func() { l.probe(ctx) })
 	return l.loop(ctx)
 }
 
@@ -367,12 +379,44 @@
 		l.state.Advised(now, e.advice)
 	case batchWritten:
 		l.takeWritten(now, e)
+	case probeSent:
+		return l.takeProbe(now, e.at)
 	case leadershipEnded:
 		return e.err
 	}
 	return nil
 }
 
+// ErrOverloaded is returned by a leader that gave up because its host could not
+// keep up.
+var ErrOverloaded = errors.New("leader: this host can't keep up")
+
+// probe sends the loop an event now and then, which tells how late the loop is.
+func (l *Leader) probe(ctx context.Context) {
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case at := <-t.C:
+			l.send(probeSent{
+				at: at,
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// takeProbe gives the leadership up when the loop has been late for a while.
+func (l *Leader) takeProbe(now, sent time.Time) error {
+	l.late += (now.Sub(sent) - l.late) / 8
+	if l.late < lateMost || now.Sub(l.config.Sched.TakenOver) < lateAfter {
+		return nil
+	}
+	l.config.Log.WithField("late_ms", l.late.Milliseconds()).Warn("leader can't keep up")
+	return ErrOverloaded
+}
+
 // act decides, and sends what may be sent.
 func (l *Leader) act(ctx context.Context) error {
 	now := time.Now()
@@ -635,8 +679,12 @@
 	end := time.AfterFunc(release, cancel)
 	defer end.Stop()
 	l.written.Wait()
-	if errors.Is(err, ErrDeposed) || ctx.Err() == nil {
+	switch {
+	case errors.Is(err, ErrOverloaded):
+		return errors.Join(err, l.config.Chain.Release(writes))
+	case errors.Is(err, ErrDeposed), ctx.Err() == nil:
 		return err
+	default:
+		return l.config.Chain.Release(writes)
 	}
-	return l.config.Chain.Release(writes)
 }
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -37,6 +37,8 @@
 	hosts   sync.WaitGroup
 	leaders []*leader.Leader
 	kills   []context.CancelFunc
+	// observer of the leaders; may be nil.
+	observer leader.Observer
 }
 
 func newCell(ctx context.Context, t *testing.T, workers int) *cell {
@@ -111,7 +113,8 @@
 				FarFactor: 1,
 				KeepEnded: time.Hour,
 			},
-			Log: logrus.NewEntry(log),
+			Log:      logrus.NewEntry(log),
+			Observer: x.observer,
 		})
 		l.SetQueues(queues())
 		ctx, cancel := context.WithCancel(x.ctx)
@@ -380,6 +383,30 @@
 	})
 }
 
+// sluggish is an observer that takes its time, as a host does that has too
+// little processor for its work.
+type sluggish struct{}
+
+func (sluggish) Note(sched.Note)             { time.Sleep(400 * time.Millisecond) }
+func (sluggish) Asked(string, time.Duration) {}
+func (sluggish) TookOver(time.Duration)      {}
+
+// A leader that can't keep up gives the leadership up, so that a larger host
+// takes it.
+func TestLeaderThatCannotKeepUpResigns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 2)
+		defer x.end()
+		x.observer = sluggish{}
+		x.lead("a")
+		x.submitMixed(12)
+		time.Sleep(30 * time.Second)
+		h, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Assert(h.Released, qt.IsTrue)
+	})
+}
+
 // Rows of jobs that have ended are deleted, and their states stay known to the
 // next leader and in the store.
 func TestEndedJobsKeepOnlyTheirState(t *testing.T) {
--- a/node/elect.go
+++ b/node/elect.go
@@ -36,10 +36,17 @@
 	staleMost = 1500 * time.Millisecond // added when the store is slow
 	// watchEvery is how often the row is read while the leader is in doubt.
 	watchEvery = 100 * time.Millisecond
-	// handicap is how long a host with one core waits before it takes over;
-	// smaller ones wait longer, so that a large host leads where there is one.
-	// The figure is some writes' time, which decides the race.
-	handicap = 20 * time.Millisecond
+	// handicap is how long a host that is tiny beside the largest one waits
+	// before it takes over; a host half as large waits half as long. It is
+	// longer than hosts are apart in noticing that the leader is gone.
+	handicap = 500 * time.Millisecond
+	// firstHandicap is how long a host with one core waits before any host has
+	// led and told of the largest; smaller ones wait longer.
+	firstHandicap = 20 * time.Millisecond
+	// resigned is how long a host that led and could not keep up lets others
+	// go first, and by how much.
+	resigned         = 20 * time.Second
+	resignedHandicap = time.Second
 	// takeTimeout bounds one try to take over.
 	takeTimeout = 3 * time.Second
 )
@@ -81,7 +88,13 @@
 	r, err := peer.Call[greetReply](ctx, n.peers, h.Host, methodGreet, greetRequest{
 		Address: n.peerAddress(),
 		Version: c.version,
+		Cores:   n.settings.Cores,
 	})
+	if err == nil && r.Leads {
+		n.mu.Lock()
+		n.mostCores = r.MostCores
+		n.mu.Unlock()
+	}
 	if err == nil && len(r.Config) > 0 {
 		n.takeConfig(r.Config, "leader")
 	}
@@ -124,9 +137,21 @@
 	}
 }
 
-// handicap is how long this host lets larger ones go first.
+// handicap is how long this host lets others go first.
 func (n *Node) handicap() time.Duration {
-	return time.Duration(float64(handicap) / max(n.settings.Cores, leastCores))
+	n.mu.Lock()
+	most := n.mostCores
+	late := time.Since(n.resignedAt) < resigned
+	n.mu.Unlock()
+	cores := max(n.settings.Cores, leastCores)
+	d := time.Duration(float64(firstHandicap) / cores)
+	if most > 0 {
+		d = time.Duration(float64(handicap) * (1 - min(cores/most, 1)))
+	}
+	if late {
+		d += resignedHandicap
+	}
+	return d
 }
 
 // leastCores bounds the handicap of very small hosts.
@@ -214,6 +239,11 @@
 	l.SetQueues(n.configs.queues())
 	err = l.Lead(ctx, releaseTime)
 	n.setLeading(nil, 0)
+	if errors.Is(err, leader.ErrOverloaded) {
+		n.mu.Lock()
+		n.resignedAt = time.Now()
+		n.mu.Unlock()
+	}
 	n.log.WithField("epoch", uint64(c.Epoch())).WithError(err).Info("this host no longer leads")
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,10 @@
 	leading *leader.Leader
 	head    leader.Head // as far as is known
 	lost    bool        // the leader in head does not answer
+	// mostCores is that of the largest host, as a leader told.
+	mostCores float64
+	// resignedAt is when this host led last and could not keep up.
+	resignedAt time.Time
 }
 
 // New returns a node that has not begun.
--- a/node/peers.go
+++ b/node/peers.go
@@ -31,6 +31,8 @@
 type greetRequest struct {
 	Address string
 	Version spoolsill.Version
+	// Cores is the processor time that the caller has each second.
+	Cores float64
 }
 
 type greetReply struct {
@@ -40,6 +42,8 @@
 	Age time.Duration
 	// UsualWrite is how long the leader's writes take at present.
 	UsualWrite time.Duration
+	// MostCores is that of the largest host that the leader knows of.
+	MostCores float64
 	// Config is the configuration when it is newer than the caller's.
 	Config []byte
 }
@@ -99,7 +103,7 @@
 
 func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
 	n.peers.Learn(c.Host, q.Address)
-	n.hosts.greeted(c.Host, time.Now())
+	n.hosts.greeted(c.Host, q.Cores, time.Now())
 	x := n.configs.get()
 	var r greetReply
 	if x.version > q.Version {
@@ -110,6 +114,7 @@
 		r.Epoch = l.Epoch()
 		r.Age = time.Since(l.Fresh())
 		r.UsualWrite = n.health.usualWrite()
+		r.MostCores = max(n.hosts.mostCores(), n.settings.Cores)
 	}
 	return r, nil
 }
@@ -205,16 +210,35 @@
 // A hostList has the hosts that greet this one.
 type hostList struct {
 	mu   sync.Mutex
-	seen map[spoolsill.HostID]time.Time
+	seen map[spoolsill.HostID]greetedHost
 }
 
-func (l *hostList) greeted(h spoolsill.HostID, at time.Time) {
+type greetedHost struct {
+	at    time.Time
+	cores float64
+}
+
+func (l *hostList) greeted(h spoolsill.HostID, cores float64, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.seen == nil {
-		l.seen = map[spoolsill.HostID]time.Time{}
+		l.seen = map[spoolsill.HostID]greetedHost{}
+	}
+	l.seen[h] = greetedHost{
+		at:    at,
+		cores: cores,
+	}
+}
+
+// mostCores returns the cores of the largest host.
+func (l *hostList) mostCores() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var most float64
+	for _, g := range l.seen {
+		most = max(most, g.cores)
 	}
-	l.seen[h] = at
+	return most
 }
 
 // since returns the hosts that have greeted at or after a time, and forgets
@@ -223,8 +247,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var hosts []spoolsill.HostID
-	for h, at := range l.seen {
-		if at.Before(t) {
+	for h, g := range l.seen {
+		if g.at.Before(t) {
 			delete(l.seen, h)
 			continue
 		}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -263,7 +263,7 @@
 		if t.done || t.run != nil {
 			continue
 		}
-		w := d.best(g, ws)
+		w := d.best(t, ws)
 		if w == nil {
 			break
 		}
@@ -434,9 +434,10 @@
 	return n
 }
 
-// best returns the worker where a task of g costs least, or nil when none has
-// room: the fastest first, then the tightest fit.
-func (d *decider) best(g *stage, ws []*worker) *worker {
+// best returns the worker where a task costs least, or nil when none has room:
+// one where it has not failed, then the fastest, then the tightest fit.
+func (d *decider) best(t *task, ws []*worker) *worker {
+	g := t.stage
 	need := g.step.room()
 	var best *worker
 	least := math.Inf(1)
@@ -449,6 +450,9 @@
 			continue
 		}
 		c := d.cost(g, w, free.Sub(need))
+		if slices.Contains(t.failedAt, w.id) {
+			c += failedCost
+		}
 		if c < least {
 			best = w
 			least = c
@@ -457,6 +461,9 @@
 	return best
 }
 
+// failedCost outweighs any difference in speed.
+const failedCost = 100
+
 // tightness is how much the share of a worker that is left free counts
 // against a factor on the run time; small, so that it only breaks ties between
 // workers that are about as fast.
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -387,6 +387,7 @@
 		return
 	}
 	s.touch(g.job)
+	t.failedAt = append(t.failedAt, r.worker.id)
 	most := s.queue(g.job).MaxAttempts
 	fails := &t.fails
 	if g.step.Gang {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -369,3 +369,17 @@
 	x.c.Assert(next[0].Worker, qt.Equals, spoolsill.WorkerID("b"))
 	x.c.Assert(next[0].Saved, qt.Equals, "half")
 }
+
+// A task that failed is tried at another worker: the first may be to blame.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.worker("b")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.end(o[0], sched.EndFailed)
+	next := x.step()
+	x.c.Assert(next, qt.HasLen, 1)
+	x.c.Assert(next[0].Worker, qt.Not(qt.Equals), o[0].Worker)
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -109,6 +109,9 @@
 	saved   string
 	percent int
 	run     *run
+	// failedAt has the workers where it failed: another one tells whether
+	// the task or the worker is to blame.
+	failedAt []spoolsill.WorkerID
 }
 
 // A phase tells how far a run has come.
