node: whole hosts tested on the users' protocol in virtual time

Change: internal/standin/wire serves the store, workers and the advisor over HTTP as the platform does, over the network in memory with its cuts and pauses; hosts run against it: jobs at every host, bad calls, cancelling, configuration at a host that the store does not reach, handing on, the store away, a leader that hangs, a planned stop.

--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,450 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/internal/standin/wire"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/node"
+	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+const (
+	lease        = 6 * time.Second
+	storeAddress = "10.9.0.1:80"
+	adviceAddr   = "10.9.0.2:80"
+	body         = `{"spec":"s","steps":[{"count":2,"cpu":1000,"estMs":900}]}`
+)
+
+// platformPlace is where the store and the advisor are.
+var platformPlace = standin.Node{
+	Name:  "platform",
+	Place: "platform",
+}
+
+// A cell is hosts in a network in memory, with stand-ins for the platform.
+type cell struct {
+	c       *qt.C
+	ctx     context.Context
+	network *standin.Network
+	store   *cellfake.Store
+	workers *cellfake.Workers
+	hosts   []*host
+	cancel  context.CancelFunc
+	running sync.WaitGroup // hosts
+	serving sync.WaitGroup // stand-ins
+	client  *http.Client
+}
+
+type host struct {
+	node.Config
+	stop context.CancelFunc
+	err  chan error
+}
+
+func newCell(t *testing.T, hosts, workers int) *cell {
+	ctx, cancel := context.WithCancel(t.Context())
+	x := &cell{
+		c:       qt.New(t),
+		ctx:     ctx,
+		cancel:  cancel,
+		network: standin.NewNetwork(true),
+		store:   cellfake.NewStore(),
+		workers: cellfake.NewWorkers(lease),
+	}
+	x.client = x.newClient()
+	x.serve(platformPlace, storeAddress, wire.Store(x.store))
+	x.serve(platformPlace, adviceAddr, wire.Advisor(&cellfake.Advisor{}))
+	for i := range workers {
+		x.addWorker(i)
+	}
+	x.configure(1, true)
+	for i := range hosts {
+		x.start(i)
+	}
+	return x
+}
+
+// newClient returns a client whose connections are its own.
+func (x *cell) newClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: x.network.Dialer(standin.Node{
+				Name:  "client",
+				Place: "clients",
+			}),
+		},
+		Timeout: 3 * time.Second,
+	}
+}
+
+func (x *cell) serve(at standin.Node, address string, h http.Handler) {
+	l, err := x.network.Listen(at, address)
+	x.c.Assert(err, qt.IsNil)
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Minute,
+	}
+	x.serving.Go(func() { _ = s.Serve(l) })
+	context.AfterFunc(x.ctx, func() { _ = s.Close() })
+}
+
+func (x *cell) addWorker(i int) {
+	id := spoolsill.WorkerID(fmt.Sprintf("w%d", i))
+	a := fmt.Sprintf("10.8.0.%d:80", i+1)
+	x.workers.Add(id)
+	x.serve(standin.Node{
+		Name:  string(id),
+		Place: "workers",
+	}, a, wire.Worker(x.workers, id))
+	x.put(platform.WorkersTable, string(id), map[string]any{
+		"service":  "work",
+		"addr":     a,
+		"state":    "ready",
+		"machine":  "m" + string(id),
+		"capacity": map[string]int{"cpu": 8000, "memMb": 8000},
+		"labels":   []string{"a", "r1-1"},
+		"new":      "fields that nobody knows are skipped",
+	})
+}
+
+func (x *cell) put(table, name string, v any) {
+	b, err := json.Marshal(v)
+	x.c.Assert(err, qt.IsNil)
+	x.store.Put(store.Put{
+		Key: store.Key{
+			Table: table,
+			Name:  name,
+		},
+		Value: b,
+	})
+}
+
+// configure writes a configuration with the queue at /q/, and one at /extra/ if
+// that is wanted.
+func (x *cell) configure(version int, extra bool) {
+	route := func(name, prefix string) map[string]any {
+		return map[string]any{
+			"name":        name,
+			"host":        "cell.example",
+			"pathPrefix":  prefix,
+			"service":     "work",
+			"maxAttempts": 3,
+			"stretch":     2,
+			"goalMs":      1000,
+			"advice":      map[string]float64{"decide_ms": 5, "each_ms": 0.1, "valid_ms": 1000},
+		}
+	}
+	routes := []any{route("q", "/q/")}
+	if extra {
+		routes = append(routes, route("extra", "/extra/"))
+	}
+	x.put(platform.OperatorTable, platform.ConfigRow, map[string]any{
+		"version": version,
+		"routes":  routes,
+		"limits":  map[string]int{"maxBodyBytes": 10_000},
+	})
+}
+
+func hostName(i int) string {
+	return fmt.Sprintf("host%d", i)
+}
+
+// start starts a host, with nothing left of its earlier life.
+func (x *cell) start(i int) {
+	at := standin.Node{
+		Name:  hostName(i),
+		Place: fmt.Sprintf("hall%d", i),
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ip := fmt.Sprintf("10.1.0.%d", i+1)
+	h := &host{
+		Config: node.Config{
+			Settings: platform.Settings{
+				Host:           spoolsill.HostID(at.Name),
+				Hall:           spoolsill.HallID(at.Place),
+				IP:             ip,
+				FirstPort:      7000,
+				LastPort:       7010,
+				ClientAddress:  ip + ":80",
+				ReadyAddress:   ip + ":81",
+				StoreAddress:   storeAddress,
+				AdvisorAddress: adviceAddr,
+				Cores:          0.4,
+				Memory:         256 * spoolsill.MiB,
+				Bounds: platform.Bounds{
+					Lease:      lease,
+					StopGrace:  6 * time.Second,
+					FarFactor:  1,
+					StatusKept: 2 * time.Minute,
+				},
+			},
+			Log:    log,
+			Dial:   x.network.Dialer(at),
+			Listen: func(a string) (net.Listener, error) { return x.network.Listen(at, a) },
+		},
+		err: make(chan error, 1),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	for len(x.hosts) <= i {
+		x.hosts = append(x.hosts, nil)
+	}
+	x.hosts[i] = h
+	n := node.New(h.Config)
+	x.running.Go(func() { h.err <- n.Run(ctx) })
+}
+
+// end stops what is left.
+func (x *cell) end() {
+	x.client.CloseIdleConnections()
+	for _, h := range x.hosts {
+		h.stop()
+	}
+	x.running.Wait()
+	x.cancel()
+	x.serving.Wait()
+}
+
+type result struct {
+	status int
+	body   string
+}
+
+func (x *cell) call(host int, method, path, body string) result {
+	return x.callBy(x.client, host, method, path, body)
+}
+
+func (x *cell) callBy(c *http.Client, host int, method, path, body string) result {
+	r, err := http.NewRequestWithContext(x.ctx, method, "http://"+x.hosts[host].Settings.ClientAddress+path, strings.NewReader(body))
+	x.c.Assert(err, qt.IsNil)
+	r.Host = "cell.example"
+	p, err := c.Do(r)
+	if err != nil {
+		return result{
+			body: err.Error(),
+		}
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	x.c.Assert(err, qt.IsNil)
+	return result{
+		status: p.StatusCode,
+		body:   string(b),
+	}
+}
+
+func (x *cell) state(host int, id string) string {
+	return x.call(host, http.MethodGet, "/q/"+id, "").body
+}
+
+func (x *cell) leader() int {
+	h, _, err := leader.ReadHead(x.ctx, x.store)
+	x.c.Assert(err, qt.IsNil)
+	for i := range x.hosts {
+		if string(h.Host) == hostName(i) {
+			return i
+		}
+	}
+	return -1
+}
+
+func jobID(i int) string {
+	return fmt.Sprintf("%016x", i)
+}
+
+// run runs a test on virtual time.
+func run(t *testing.T, hosts, workers int, f func(x *cell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t, hosts, workers)
+		defer x.end()
+		time.Sleep(2 * time.Second)
+		f(x)
+	})
+}
+
+const completed = `{"state":"completed"}`
+
+func TestJobIsServedByEveryHost(t *testing.T) {
+	run(t, 3, 2, func(x *cell) {
+		for i := range 3 {
+			r := x.call(i, http.MethodPost, "/q/"+jobID(i), body)
+			x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
+		}
+		// The same job again, at another host, is still one job.
+		x.c.Assert(x.call(1, http.MethodPost, "/q/"+jobID(0), body).status, qt.Equals, http.StatusOK)
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			x.c.Assert(x.state((i+1)%3, jobID(i)), qt.Equals, completed)
+		}
+		x.c.Assert(x.workers.Starts(), qt.Equals, 6)
+		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
+
+func TestBadCallsHarmNothing(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		for _, c := range []struct {
+			method, path, body string
+			status             int
+		}{
+			{http.MethodPost, "/q/" + jobID(1), "{", http.StatusBadRequest},
+			{http.MethodPost, "/q/" + jobID(1), `{"steps":[]}`, http.StatusBadRequest},
+			{http.MethodPost, "/q/" + jobID(1), `{"steps":[{"count":0}]}`, http.StatusBadRequest},
+			{http.MethodPost, "/q/" + jobID(1), `{"steps":[{"count":1,"afterRev":[0]}]}`, http.StatusBadRequest},
+			{http.MethodPost, "/q/nothex", body, http.StatusBadRequest},
+			{http.MethodPost, "/q/" + jobID(1), strings.Repeat("x", 20_000), http.StatusRequestEntityTooLarge},
+			{http.MethodPost, "/none/" + jobID(1), body, http.StatusNotFound},
+			{http.MethodPut, "/q/" + jobID(1), body, http.StatusMethodNotAllowed},
+			{http.MethodGet, "/q/" + jobID(1), "", http.StatusGone},
+			{http.MethodDelete, "/q/" + jobID(1), "", http.StatusGone},
+			{http.MethodGet, "/q/", "", http.StatusOK},
+		} {
+			r := x.call(0, c.method, c.path, c.body)
+			x.c.Assert(r.status, qt.Equals, c.status, qt.Commentf("%v: %v", c, r))
+		}
+		x.c.Assert(x.call(1, http.MethodPost, "/q/"+jobID(2), body).status, qt.Equals, http.StatusOK)
+		// Another job by the same id is turned away, and the first one stays.
+		other := strings.Replace(body, `"s"`, `"t"`, 1)
+		x.c.Assert(x.call(1, http.MethodPost, "/q/"+jobID(2), other).status, qt.Equals, http.StatusConflict)
+		time.Sleep(3 * time.Second)
+		x.c.Assert(x.state(0, jobID(2)), qt.Equals, completed)
+	})
+}
+
+func TestCancelledJobEnds(t *testing.T) {
+	run(t, 2, 0, func(x *cell) {
+		x.c.Assert(x.call(0, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
+		time.Sleep(time.Second)
+		x.c.Assert(x.call(0, http.MethodGet, "/q/", "").body, qt.Equals, `{"waiting":1}`)
+		x.c.Assert(x.call(1, http.MethodDelete, "/q/"+jobID(1), "").status, qt.Equals, http.StatusOK)
+		time.Sleep(time.Second)
+		x.c.Assert(x.state(0, jobID(1)), qt.Equals, `{"state":"cancelled"}`)
+		x.c.Assert(x.call(0, http.MethodGet, "/q/", "").body, qt.Equals, `{"waiting":0}`)
+	})
+}
+
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		x.c.Assert(x.call(2, http.MethodGet, "/extra/", "").status, qt.Equals, http.StatusOK)
+		// One host is cut off from the store: it hears of it from the leader.
+		cut := (x.leader() + 1) % 3
+		x.network.SetCut(hostName(cut), platformPlace.Name, true)
+		x.configure(2, false)
+		x.store.Forget()
+		time.Sleep(1900 * time.Millisecond)
+		for i := range 3 {
+			x.c.Assert(x.call(i, http.MethodGet, "/extra/", "").status, qt.Equals, http.StatusNotFound, qt.Commentf("host %d", i))
+		}
+		// An older version changes nothing.
+		x.configure(1, true)
+		time.Sleep(2 * time.Second)
+		x.c.Assert(x.call(0, http.MethodGet, "/extra/", "").status, qt.Equals, http.StatusNotFound)
+	})
+}
+
+// A host that the store does not reach hands what it gets to the leader, and
+// says that new connections should go elsewhere.
+func TestHostWithoutTheStoreHandsOn(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		cut := (x.leader() + 1) % 3
+		x.network.SetCut(hostName(cut), platformPlace.Name, true)
+		time.Sleep(4 * time.Second)
+		r := x.call(cut, http.MethodPost, "/q/"+jobID(1), body)
+		x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
+		x.c.Assert(x.ready(cut), qt.Equals, http.StatusServiceUnavailable)
+		time.Sleep(3 * time.Second)
+		x.c.Assert(x.state(cut, jobID(1)), qt.Equals, completed)
+		x.network.SetCut(hostName(cut), platformPlace.Name, false)
+		time.Sleep(3 * time.Second)
+		x.c.Assert(x.ready(cut), qt.Equals, http.StatusOK)
+	})
+}
+
+func (x *cell) ready(host int) int {
+	p, err := x.client.Get("http://" + x.hosts[host].Settings.ReadyAddress + "/api/ready")
+	x.c.Assert(err, qt.IsNil)
+	_ = p.Body.Close()
+	return p.StatusCode
+}
+
+// With the store away nothing can be accepted: clients are told at once to come
+// back, never that the job did not and will not run.
+func TestStoreAwayIsToldAtOnce(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		x.store.TurnAway(true)
+		time.Sleep(2 * time.Second)
+		begun := time.Now()
+		r := x.call(0, http.MethodPost, "/q/"+jobID(1), body)
+		x.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
+		x.c.Assert(time.Since(begun) < 500*time.Millisecond, qt.IsTrue)
+		x.store.TurnAway(false)
+		time.Sleep(time.Second)
+		x.c.Assert(x.call(0, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
+		time.Sleep(3 * time.Second)
+		x.c.Assert(x.state(1, jobID(1)), qt.Equals, completed)
+	})
+}
+
+// The leader is cut off from everything: another host takes over within two
+// seconds, what ran goes on, nothing runs twice.
+func TestCutLeaderIsReplaced(t *testing.T) {
+	run(t, 3, 3, func(x *cell) {
+		for i := range 6 {
+			x.c.Assert(x.call(i%3, http.MethodPost, "/q/"+jobID(i), body).status, qt.Equals, http.StatusOK)
+		}
+		old := x.leader()
+		x.network.SetPaused(hostName(old), true)
+		time.Sleep(2 * time.Second)
+		x.c.Assert(x.leader(), qt.Not(qt.Equals), old)
+		next := (old + 1) % 3
+		x.c.Assert(x.callBy(x.newClient(), next, http.MethodPost, "/q/"+jobID(9), body).status, qt.Equals, http.StatusOK)
+		time.Sleep(5 * time.Second)
+		x.network.SetPaused(hostName(old), false)
+		time.Sleep(2 * time.Second)
+		for _, i := range []int{0, 1, 2, 3, 4, 5, 9} {
+			x.c.Assert(x.state(next, jobID(i)), qt.Equals, completed, qt.Commentf("job %d", i))
+		}
+		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
+
+// A planned stop answers what comes in on open connections, and hands the
+// leadership over in a moment.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	run(t, 2, 2, func(x *cell) {
+		old := x.leader()
+		x.hosts[old].stop()
+		for i := range 20 {
+			r := x.callBy(x.newClient(), old, http.MethodPost, "/q/"+jobID(i), body)
+			x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%d: %v", i, r))
+			time.Sleep(100 * time.Millisecond)
+		}
+		x.c.Assert(x.leader(), qt.Equals, 1-old)
+		x.c.Assert(<-x.hosts[old].err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		for i := range 20 {
+			x.c.Assert(x.state(1-old, jobID(i)), qt.Equals, completed)
+		}
+		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
