--- /dev/null
+++ b/jobstore/jobstore_test.go
@@ -0,0 +1,135 @@
+package jobstore_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// with runs f with a writer on a store in memory, on virtual time.
+func with(t *testing.T, f func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := cellfake.NewStore()
+		w := jobstore.NewWriter(jobstore.Writer{
+			Store:     s,
+			Partition: "host",
+			Timeout:   func() time.Duration { return 300 * time.Millisecond },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { w.Run(ctx) })
+		defer g.Wait()
+		defer cancel()
+		f(ctx, qt.New(t), s, w)
+	})
+}
+
+func job(id, spec string) sched.Job {
+	return sched.Job{
+		ID:       spoolsill.JobID(id),
+		Queue:    "q",
+		Spec:     spec,
+		Received: time.Now(),
+	}
+}
+
+func TestSameJobIsKeptOnce(t *testing.T) {
+	with(t, func(ctx context.Context, c *qt.C, _ *cellfake.Store, w *jobstore.Writer) {
+		o, _ := w.Accept(ctx, job("j", "s"))
+		c.Assert(o, qt.Equals, jobstore.Accepted)
+		time.Sleep(time.Second)
+		o, _ = w.Accept(ctx, job("j", "s"))
+		c.Assert(o, qt.Equals, jobstore.Known)
+		o, _ = w.Accept(ctx, job("j", "other"))
+		c.Assert(o, qt.Equals, jobstore.Conflict)
+	})
+}
+
+// A write whose answer is lost is made again and found done.
+func TestLostAnswersAreNotLostJobs(t *testing.T) {
+	for _, f := range []cellfake.StoreFault{cellfake.StoreLose, cellfake.StoreLate} {
+		with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+			calls := 0
+			s.Fault = func(store.Transaction) cellfake.StoreFault {
+				calls++
+				if calls == 1 {
+					return f
+				}
+				return cellfake.StoreWell
+			}
+			o, _ := w.Accept(ctx, job("j", "s"))
+			c.Assert(o, qt.Equals, jobstore.Accepted)
+			time.Sleep(5 * time.Second)
+			p, err := s.List(ctx, jobstore.JobsTable, "host", "", 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(p.Rows, qt.HasLen, 1)
+		})
+	}
+}
+
+// Jobs that come while a write is under way share the next one.
+func TestJobsShareWrites(t *testing.T) {
+	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+		writes := 0
+		s.Fault = func(store.Transaction) cellfake.StoreFault {
+			writes++
+			return cellfake.StoreWell
+		}
+		var g sync.WaitGroup
+		for i := range 100 {
+			g.Go(func() {
+				o, err := w.Accept(ctx, job(fmt.Sprint(i), "s"))
+				c.Check(err, qt.IsNil)
+				c.Check(o, qt.Equals, jobstore.Accepted)
+			})
+		}
+		g.Wait()
+		c.Assert(writes <= 5, qt.IsTrue, qt.Commentf("%d writes", writes))
+	})
+}
+
+// Refused is said only when nothing was written; a client that leaves learns
+// nothing.
+func TestRefusedAndUnknown(t *testing.T) {
+	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+		s.TurnAway(true)
+		o, _ := w.Accept(ctx, job("j", "s"))
+		c.Assert(o, qt.Equals, jobstore.Refused)
+		s.TurnAway(false)
+		s.Fault = func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLose }
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		o, _ = w.Accept(short, job("j", "s"))
+		c.Assert(o, qt.Equals, jobstore.Unknown)
+	})
+}
+
+func TestStateFromTheStore(t *testing.T) {
+	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+		_, known, err := jobstore.State(ctx, s, "j")
+		c.Assert(err, qt.IsNil)
+		c.Assert(known, qt.IsFalse)
+		_, err = w.Accept(ctx, job("j", "s"))
+		c.Assert(err, qt.IsNil)
+		x, known, err := jobstore.State(ctx, s, "j")
+		c.Assert(err, qt.IsNil)
+		c.Assert(known, qt.IsTrue)
+		c.Assert(x.State, qt.Equals, sched.Pending)
+		c.Assert(jobstore.Cancel(ctx, s, "another host", "j"), qt.IsNil)
+		x, _, err = jobstore.State(ctx, s, "j")
+		c.Assert(err, qt.IsNil)
+		c.Assert(x.State, qt.Equals, sched.Cancelled)
+	})
+}
