--- a/api/api.go
+++ b/api/api.go
@@ -1,5 +1,5 @@
 // Package api has the bodies of the operators' HTTP interface, and a client
-// for it. The paths are listed in docs/OPERATING.md.
+// for it. The paths are listed in docs/OPERATIONS.md.
 package api
 
 import (
--- a/cmd/spoolsill/main.go
+++ b/cmd/spoolsill/main.go
@@ -1,5 +1,5 @@
 // Command spoolsill is the command line of callers and operators of
-// Spoolsill. See docs/OPERATING.md.
+// Spoolsill. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/cmd/spoolsilld/main.go
+++ b/cmd/spoolsilld/main.go
@@ -1,4 +1,4 @@
-// Command spoolsilld is the entry host of Spoolsill. See docs/OPERATING.md.
+// Command spoolsilld is the entry host of Spoolsill. See docs/OPERATIONS.md.
 package main
 
 import (
