--- a/internal/cellfake/advisor.go
+++ b/internal/cellfake/advisor.go
@@ -11,6 +11,8 @@
 // An Advisor lets every worker run everything. It implements [leader.Advisor].
 type Advisor struct {
 	HostIDs []spoolsill.HostID
+	// Cut is the host that does not reach the advisor.
+	Cut spoolsill.HostID
 }
 
 // Hosts implements [leader.Advisor].
@@ -19,7 +21,11 @@
 }
 
 // Ask implements [leader.Advisor].
-func (a *Advisor) Ask(ctx context.Context, _ spoolsill.HostID, _ sched.StageID, workers []spoolsill.WorkerID) ([]sched.Ticket, time.Duration, error) {
+func (a *Advisor) Ask(ctx context.Context, h spoolsill.HostID, _ sched.StageID, workers []spoolsill.WorkerID) ([]sched.Ticket, time.Duration, error) {
+	if a.Cut != "" && h == a.Cut {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	if err := spend(ctx, callTime); err != nil {
 		return nil, 0, err
 	}
--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -26,6 +26,9 @@
 	// kept from long ones, so that short ones find a host that is free soon.
 	longQuestion = 150 * time.Millisecond
 	shortHosts   = 2
+	// failedRest is how long a host whose question got no answer is asked
+	// only when no other can: as long as troubles of one host mostly last.
+	failedRest = 3 * time.Second
 )
 
 // An adviser spreads questions over hosts, one at a time each.
@@ -33,14 +36,22 @@
 	leader *Leader
 	queue  []sched.AdviceOrder
 	busy   map[spoolsill.HostID]bool
-	freed  chan spoolsill.HostID
+	failed map[spoolsill.HostID]time.Time
+	freed  chan freedHost
+}
+
+// A freedHost has asked its question.
+type freedHost struct {
+	host   spoolsill.HostID
+	failed bool
 }
 
 func newAdviser(l *Leader) *adviser {
 	return &adviser{
 		leader: l,
 		busy:   map[spoolsill.HostID]bool{},
-		freed:  make(chan spoolsill.HostID, eventBuffer),
+		failed: map[spoolsill.HostID]time.Time{},
+		freed:  make(chan freedHost, eventBuffer),
 	}
 }
 
@@ -55,8 +66,7 @@
 		return
 	}
 	slices.SortStableFunc(a.queue, compareQuestions)
-	hosts := a.leader.config.Advisor.Hosts()
-	slices.Sort(hosts)
+	hosts := a.able(a.leader.config.Advisor.Hosts(), time.Now())
 	rest := a.queue[:0]
 	for _, o := range a.queue {
 		h, ok := a.free(hosts, o.Cost > longQuestion)
@@ -72,14 +82,34 @@
 func (a *adviser) collect() {
 	for {
 		select {
-		case h := <-a.freed:
-			delete(a.busy, h)
+		case f := <-a.freed:
+			delete(a.busy, f.host)
+			delete(a.failed, f.host)
+			if f.failed {
+				a.failed[f.host] = time.Now()
+			}
 		default:
 			return
 		}
 	}
 }
 
+// able returns the hosts that may reach the advisor; all of them when each has
+// failed lately.
+func (a *adviser) able(hosts []spoolsill.HostID, now time.Time) []spoolsill.HostID {
+	slices.Sort(hosts)
+	var able []spoolsill.HostID
+	for _, h := range hosts {
+		if now.Sub(a.failed[h]) >= failedRest {
+			able = append(able, h)
+		}
+	}
+	if len(able) == 0 {
+		return hosts
+	}
+	return able
+}
+
 // compareQuestions orders the most urgent queue's first, then those for which
 // room is held.
 func compareQuestions(a, b sched.AdviceOrder) int {
@@ -121,7 +151,10 @@
 		if err != nil {
 			l.config.Log.WithError(err).WithField("host", string(h)).WithField("stage", o.Stage.String()).Warn("advice failed")
 		}
-		a.freed <- h
+		a.freed <- freedHost{
+			host:   h,
+			failed: err != nil,
+		}
 		l.send(adviceTaken{
 			advice: sched.Advice{
 				Order:    o,
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -39,6 +39,8 @@
 	kills   []context.CancelFunc
 	// observer of the leaders; may be nil.
 	observer leader.Observer
+	// cutHost does not reach the advisor.
+	cutHost spoolsill.HostID
 }
 
 func newCell(ctx context.Context, t *testing.T, workers int) *cell {
@@ -105,6 +107,7 @@
 			Workers: x.workers,
 			Advisor: &cellfake.Advisor{
 				HostIDs: []spoolsill.HostID{host, "other"},
+				Cut:     x.cutHost,
 			},
 			WorkersTable: workersTable,
 			DecodeWorker: decodeWorker,
@@ -407,6 +410,30 @@
 	})
 }
 
+// A host that does not reach the advisor must not be asked again and again
+// while others do.
+func TestHostWithoutTheAdvisorIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 2)
+		defer x.end()
+		x.cutHost = "other"
+		l := x.lead("a")
+		var ids []spoolsill.JobID
+		for i := range 6 {
+			id := spoolsill.JobID(fmt.Sprintf("j%d", i))
+			ids = append(ids, id)
+			x.submit(sched.Job{
+				ID:    id,
+				Queue: "advised",
+				Steps: []sched.Step{step(1, 1)},
+			})
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		x.assertCompleted(l, ids)
+	})
+}
+
 // Rows of jobs that have ended are deleted, and their states stay known to the
 // next leader and in the store.
 func TestEndedJobsKeepOnlyTheirState(t *testing.T) {
