--- a/leader/leader.go
+++ b/leader/leader.go
@@ -1,17 +1,14 @@
 package leader
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/spoolsill/spoolsill"
-	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
@@ -36,15 +33,6 @@
 	// countAge is how old the count of waiting jobs may be: the platform allows
 	// two seconds, and a feed that has nothing to tell answers each second.
 	countAge = 2 * time.Second
-	// probeEvery is how often the loop measures how late it is.
-	probeEvery = 100 * time.Millisecond
-	// lateMost is how late the loop may be, on average over about a second,
-	// before another host should lead: a quarter of the time in which the
-	// most urgent work of today has to be done.
-	lateMost = 300 * time.Millisecond
-	// lateAfter is how long after a take-over it is not looked at: loading
-	// and the first look at all workers take their time.
-	lateAfter = 3 * time.Second
 	// eventBuffer is how many events may wait for the loop.
 	eventBuffer = 4096
 )
@@ -248,62 +236,6 @@
 	return sched.LeaseEnd(time.Time{}, 2*lease).Sub(time.Time{})
 }
 
-// loadProgress reads the progress of all jobs, until it succeeds.
-func (l *Leader) loadProgress(ctx context.Context) (map[spoolsill.JobID][]byte, error) {
-	for {
-		rows, _, err := store.ListAll(ctx, l.config.Store, jobstore.ProgressTable, jobstore.CellPartition)
-		if err == nil {
-			m := make(map[spoolsill.JobID][]byte, len(rows))
-			for _, r := range rows {
-				m[spoolsill.JobID(r.Key.Name)] = r.Value
-			}
-			return m, nil
-		}
-		l.config.Log.WithError(err).Warn("load progress")
-		// The row must go on changing while the store is slow to list.
-		if err := l.config.Chain.Write(ctx, nil, nil); err != nil {
-			return nil, err
-		}
-	}
-}
-
-func (l *Leader) follow(ctx context.Context) {
-	followers := []*store.Follower{
-		{
-			Store:   l.config.Store,
-			Table:   jobstore.JobsTable,
-			Wait:    followWait,
-			Listed:  func(rows []store.Row) { l.send(jobsListed{rows: rows}) },
-			Changed: func(r store.Row) { l.send(jobChanged{row: r}) },
-			Heard:   l.hearJobs,
-			Failed:  l.reportFeed(jobstore.JobsTable),
-		},
-		{
-			Store:   l.config.Store,
-			Table:   l.config.WorkersTable,
-			Wait:    followWait,
-			Pause:   workersPause,
-			Listed:  func(rows []store.Row) { l.send(workersListed{rows: rows}) },
-			Changed: func(r store.Row) { l.send(workerChanged{row: r}) },
-			Failed:  l.reportFeed("workers"),
-		},
-	}
-	for _, f := range followers {
-		l.spawn(func() { f.Run(ctx) })
-	}
-}
-
-func (l *Leader) reportFeed(table string) func(error) {
-	return func(err error) {
-		log := l.config.Log.WithField("table", table)
-		if err != nil {
-			log.WithError(err).Warn("feed lost")
-			return
-		}
-		log.Info("feed regained")
-	}
-}
-
 // spawn runs f beside the loop; run waits for it.
 func (l *Leader) spawn(f func()) {
 	l.calls.Add(1)
@@ -387,36 +319,6 @@
 	return nil
 }
 
-// ErrOverloaded is returned by a leader that gave up because its host could not
-// keep up.
-var ErrOverloaded = errors.New("leader: this host can't keep up")
-
-// probe sends the loop an event now and then, which tells how late the loop is.
-func (l *Leader) probe(ctx context.Context) {
-	t := time.NewTicker(probeEvery)
-	defer t.Stop()
-	for {
-		select {
-		case at := <-t.C:
-			l.send(probeSent{
-				at: at,
-			})
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// takeProbe gives the leadership up when the loop has been late for a while.
-func (l *Leader) takeProbe(now, sent time.Time) error {
-	l.late += (now.Sub(sent) - l.late) / 8
-	if l.late < lateMost || now.Sub(l.config.Sched.TakenOver) < lateAfter {
-		return nil
-	}
-	l.config.Log.WithField("late_ms", l.late.Milliseconds()).Warn("leader can't keep up")
-	return ErrOverloaded
-}
-
 // act decides, and sends what may be sent.
 func (l *Leader) act(ctx context.Context) error {
 	now := time.Now()
@@ -443,210 +345,6 @@
 	return l.write(ctx, now)
 }
 
-// write begins the next write when none is under way.
-func (l *Leader) write(ctx context.Context, now time.Time) error {
-	if l.writing || now.Sub(l.lastWrite) < writeEvery {
-		return nil
-	}
-	b, any, err := l.state.Batch(now)
-	if err != nil {
-		return err
-	}
-	if !any && now.Sub(l.lastWrite) < keepAlive {
-		return nil
-	}
-	l.writing = true
-	// The write goes on when the leadership is being given up: its fate must
-	// be known before the row can be written again.
-	ctx = l.writes
-	l.written.Add(1)
-	go func() {
-		defer l.written.Done()
-		puts := make([]store.Put, len(b.Rows))
-		for i, r := range b.Rows {
-			puts[i] = store.Put{
-				Key:   jobstore.ProgressKey(r.ID),
-				Value: r.Value,
-			}
-		}
-		deletes := make([]store.Key, len(b.Forgotten))
-		for i, id := range b.Forgotten {
-			deletes[i] = jobstore.ProgressKey(id)
-		}
-		if err := l.config.Chain.Write(ctx, puts, deletes); err != nil {
-			l.send(leadershipEnded{
-				err: err,
-			})
-			return
-		}
-		l.send(batchWritten{
-			batch: b,
-			begun: now,
-		})
-	}()
-	return nil
-}
-
-func (l *Leader) takeWritten(now time.Time, e batchWritten) {
-	l.writing = false
-	l.lastWrite = e.begun
-	l.publish(e.begun, e.batch.Statuses)
-	for _, o := range l.state.Written(now, e.batch) {
-		l.sendStart(o)
-	}
-	l.sweeper.add(e.batch.Ended)
-	l.forget(e.batch.Forgotten)
-	for _, a := range e.batch.Acks {
-		if h := l.holds[a.Worker]; h != nil {
-			h.ack(a.Sequence)
-		}
-	}
-}
-
-func (l *Leader) forget(ids []spoolsill.JobID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, id := range ids {
-		delete(l.statuses, id)
-	}
-}
-
-func (l *Leader) publish(begun time.Time, statuses []sched.JobStatus) {
-	w := l.state.Waiting()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.fresh = begun
-	l.waiting = w
-	l.known = l.loaded
-	for _, s := range statuses {
-		if !l.statuses[s.ID].State.Final() {
-			l.statuses[s.ID] = s
-		}
-	}
-}
-
-func (l *Leader) takeWorkers(now time.Time, rows []store.Row) {
-	listed := map[spoolsill.WorkerID]bool{}
-	for _, r := range rows {
-		listed[spoolsill.WorkerID(r.Key.Name)] = true
-	}
-	for _, id := range l.state.Workers() {
-		if !listed[id] {
-			l.state.UnlistWorker(now, id)
-		}
-	}
-	for _, r := range rows {
-		l.takeWorker(now, r)
-	}
-}
-
-func (l *Leader) takeWorker(now time.Time, r store.Row) {
-	if r.Deleted {
-		l.state.UnlistWorker(now, spoolsill.WorkerID(r.Key.Name))
-		return
-	}
-	w, err := l.config.DecodeWorker(r)
-	if err != nil {
-		l.config.Log.WithError(err).Warn("worker's entry can't be read")
-		return
-	}
-	l.state.ListWorker(now, w)
-}
-
-func (l *Leader) takeJobs(now time.Time, rows []store.Row) {
-	// Of two rows of one job the older one counts.
-	slices.SortStableFunc(rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
-	for _, r := range rows {
-		if _, ok := jobstore.Cancelled(r.Key.Name); !ok {
-			l.takeJob(now, r)
-		}
-	}
-	for _, r := range rows {
-		if _, ok := jobstore.Cancelled(r.Key.Name); ok {
-			l.takeJob(now, r)
-		}
-	}
-	if l.loaded {
-		return
-	}
-	l.loaded = true
-	for id, v := range l.rows {
-		l.takeEnded(now, id, v)
-	}
-	l.rows = nil
-	took := now.Sub(l.config.Sched.TakenOver)
-	l.config.Observer.TookOver(took)
-	l.config.Log.WithField("jobs", len(l.state.Jobs())).WithField("took_ms", took.Milliseconds()).Info("jobs loaded")
-	// All of it was read from the store, so it lasts.
-	l.publish(l.lastWrite, l.state.Jobs())
-}
-
-// takeEnded takes in a job of which only the progress is left.
-func (l *Leader) takeEnded(now time.Time, id spoolsill.JobID, v []byte) {
-	if _, ok := l.state.Job(id); ok {
-		return
-	}
-	p, err := sched.DecodeProgress(v)
-	if err != nil || !p.State.Final() {
-		l.config.Log.WithError(err).WithField("job", string(id)).WithField("state", p.State.String()).Error("progress without a job")
-		return
-	}
-	l.state.AddEnded(now, id, p.State)
-}
-
-// takeJob takes in a row of the jobs table: a job or the mark of a cancelled
-// one.
-func (l *Leader) takeJob(now time.Time, r store.Row) {
-	if r.Deleted {
-		return
-	}
-	if id, ok := jobstore.Cancelled(r.Key.Name); ok {
-		l.sweeper.locate(id, r.Key)
-		l.state.CancelJob(now, id)
-		l.sweepEnded(id)
-		return
-	}
-	id := spoolsill.JobID(r.Key.Name)
-	l.sweeper.locate(id, r.Key)
-	if _, ok := l.state.Job(id); ok {
-		l.sweepEnded(id)
-		return
-	}
-	j, err := jobstore.DecodeJob(r.Value)
-	if err != nil {
-		l.config.Log.WithError(err).WithField("job", r.Key.Name).Error("job can't be read")
-		return
-	}
-	var p sched.Progress
-	if v, ok := l.rows[j.ID]; ok {
-		p, err = sched.DecodeProgress(v)
-		if err != nil {
-			l.config.Log.WithError(err).WithField("job", r.Key.Name).Error("progress can't be read")
-			return
-		}
-	}
-	l.state.AddJob(now, j, p)
-	l.sweepEnded(id)
-}
-
-// sweepEnded has the rows of a job deleted that has ended for good: a client
-// came back after its end, or a former leader had no time for it.
-func (l *Leader) sweepEnded(id spoolsill.JobID) {
-	if l.state.Settled(id) && l.endLasts(id) {
-		l.sweeper.add([]spoolsill.JobID{id})
-	}
-}
-
-// endLasts reports whether the end of a job that has ended is in the store:
-// what is loaded comes from there, and what was published was written.
-func (l *Leader) endLasts(id spoolsill.JobID) bool {
-	if !l.loaded {
-		return true
-	}
-	s, _ := l.Status(id)
-	return s.State.Final()
-}
-
 func (l *Leader) logNotes() {
 	for _, n := range l.state.Notes() {
 		l.config.Observer.Note(n)
--- /dev/null
+++ b/leader/load.go
@@ -0,0 +1,191 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// loadProgress reads the progress of all jobs, until it succeeds.
+func (l *Leader) loadProgress(ctx context.Context) (map[spoolsill.JobID][]byte, error) {
+	for {
+		rows, _, err := store.ListAll(ctx, l.config.Store, jobstore.ProgressTable, jobstore.CellPartition)
+		if err == nil {
+			m := make(map[spoolsill.JobID][]byte, len(rows))
+			for _, r := range rows {
+				m[spoolsill.JobID(r.Key.Name)] = r.Value
+			}
+			return m, nil
+		}
+		l.config.Log.WithError(err).Warn("load progress")
+		// The row must go on changing while the store is slow to list.
+		if err := l.config.Chain.Write(ctx, nil, nil); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (l *Leader) takeWorkers(now time.Time, rows []store.Row) {
+	listed := map[spoolsill.WorkerID]bool{}
+	for _, r := range rows {
+		listed[spoolsill.WorkerID(r.Key.Name)] = true
+	}
+	for _, id := range l.state.Workers() {
+		if !listed[id] {
+			l.state.UnlistWorker(now, id)
+		}
+	}
+	for _, r := range rows {
+		l.takeWorker(now, r)
+	}
+}
+
+func (l *Leader) takeWorker(now time.Time, r store.Row) {
+	if r.Deleted {
+		l.state.UnlistWorker(now, spoolsill.WorkerID(r.Key.Name))
+		return
+	}
+	w, err := l.config.DecodeWorker(r)
+	if err != nil {
+		l.config.Log.WithError(err).Warn("worker's entry can't be read")
+		return
+	}
+	l.state.ListWorker(now, w)
+}
+
+func (l *Leader) takeJobs(now time.Time, rows []store.Row) {
+	// Of two rows of one job the older one counts.
+	slices.SortStableFunc(rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
+	for _, r := range rows {
+		if _, ok := jobstore.Cancelled(r.Key.Name); !ok {
+			l.takeJob(now, r)
+		}
+	}
+	for _, r := range rows {
+		if _, ok := jobstore.Cancelled(r.Key.Name); ok {
+			l.takeJob(now, r)
+		}
+	}
+	if l.loaded {
+		return
+	}
+	l.loaded = true
+	for id, v := range l.rows {
+		l.takeEnded(now, id, v)
+	}
+	l.rows = nil
+	took := now.Sub(l.config.Sched.TakenOver)
+	l.config.Observer.TookOver(took)
+	l.config.Log.WithField("jobs", len(l.state.Jobs())).WithField("took_ms", took.Milliseconds()).Info("jobs loaded")
+	// All of it was read from the store, so it lasts.
+	l.publish(l.lastWrite, l.state.Jobs())
+}
+
+// takeEnded takes in a job of which only the progress is left.
+func (l *Leader) takeEnded(now time.Time, id spoolsill.JobID, v []byte) {
+	if _, ok := l.state.Job(id); ok {
+		return
+	}
+	p, err := sched.DecodeProgress(v)
+	if err != nil || !p.State.Final() {
+		l.config.Log.WithError(err).WithField("job", string(id)).WithField("state", p.State.String()).Error("progress without a job")
+		return
+	}
+	l.state.AddEnded(now, id, p.State)
+}
+
+// takeJob takes in a row of the jobs table: a job or the mark of a cancelled
+// one.
+func (l *Leader) takeJob(now time.Time, r store.Row) {
+	if r.Deleted {
+		return
+	}
+	if id, ok := jobstore.Cancelled(r.Key.Name); ok {
+		l.sweeper.locate(id, r.Key)
+		l.state.CancelJob(now, id)
+		l.sweepEnded(id)
+		return
+	}
+	id := spoolsill.JobID(r.Key.Name)
+	l.sweeper.locate(id, r.Key)
+	if _, ok := l.state.Job(id); ok {
+		l.sweepEnded(id)
+		return
+	}
+	j, err := jobstore.DecodeJob(r.Value)
+	if err != nil {
+		l.config.Log.WithError(err).WithField("job", r.Key.Name).Error("job can't be read")
+		return
+	}
+	var p sched.Progress
+	if v, ok := l.rows[j.ID]; ok {
+		p, err = sched.DecodeProgress(v)
+		if err != nil {
+			l.config.Log.WithError(err).WithField("job", r.Key.Name).Error("progress can't be read")
+			return
+		}
+	}
+	l.state.AddJob(now, j, p)
+	l.sweepEnded(id)
+}
+
+// sweepEnded has the rows of a job deleted that has ended for good: a client
+// came back after its end, or a former leader had no time for it.
+func (l *Leader) sweepEnded(id spoolsill.JobID) {
+	if l.state.Settled(id) && l.endLasts(id) {
+		l.sweeper.add([]spoolsill.JobID{id})
+	}
+}
+
+// endLasts reports whether the end of a job that has ended is in the store:
+// what is loaded comes from there, and what was published was written.
+func (l *Leader) endLasts(id spoolsill.JobID) bool {
+	if !l.loaded {
+		return true
+	}
+	s, _ := l.Status(id)
+	return s.State.Final()
+}
+
+func (l *Leader) follow(ctx context.Context) {
+	followers := []*store.Follower{
+		{
+			Store:   l.config.Store,
+			Table:   jobstore.JobsTable,
+			Wait:    followWait,
+			Listed:  func(rows []store.Row) { l.send(jobsListed{rows: rows}) },
+			Changed: func(r store.Row) { l.send(jobChanged{row: r}) },
+			Heard:   l.hearJobs,
+			Failed:  l.reportFeed(jobstore.JobsTable),
+		},
+		{
+			Store:   l.config.Store,
+			Table:   l.config.WorkersTable,
+			Wait:    followWait,
+			Pause:   workersPause,
+			Listed:  func(rows []store.Row) { l.send(workersListed{rows: rows}) },
+			Changed: func(r store.Row) { l.send(workerChanged{row: r}) },
+			Failed:  l.reportFeed("workers"),
+		},
+	}
+	for _, f := range followers {
+		l.spawn(func() { f.Run(ctx) })
+	}
+}
+
+func (l *Leader) reportFeed(table string) func(error) {
+	return func(err error) {
+		log := l.config.Log.WithField("table", table)
+		if err != nil {
+			log.WithError(err).Warn("feed lost")
+			return
+		}
+		log.Info("feed regained")
+	}
+}
--- /dev/null
+++ b/leader/write.go
@@ -0,0 +1,93 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// write begins the next write when none is under way.
+func (l *Leader) write(ctx context.Context, now time.Time) error {
+	if l.writing || now.Sub(l.lastWrite) < writeEvery {
+		return nil
+	}
+	b, any, err := l.state.Batch(now)
+	if err != nil {
+		return err
+	}
+	if !any && now.Sub(l.lastWrite) < keepAlive {
+		return nil
+	}
+	l.writing = true
+	// The write goes on when the leadership is being given up: its fate must
+	// be known before the row can be written again.
+	ctx = l.writes
+	l.written.Add(1)
+	go func() {
+		defer l.written.Done()
+		puts := make([]store.Put, len(b.Rows))
+		for i, r := range b.Rows {
+			puts[i] = store.Put{
+				Key:   jobstore.ProgressKey(r.ID),
+				Value: r.Value,
+			}
+		}
+		deletes := make([]store.Key, len(b.Forgotten))
+		for i, id := range b.Forgotten {
+			deletes[i] = jobstore.ProgressKey(id)
+		}
+		if err := l.config.Chain.Write(ctx, puts, deletes); err != nil {
+			l.send(leadershipEnded{
+				err: err,
+			})
+			return
+		}
+		l.send(batchWritten{
+			batch: b,
+			begun: now,
+		})
+	}()
+	return nil
+}
+
+func (l *Leader) takeWritten(now time.Time, e batchWritten) {
+	l.writing = false
+	l.lastWrite = e.begun
+	l.publish(e.begun, e.batch.Statuses)
+	for _, o := range l.state.Written(now, e.batch) {
+		l.sendStart(o)
+	}
+	l.sweeper.add(e.batch.Ended)
+	l.forget(e.batch.Forgotten)
+	for _, a := range e.batch.Acks {
+		if h := l.holds[a.Worker]; h != nil {
+			h.ack(a.Sequence)
+		}
+	}
+}
+
+func (l *Leader) forget(ids []spoolsill.JobID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		delete(l.statuses, id)
+	}
+}
+
+func (l *Leader) publish(begun time.Time, statuses []sched.JobStatus) {
+	w := l.state.Waiting()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fresh = begun
+	l.waiting = w
+	l.known = l.loaded
+	for _, s := range statuses {
+		if !l.statuses[s.ID].State.Final() {
+			l.statuses[s.ID] = s
+		}
+	}
+}
