leader: no race on the epoch; the leader tells for sure that there is no such job

Cause: (1) the race detector: the epoch was read while a write replaced the row that it lay in; a test read its dice without the lock, another the request of a handler. (2) each question about a job that nobody handed in made a host read all partitions: 45 reads at 43 hosts. Change: the epoch is a field of its own; for a job that it does not know the leader waits for an answer of the jobs' feed that was asked for later than the question, at most 0.18 s, and only then says no; hosts read the store when it can't.

--- a/leader/chain.go
+++ b/leader/chain.go
@@ -61,9 +61,10 @@
 	pauseMost = 250 * time.Millisecond
 )
 
-// A Chain is the leadership of one host. It is not safe for concurrent use.
+// A Chain is the leadership of one host. Only Epoch is safe for concurrent use.
 type Chain struct {
 	store   store.Store
+	epoch   spoolsill.Epoch // does not change
 	head    Head
 	version store.Version
 	// usual is a moving average of how long writes take.
@@ -78,7 +79,8 @@
 		head:    me,
 		version: v,
 	}
-	c.head.Epoch = old.Epoch + 1
+	c.epoch = old.Epoch + 1
+	c.head.Epoch = c.epoch
 	if err := c.write(ctx, c.head, nil, nil); err != nil {
 		return nil, err
 	}
@@ -87,7 +89,7 @@
 
 // Epoch returns the epoch of this leadership.
 func (c *Chain) Epoch() spoolsill.Epoch {
-	return c.head.Epoch
+	return c.epoch
 }
 
 // Write puts and deletes rows, whatever it takes, until ctx ends or another host
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -97,6 +97,9 @@
 	waiting  map[sched.QueueID]int
 	known    bool
 	heard    time.Time // when the latest answer of the jobs' feed was asked for
+	// taken is like heard, once the loop has taken the answer's jobs in.
+	taken time.Time
+	hears chan struct{} // closed when taken changes
 }
 
 // An event is what the loop takes in.
@@ -108,6 +111,7 @@
 	workerChanged  struct{ row store.Row }
 	jobsListed     struct{ rows []store.Row }
 	jobChanged     struct{ row store.Row }
+	jobsHeard      struct{ sent time.Time }
 	heartbeatTaken struct{ heartbeat sched.Heartbeat }
 	workerReplaced struct{ worker spoolsill.WorkerID }
 	workerRefused  struct{ worker spoolsill.WorkerID }
@@ -137,6 +141,7 @@
 		holds:    map[spoolsill.WorkerID]*hold{},
 		statuses: map[spoolsill.JobID]sched.JobStatus{},
 		waiting:  map[sched.QueueID]int{},
+		hears:    make(chan struct{}),
 	}
 	l.advising = newAdviser(l)
 	l.sweeper = newSweeper(l)
@@ -164,6 +169,36 @@
 	return s, ok
 }
 
+// Settle returns the state of a job like Status, and for one that is not known
+// waits until every job that was accepted before the call is. It returns false
+// for sure when ctx ends before.
+func (l *Leader) Settle(ctx context.Context, id spoolsill.JobID) (s sched.JobStatus, known, sure bool) {
+	asked := time.Now()
+	for {
+		s, known = l.Status(id)
+		heard, next := l.hearing()
+		if known || heard.After(asked) {
+			return s, known, true
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return s, false, false
+		}
+	}
+}
+
+// hearing returns when the latest answer of the jobs' feed was asked for, and a
+// channel that is closed with the next one.
+func (l *Leader) hearing() (time.Time, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.known {
+		return time.Time{}, l.hears
+	}
+	return l.taken, l.hears
+}
+
 // Waiting returns the waiting jobs of a queue. It returns false when that is
 // not known: before all jobs are loaded, and while the store keeps what other
 // hosts accept from this one.
@@ -173,11 +208,26 @@
 	return l.waiting[q], l.known && time.Since(l.heard) < countAge
 }
 
-// hearJobs takes in that all jobs accepted before a time are known.
+// hearJobs takes in that all jobs accepted before a time have been read.
 func (l *Leader) hearJobs(sent time.Time) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.heard = sent
+	l.mu.Unlock()
+	l.send(jobsHeard{
+		sent: sent,
+	})
+}
+
+// takeHeard takes in that all jobs accepted before a time are known.
+func (l *Leader) takeHeard(sent time.Time) {
+	if t := l.state.Told(); len(t) > 0 {
+		l.publish(l.lastWrite, t)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.taken = sent
+	close(l.hears)
+	l.hears = make(chan struct{})
 }
 
 // Fresh returns when the latest write that lasts was begun.
@@ -295,6 +345,8 @@
 		l.takeJobs(now, e.rows)
 	case jobChanged:
 		l.takeJob(now, e.row)
+	case jobsHeard:
+		l.takeHeard(e.sent)
 	case heartbeatTaken:
 		l.state.Heartbeat(now, e.heartbeat)
 	case workerReplaced:
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -256,9 +256,9 @@
 		if i == 0 {
 			ids = x.submitMixed(20)
 		}
-		cut := x.ids[d.r.IntN(len(x.ids))]
+		cut := x.ids[d.below(len(x.ids))]
 		x.workers.Cut(cut, true)
-		time.Sleep(time.Duration(1500+d.r.IntN(3000)) * time.Millisecond)
+		time.Sleep(time.Duration(1500+d.below(3000)) * time.Millisecond)
 		x.workers.Cut(cut, false)
 		x.store.Forget()
 	}
@@ -289,6 +289,13 @@
 	return 0
 }
 
+// below returns a number from 0 to n-1.
+func (d *dice) below(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.r.IntN(n)
+}
+
 // The tasks of a worker that is gone for good start elsewhere: calls that get
 // no answer must not move the end of its lease on.
 func TestGoneWorkersTasksStartElsewhere(t *testing.T) {
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -27,6 +27,10 @@
 	awayBudget = 300 * time.Millisecond
 	// askTimeout is for a question to the leader.
 	askTimeout = 250 * time.Millisecond
+	// settleTimeout is how long the leader waits to be sure that there is no
+	// such job; less than askTimeout. A feed that tells of jobs answers some
+	// fifty times a second, one that has none to tell of once.
+	settleTimeout = 180 * time.Millisecond
 	// handOnTimeout is for a job that the leader is to keep.
 	handOnTimeout = 600 * time.Millisecond
 	// retryAfter is when clients should come back; troubles of the store and
@@ -146,8 +150,11 @@
 // State implements [platform.Jobs]: the leader knows, and the store does when
 // the leader does not or is not there.
 func (n *Node) State(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, platform.Outcome, error) {
-	if s, ok := n.askState(ctx, id); ok {
-		return s, platform.Done, nil
+	if r, err := n.askState(ctx, id); err == nil && (r.Known || r.Sure) {
+		return sched.JobStatus{
+			ID:    id,
+			State: r.State,
+		}, stateOutcome(r.Known), nil
 	}
 	s, known, err := jobstore.State(ctx, n.store, id)
 	switch {
@@ -160,27 +167,32 @@
 	}
 }
 
-func (n *Node) askState(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, bool) {
-	if l := n.leaderHere(); l != nil {
-		return l.Status(id)
+func stateOutcome(known bool) platform.Outcome {
+	if known {
+		return platform.Done
+	}
+	return platform.NoSuch
+}
+
+// askState asks the leader for a job's state.
+func (n *Node) askState(ctx context.Context, id spoolsill.JobID) (stateReply, error) {
+	q := stateRequest{
+		Job: id,
+	}
+	if n.leaderHere() != nil {
+		return n.stateAsked(ctx, peer.Caller{}, q)
 	}
 	h, ok := n.leaderHost()
 	if !ok {
-		return sched.JobStatus{}, false
+		return stateReply{}, errNotLeading
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	r, err := peer.Call[stateReply](ctx, n.peers, h, methodState, stateRequest{
-		Job: id,
-	})
+	r, err := peer.Call[stateReply](ctx, n.peers, h, methodState, q)
 	if err != nil {
-		n.log.WithError(err).WithField("job", string(id)).Warn("leader could not be asked")
-		return sched.JobStatus{}, false
+		n.log.WithError(err).WithField("job", string(id)).WithField("leader", string(h)).Warn("leader could not be asked")
 	}
-	return sched.JobStatus{
-		ID:    id,
-		State: r.State,
-	}, r.Known
+	return r, err
 }
 
 // Cancel implements [platform.Jobs].
--- a/node/peers.go
+++ b/node/peers.go
@@ -54,6 +54,8 @@
 
 type stateReply struct {
 	Known bool
+	// Sure tells that a job that is not known was not accepted either.
+	Sure  bool
 	State sched.JobState
 }
 
@@ -124,14 +126,17 @@
 	Text: "this host does not lead",
 }
 
-func (n *Node) stateAsked(_ context.Context, _ peer.Caller, q stateRequest) (stateReply, error) {
+func (n *Node) stateAsked(ctx context.Context, _ peer.Caller, q stateRequest) (stateReply, error) {
 	l := n.leaderHere()
 	if l == nil {
 		return stateReply{}, errNotLeading
 	}
-	s, ok := l.Status(q.Job)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	s, known, sure := l.Settle(ctx, q.Job)
 	return stateReply{
-		Known: ok,
+		Known: known,
+		Sure:  sure,
 		State: s.State,
 	}, nil
 }
