--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -262,8 +262,7 @@
 		x.workers.Cut(cut, false)
 		x.store.Forget()
 	}
-	x.store.Fault = nil
-	x.workers.Fault = nil
+	d.stop()
 	time.Sleep(time.Minute)
 	x.assertCompleted(x.leaders[len(x.leaders)-1], ids)
 	x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
@@ -271,14 +270,25 @@
 
 // A dice is safe for concurrent use.
 type dice struct {
-	mu sync.Mutex
-	r  *rand.Rand
+	mu   sync.Mutex
+	r    *rand.Rand
+	over bool
+}
+
+// stop has every later roll return 0.
+func (d *dice) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.over = true
 }
 
 // roll returns an index, each with its probability.
 func (d *dice) roll(shares ...float64) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.over {
+		return 0
+	}
 	f := d.r.Float64()
 	for i, s := range shares {
 		if f < s {
