--- a/leader/hold.go
+++ b/leader/hold.go
@@ -47,8 +47,8 @@
 	wake    chan struct{}
 }
 
-// keepEvery is how often the holds are compared with the workers: a worker that
-// comes or goes is noticed so much later.
+// keepEvery is how often the holds are compared with the workers, and the hosts
+// counted: what comes or goes is noticed so much later.
 const keepEvery = 50 * time.Millisecond
 
 // keepHolds starts and ends holds as workers come and go.
@@ -57,6 +57,7 @@
 		return
 	}
 	l.kept = now
+	l.state.SetAskers(len(l.config.Advisor.Hosts()))
 	wanted := map[spoolsill.WorkerID]bool{}
 	for _, id := range l.state.Workers() {
 		wanted[id] = true
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -12,10 +12,10 @@
 	// ticketMargin is how long a ticket must still hold when a start is
 	// decided: a write, the call itself and some queueing.
 	ticketMargin = 200 * time.Millisecond
-	// maxAsking bounds the questions under way, so that those of the stages
-	// ranked first are not stuck behind others: two for each of the hosts of
-	// today.
-	maxAsking = 14
+	// askingEach bounds the questions under way for each host that can ask,
+	// so that those of the stages ranked first are not stuck behind others:
+	// one that is being answered and one that waits.
+	askingEach = 2
 	// adviceWidth is the part of an advisor's base cost that is spent on
 	// asking about more workers at once.
 	adviceWidth = 0.45
@@ -76,6 +76,11 @@
 	})
 }
 
+// SetAskers takes in how many hosts can ask the advisor.
+func (s *State) SetAskers(n int) {
+	s.askers = n
+}
+
 // Advices returns the questions to the advisor since the last call.
 func (s *State) Advices() []AdviceOrder {
 	o := s.advices
--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -111,3 +112,17 @@
 	x.c.Assert(b.Starts, qt.HasLen, 0)
 	x.c.Assert(x.state.CheckRoom(), qt.IsNil)
 }
+
+// As many questions are under way as hosts can ask; urgent ones always.
+func TestQuestionsFollowTheHosts(t *testing.T) {
+	for _, hosts := range []int{1, 5} {
+		x := newCell(t)
+		x.worker("w")
+		x.state.SetAskers(hosts)
+		for i := range 20 {
+			x.state.AddJob(x.now, job(spoolsill.JobID(fmt.Sprint(i)), "advised", tasks(1, 1)), sched.Progress{})
+		}
+		x.step()
+		x.c.Assert(x.state.Advices(), qt.HasLen, 2*hosts)
+	}
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -208,7 +208,7 @@
 		return false
 	}
 	if a.asked == nil || d.now.Sub(a.last) > askMore {
-		if q.Priority > 0 && d.asking >= maxAsking {
+		if q.Priority > 0 && d.asking >= askingEach*max(d.askers, 1) {
 			return a.asked != nil
 		}
 		more := d.unasked(g, q)
--- a/sched/state.go
+++ b/sched/state.go
@@ -47,6 +47,7 @@
 	stops   []StopOrder
 	advices []AdviceOrder
 	asking  int // questions to the advisor that are not answered
+	askers  int // hosts that can ask it
 	notes   []Note
 	told    []JobStatus
 	ended   []endedJob
