sched: runs that stand still are stopped, gangs left alone

Change: a run whose percent stays for 1.5 s or a quarter of its expected time while its worker answers is stopped, held against the worker and tried elsewhere; speeds are learnt with a weight of 0.05 instead of 0.2.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -50,7 +50,7 @@
 	cut      bool
 	fence    spoolsill.Epoch
 	deadline sched.ClockMillis
-	running  map[sched.RunID]time.Time
+	running  map[sched.RunID]progress
 	highest  map[sched.TaskID]sched.RunNumber
 	ended    []sched.End
 	sequence uint64
@@ -77,7 +77,7 @@
 	f.workers[id] = &worker{
 		id:      id,
 		began:   time.Now().Add(-time.Duration(1+len(f.workers)) * clockStep),
-		running: map[sched.RunID]time.Time{},
+		running: map[sched.RunID]progress{},
 		highest: map[sched.TaskID]sched.RunNumber{},
 		changed: make(chan struct{}),
 	}
@@ -107,6 +107,16 @@
 	return f.starts
 }
 
+// A progress is how far a run is.
+type progress struct {
+	began time.Time
+	took  time.Duration
+}
+
+func (p progress) percent() int {
+	return int(min(100*time.Since(p.began)/p.took, 100))
+}
+
 func (w *worker) clock() sched.ClockMillis {
 	return sched.ClockMillis(time.Since(w.began).Milliseconds())
 }
@@ -218,9 +228,10 @@
 		Clock:  w.clock(),
 		Ended:  append([]sched.End(nil), w.ended...),
 	}
-	for x := range w.running {
+	for x, p := range w.running {
 		h.Running = append(h.Running, sched.RunningTask{
-			Run: x,
+			Run:     x,
+			Percent: p.percent(),
 		})
 	}
 	return h, leader.Reply{
@@ -316,11 +327,14 @@
 			}
 		}
 	}
-	w.running[r] = time.Now()
 	took, kind := time.Second, sched.EndDone
 	if f.Work != nil {
 		took, kind = f.Work(r)
 	}
+	w.running[r] = progress{
+		began: time.Now(),
+		took:  took,
+	}
 	time.AfterFunc(took, func() {
 		f.locked(w, func(w *worker) { f.end(w, r, kind) })
 	})
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -15,6 +15,7 @@
 	s.now = now
 	s.expireLeases()
 	s.saveLeaving()
+	s.stopStuck()
 	s.openDue()
 	d := decider{
 		State: s,
--- a/sched/learn.go
+++ b/sched/learn.go
@@ -8,6 +8,9 @@
 	// learnRate is the weight of the newest observation; ten or so carry most
 	// of an average, which follows a change within a second or two.
 	learnRate = 0.1
+	// slowRate is the same for a worker's speed: guesses are off by half and
+	// more either way, so that some twenty runs tell a slow worker.
+	slowRate = 0.05
 	// slowLimits bound what a worker's speed is believed to be.
 	fastest = 0.5
 	slowest = 10.0
@@ -102,7 +105,7 @@
 	if h.slow == 0 {
 		h.slow = 1
 	}
-	h.slow += 2 * learnRate * (ratio - h.slow)
+	h.slow += slowRate * (ratio - h.slow)
 }
 
 // slowness returns how many times longer than elsewhere tasks take.
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -276,7 +276,10 @@
 	if x.Saved != "" {
 		r.task.saved = x.Saved
 	}
-	r.task.percent = x.Percent
+	if r.moved.IsZero() || x.Percent != r.percent {
+		r.percent = x.Percent
+		r.moved = s.now
+	}
 	if r.task.stage.job.state.Final() {
 		s.stop(r, "job has ended")
 	}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -383,3 +383,56 @@
 	x.c.Assert(next, qt.HasLen, 1)
 	x.c.Assert(next[0].Worker, qt.Not(qt.Equals), o[0].Worker)
 }
+
+// Members of a gang that are through wait for the others.
+func TestGangThatStandsStillIsLeftAlone(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.state.AddJob(x.now, job("j", "q", gang(2, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.pass(5*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"a": {o[0].Run, o[1].Run},
+	})
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+}
+
+// A run that stands still while its worker answers is stopped, and its task goes
+// elsewhere; one that moves on is left alone however slow it is.
+func TestRunThatStandsStillIsStopped(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.state.AddJob(x.now, job("j", "q", tasks(2, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	for i := range 6 {
+		x.now = x.now.Add(500 * time.Millisecond)
+		x.state.LeaseAsked("a", sched.LeaseEnd(x.now, lease))
+		x.state.Heartbeat(x.now, sched.Heartbeat{
+			Worker: "a",
+			Sent:   x.now,
+			Running: []sched.RunningTask{
+				{
+					Run:     o[0].Run,
+					Percent: i,
+				},
+				{
+					Run:     o[1].Run,
+					Percent: 3,
+				},
+			},
+		})
+		x.state.Decide(x.now)
+	}
+	x.c.Assert(x.state.Stops(), qt.DeepEquals, []sched.StopOrder{
+		{
+			Worker: "a",
+			Run:    o[1].Run,
+		},
+	})
+	x.worker("b")
+	x.end(o[1], sched.EndStopped)
+	next := x.step()
+	x.c.Assert(next, qt.HasLen, 1)
+	x.c.Assert(next[0].Worker, qt.Equals, spoolsill.WorkerID("b"))
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -50,6 +50,7 @@
 	askers  int // hosts that can ask it
 	notes   []Note
 	told    []JobStatus
+	checked time.Time // when runs that stand still were last looked for
 	ended   []endedJob
 	waiting map[QueueID]int
 }
@@ -108,7 +109,6 @@
 	fails   int
 	lastRun RunNumber
 	saved   string
-	percent int
 	run     *run
 	// failedAt has the workers where it failed: another one tells whether
 	// the task or the worker is to blame.
@@ -138,6 +138,8 @@
 	resolved time.Time   // when the worker confirmed it
 	deadline ClockMillis // of the latest try, for phaseDoubt
 	begun    time.Time
+	percent  int
+	moved    time.Time // when percent was last seen to change
 	stopping bool
 	stopped  time.Time // when the stop was answered
 	stopSent time.Time
