--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
@@ -49,7 +50,7 @@
 	with(t, func(ctx context.Context, c *qt.C, _ *cellfake.Store, w *jobstore.Writer) {
 		o, _ := w.Accept(ctx, job("j", "s"))
 		c.Assert(o, qt.Equals, jobstore.Accepted)
-		time.Sleep(time.Second)
+		pause.For(ctx, time.Second)
 		o, _ = w.Accept(ctx, job("j", "s"))
 		c.Assert(o, qt.Equals, jobstore.Known)
 		o, _ = w.Accept(ctx, job("j", "other"))
@@ -71,7 +72,7 @@
 			}
 			o, _ := w.Accept(ctx, job("j", "s"))
 			c.Assert(o, qt.Equals, jobstore.Accepted)
-			time.Sleep(5 * time.Second)
+			pause.For(ctx, 5*time.Second)
 			p, err := s.List(ctx, jobstore.JobsTable, "host", "", 0)
 			c.Assert(err, qt.IsNil)
 			c.Assert(p.Rows, qt.HasLen, 1)
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/sched"
@@ -222,7 +223,7 @@
 		defer x.end()
 		l := x.lead("a")
 		ids := x.submitMixed(12)
-		time.Sleep(20 * time.Second)
+		pause.For(x.ctx, 20*time.Second)
 		x.assertCompleted(l, ids)
 		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
 	})
@@ -258,12 +259,12 @@
 		}
 		cut := x.ids[d.below(len(x.ids))]
 		x.workers.Cut(cut, true)
-		time.Sleep(time.Duration(1500+d.below(3000)) * time.Millisecond)
+		pause.For(x.ctx, time.Duration(1500+d.below(3000))*time.Millisecond)
 		x.workers.Cut(cut, false)
 		x.store.Forget()
 	}
 	d.stop()
-	time.Sleep(time.Minute)
+	pause.For(x.ctx, time.Minute)
 	x.assertCompleted(x.leaders[len(x.leaders)-1], ids)
 	x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
 }
@@ -321,14 +322,14 @@
 			Queue: "plain",
 			Steps: []sched.Step{step(1, 1)},
 		})
-		time.Sleep(time.Second)
+		pause.For(x.ctx, time.Second)
 		x.c.Assert(x.workers.Starts(), qt.Equals, 1)
 		x.workers.Cut("w0", true)
 		x.store.Delete(workerKey("w0"))
-		time.Sleep(time.Second)
+		pause.For(x.ctx, time.Second)
 		x.workers.Add("w1")
 		x.list("w1")
-		time.Sleep(14 * time.Second)
+		pause.For(x.ctx, 14*time.Second)
 		s, _ := l.Status("j")
 		x.c.Assert(s.State, qt.Equals, sched.Completed)
 		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
@@ -343,14 +344,14 @@
 		defer x.end()
 		x.lead("a")
 		ids := x.submitMixed(6)
-		time.Sleep(900 * time.Millisecond)
+		pause.For(x.ctx, 900*time.Millisecond)
 		x.kills[0]()
 		x.hosts.Wait()
-		time.Sleep(2 * time.Second) // the tasks end meanwhile
+		pause.For(x.ctx, 2*time.Second) // the tasks end meanwhile
 		starts := x.workers.Starts()
 		x.store.SlowLists(jobstore.JobsTable, 300*time.Millisecond)
 		l := x.lead("b")
-		time.Sleep(20 * time.Second)
+		pause.For(x.ctx, 20*time.Second)
 		x.assertCompleted(l, ids)
 		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
 		x.c.Assert(x.workers.Starts() >= starts, qt.IsTrue)
@@ -365,13 +366,13 @@
 		defer x.end()
 		for i := range 12 {
 			x.lead("a")
-			time.Sleep(time.Second)
+			pause.For(x.ctx, time.Second)
 			x.submit(sched.Job{
 				ID:    spoolsill.JobID(fmt.Sprintf("j%d", i)),
 				Queue: "plain",
 				Steps: []sched.Step{step(1, 1)},
 			})
-			time.Sleep(time.Duration(i) * time.Millisecond / 2)
+			pause.For(x.ctx, time.Duration(i)*time.Millisecond/2)
 			x.kills[i]()
 			x.hosts.Wait()
 			h, _, err := leader.ReadHead(x.ctx, x.store)
@@ -388,16 +389,16 @@
 		x := newCell(t.Context(), t, 1)
 		defer x.end()
 		l := x.lead("a")
-		time.Sleep(2 * time.Second)
+		pause.For(x.ctx, 2*time.Second)
 		n, ok := l.Waiting("plain")
 		x.c.Assert(ok, qt.IsTrue)
 		x.c.Assert(n, qt.Equals, 0)
 		x.store.TurnAway(true)
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		_, ok = l.Waiting("plain")
 		x.c.Assert(ok, qt.IsFalse)
 		x.store.TurnAway(false)
-		time.Sleep(2 * time.Second)
+		pause.For(x.ctx, 2*time.Second)
 		_, ok = l.Waiting("plain")
 		x.c.Assert(ok, qt.IsTrue)
 	})
@@ -407,7 +408,7 @@
 // little processor for its work.
 type sluggish struct{}
 
-func (sluggish) Note(sched.Note)             { time.Sleep(400 * time.Millisecond) }
+func (sluggish) Note(sched.Note)             { pause.For(context.Background(), 400*time.Millisecond) }
 func (sluggish) Asked(string, time.Duration) {}
 func (sluggish) TookOver(time.Duration)      {}
 
@@ -420,7 +421,7 @@
 		x.observer = sluggish{}
 		x.lead("a")
 		x.submitMixed(12)
-		time.Sleep(30 * time.Second)
+		pause.For(x.ctx, 30*time.Second)
 		h, _, err := leader.ReadHead(x.ctx, x.store)
 		x.c.Assert(err, qt.IsNil)
 		x.c.Assert(h.Released, qt.IsTrue)
@@ -444,9 +445,9 @@
 				Queue: "advised",
 				Steps: []sched.Step{step(1, 1)},
 			})
-			time.Sleep(200 * time.Millisecond)
+			pause.For(x.ctx, 200*time.Millisecond)
 		}
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		x.assertCompleted(l, ids)
 	})
 }
@@ -459,7 +460,7 @@
 		defer x.end()
 		x.lead("a")
 		ids := x.submitMixed(6)
-		time.Sleep(20 * time.Second)
+		pause.For(x.ctx, 20*time.Second)
 		p, err := x.store.List(x.ctx, jobstore.JobsTable, "host", "", 0)
 		x.c.Assert(err, qt.IsNil)
 		x.c.Assert(p.Rows, qt.HasLen, 0)
@@ -470,9 +471,9 @@
 			Queue: "plain",
 			Steps: []sched.Step{step(2, 1)},
 		})
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		x.assertCompleted(x.lead("b"), nil)
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		x.assertCompleted(x.leaders[1], ids)
 		x.c.Assert(x.workers.Starts(), qt.Equals, starts)
 		s, known, err := jobstore.State(x.ctx, x.store, ids[0])
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 	"github.com/spoolsill/spoolsill/internal/standin/wire"
 	"github.com/spoolsill/spoolsill/leader"
@@ -277,7 +278,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		x := newCell(t, hosts, workers)
 		defer x.end()
-		time.Sleep(2 * time.Second)
+		pause.For(x.ctx, 2*time.Second)
 		f(x)
 	})
 }
@@ -292,7 +293,7 @@
 		}
 		// The same job again, at another host, is still one job.
 		x.c.Assert(x.call(1, http.MethodPost, "/q/"+jobID(0), body).status, qt.Equals, http.StatusOK)
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		for i := range 3 {
 			x.c.Assert(x.state((i+1)%3, jobID(i)), qt.Equals, completed)
 		}
@@ -326,7 +327,7 @@
 		// Another job by the same id is turned away, and the first one stays.
 		other := strings.Replace(body, `"s"`, `"t"`, 1)
 		x.c.Assert(x.call(1, http.MethodPost, "/q/"+jobID(2), other).status, qt.Equals, http.StatusConflict)
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		x.c.Assert(x.state(0, jobID(2)), qt.Equals, completed)
 	})
 }
@@ -334,10 +335,10 @@
 func TestCancelledJobEnds(t *testing.T) {
 	run(t, 2, 0, func(x *cell) {
 		x.c.Assert(x.call(0, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
-		time.Sleep(time.Second)
+		pause.For(x.ctx, time.Second)
 		x.c.Assert(x.call(0, http.MethodGet, "/q/", "").body, qt.Equals, `{"waiting":1}`)
 		x.c.Assert(x.call(1, http.MethodDelete, "/q/"+jobID(1), "").status, qt.Equals, http.StatusOK)
-		time.Sleep(time.Second)
+		pause.For(x.ctx, time.Second)
 		x.c.Assert(x.state(0, jobID(1)), qt.Equals, `{"state":"cancelled"}`)
 		x.c.Assert(x.call(0, http.MethodGet, "/q/", "").body, qt.Equals, `{"waiting":0}`)
 	})
@@ -351,13 +352,13 @@
 		x.network.SetCut(hostName(cut), platformPlace.Name, true)
 		x.configure(2, false)
 		x.store.Forget()
-		time.Sleep(1900 * time.Millisecond)
+		pause.For(x.ctx, 1900*time.Millisecond)
 		for i := range 3 {
 			x.c.Assert(x.call(i, http.MethodGet, "/extra/", "").status, qt.Equals, http.StatusNotFound, qt.Commentf("host %d", i))
 		}
 		// An older version changes nothing.
 		x.configure(1, true)
-		time.Sleep(2 * time.Second)
+		pause.For(x.ctx, 2*time.Second)
 		x.c.Assert(x.call(0, http.MethodGet, "/extra/", "").status, qt.Equals, http.StatusNotFound)
 	})
 }
@@ -368,14 +369,14 @@
 	run(t, 3, 1, func(x *cell) {
 		cut := (x.leader() + 1) % 3
 		x.network.SetCut(hostName(cut), platformPlace.Name, true)
-		time.Sleep(4 * time.Second)
+		pause.For(x.ctx, 4*time.Second)
 		r := x.call(cut, http.MethodPost, "/q/"+jobID(1), body)
 		x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
 		x.c.Assert(x.ready(cut), qt.Equals, http.StatusServiceUnavailable)
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		x.c.Assert(x.state(cut, jobID(1)), qt.Equals, completed)
 		x.network.SetCut(hostName(cut), platformPlace.Name, false)
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		x.c.Assert(x.ready(cut), qt.Equals, http.StatusOK)
 	})
 }
@@ -392,15 +393,15 @@
 func TestStoreAwayIsToldAtOnce(t *testing.T) {
 	run(t, 2, 1, func(x *cell) {
 		x.store.TurnAway(true)
-		time.Sleep(2 * time.Second)
+		pause.For(x.ctx, 2*time.Second)
 		begun := time.Now()
 		r := x.call(0, http.MethodPost, "/q/"+jobID(1), body)
 		x.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
 		x.c.Assert(time.Since(begun) < 500*time.Millisecond, qt.IsTrue)
 		x.store.TurnAway(false)
-		time.Sleep(time.Second)
+		pause.For(x.ctx, time.Second)
 		x.c.Assert(x.call(0, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
-		time.Sleep(3 * time.Second)
+		pause.For(x.ctx, 3*time.Second)
 		x.c.Assert(x.state(1, jobID(1)), qt.Equals, completed)
 	})
 }
@@ -414,13 +415,13 @@
 		}
 		old := x.leader()
 		x.network.SetPaused(hostName(old), true)
-		time.Sleep(2 * time.Second)
+		pause.For(x.ctx, 2*time.Second)
 		x.c.Assert(x.leader(), qt.Not(qt.Equals), old)
 		next := (old + 1) % 3
 		x.c.Assert(x.callBy(x.newClient(), next, http.MethodPost, "/q/"+jobID(9), body).status, qt.Equals, http.StatusOK)
-		time.Sleep(5 * time.Second)
+		pause.For(x.ctx, 5*time.Second)
 		x.network.SetPaused(hostName(old), false)
-		time.Sleep(2 * time.Second)
+		pause.For(x.ctx, 2*time.Second)
 		for _, i := range []int{0, 1, 2, 3, 4, 5, 9} {
 			x.c.Assert(x.state(next, jobID(i)), qt.Equals, completed, qt.Commentf("job %d", i))
 		}
@@ -437,11 +438,11 @@
 		for i := range 20 {
 			r := x.callBy(x.newClient(), old, http.MethodPost, "/q/"+jobID(i), body)
 			x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%d: %v", i, r))
-			time.Sleep(100 * time.Millisecond)
+			pause.For(x.ctx, 100*time.Millisecond)
 		}
 		x.c.Assert(x.leader(), qt.Equals, 1-old)
 		x.c.Assert(<-x.hosts[old].err, qt.IsNil)
-		time.Sleep(5 * time.Second)
+		pause.For(x.ctx, 5*time.Second)
 		for i := range 20 {
 			x.c.Assert(x.state(1-old, jobID(i)), qt.Equals, completed)
 		}
--- a/oplog/oplog_test.go
+++ b/oplog/oplog_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/oplog"
 )
 
@@ -76,7 +77,7 @@
 			l.Info("flood")
 		}
 		l.Error("lease lost")
-		time.Sleep(1500 * time.Millisecond)
+		pause.For(t.Context(), 1500*time.Millisecond)
 		cancel()
 		l.Wait()
 		s := out.String()
