sched: gangs and ranks in files of their own; gangs spread over racks in time

Change: gang.go and rank.go; such a gang is spread once it has waited for what that costs; RestoreTime is gone.

--- a/sched/decide.go
+++ b/sched/decide.go
@@ -108,83 +108,6 @@
 	return g.step.Gang
 }
 
-// A tier groups stages by what running them still earns.
-type tier int
-
-const (
-	tierUrgent tier = iota // of the first priority, and can be in time
-	tierTimely             // can be in time
-	tierLate               // can't be in time, still earns a part
-	tierLost               // earns nothing any more
-)
-
-type rank struct {
-	tier  tier
-	slack time.Duration
-}
-
-func (r rank) compare(o rank) int {
-	return cmp.Or(
-		cmp.Compare(r.tier, o.tier),
-		cmp.Compare(r.slack, o.slack),
-	)
-}
-
-// lateFactor is up to how many times its objective a job earns a part, by the
-// platform's accounting.
-const lateFactor = 3
-
-func (s *State) rank(g *stage) rank {
-	q := s.queue(g.job)
-	objective := s.objective(g, q)
-	since := g.job.Received
-	if !g.due.IsZero() {
-		since = g.due
-	}
-	waited := s.now.Round(0).Sub(since)
-	chain := s.chainLeft(g)
-	slack := objective - waited - chain
-	r := rank{
-		tier:  tierTimely,
-		slack: slack,
-	}
-	switch {
-	case g.step.Lasting:
-		r.slack = 0
-	case waited+chain > lateFactor*objective:
-		r.tier = tierLost
-	case slack < 0:
-		r.tier = tierLate
-	case q.Priority == 0:
-		r.tier = tierUrgent
-	}
-	return r
-}
-
-// objective is the time within which the stage's round should be done.
-func (s *State) objective(g *stage, q *Queue) time.Duration {
-	var longest time.Duration
-	for i := range g.job.Steps {
-		longest = max(longest, s.chainFrom(g.job, q, i))
-	}
-	return time.Duration(q.Stretch*float64(longest)) + q.Goal
-}
-
-// chainFrom is the expected time of the longest chain that begins with a step.
-func (s *State) chainFrom(j *job, q *Queue, step int) time.Duration {
-	var after time.Duration
-	for i := step + 1; i < len(j.Steps); i++ {
-		if slices.Contains(j.Steps[i].After, step) {
-			after = max(after, s.chainFrom(j, q, i))
-		}
-	}
-	return s.expected(q, &j.Steps[step]) + after
-}
-
-func (s *State) chainLeft(g *stage) time.Duration {
-	return s.chainFrom(g.job, s.queue(g.job), g.id.Step)
-}
-
 // place starts the tasks of a stage that can start now.
 func (d *decider) place(g *stage) {
 	q := d.queue(g.job)
@@ -282,148 +205,6 @@
 	}
 }
 
-// placeGang starts all tasks of a gang, or none.
-func (d *decider) placeGang(g *stage, q *Queue) {
-	ws := d.candidates(g, q)
-	seats := d.seats(g, ws)
-	if seats == nil {
-		d.gather(g, q)
-		return
-	}
-	renew := d.stale(g, q, seats)
-	for i, t := range g.tasks {
-		if len(renew) > 0 {
-			d.plan(t, seats[i])
-			continue
-		}
-		d.start(t, seats[i])
-	}
-	if len(renew) > 0 {
-		d.ask(g, q, renew, true)
-	}
-}
-
-// gather keeps the workers of the first gang that waits from those ranked below
-// it, so that it does not wait for ever.
-func (d *decider) gather(g *stage, q *Queue) {
-	if d.gang != nil {
-		return
-	}
-	from := g.advice.good
-	if q.Advisor == nil && d.ready[q.Service] != nil {
-		from = d.ready[q.Service].workers
-	}
-	if len(from) > 0 {
-		d.gang = g
-	}
-	for _, w := range from {
-		d.held[w] = true
-	}
-}
-
-// stale returns the workers of seats whose tickets must be renewed first.
-func (d *decider) stale(g *stage, q *Queue, seats []*worker) []spoolsill.WorkerID {
-	if q.Advisor == nil {
-		return nil
-	}
-	var ids []spoolsill.WorkerID
-	fresh := true
-	for _, w := range seats {
-		if !slices.Contains(ids, w.id) {
-			ids = append(ids, w.id)
-		}
-		fresh = fresh && g.advice.valid(w.id, d.now)
-	}
-	if fresh {
-		return nil
-	}
-	return ids
-}
-
-// seats returns a worker for each task of a gang, or nil.
-func (d *decider) seats(g *stage, ws []*worker) []*worker {
-	if !g.step.SameRack {
-		return seatsAmong(g, ws)
-	}
-	for _, rack := range racksOf(ws) {
-		var in []*worker
-		for _, w := range ws {
-			if w.Rack == rack {
-				in = append(in, w)
-			}
-		}
-		if seats := seatsAmong(g, in); seats != nil {
-			return seats
-		}
-	}
-	return nil
-}
-
-func racksOf(ws []*worker) []spoolsill.RackID {
-	var racks []spoolsill.RackID
-	for _, w := range ws {
-		if !slices.Contains(racks, w.Rack) {
-			racks = append(racks, w.Rack)
-		}
-	}
-	return racks
-}
-
-func seatsAmong(g *stage, ws []*worker) []*worker {
-	need := g.step.room()
-	type offer struct {
-		w     *worker
-		seats int
-	}
-	offers := make([]offer, 0, len(ws))
-	total := 0
-	for _, w := range ws {
-		n := fitTimes(need, w.free())
-		if m := g.step.MaxPerWorker; m > 0 {
-			n = min(n, m-g.at(w))
-		}
-		n = min(n, len(g.tasks))
-		if n <= 0 {
-			continue
-		}
-		offers = append(offers, offer{
-			w:     w,
-			seats: n,
-		})
-		total += n
-	}
-	if total < len(g.tasks) {
-		return nil
-	}
-	slices.SortStableFunc(offers, func(a, b offer) int {
-		return cmp.Or(cmp.Compare(a.w.health.slowness(), b.w.health.slowness()), cmp.Compare(b.seats, a.seats))
-	})
-	seats := make([]*worker, 0, len(g.tasks))
-	for _, o := range offers {
-		for range o.seats {
-			if len(seats) < len(g.tasks) {
-				seats = append(seats, o.w)
-			}
-		}
-	}
-	return seats
-}
-
-// fitTimes returns how often need fits into free.
-func fitTimes(need, free spoolsill.Resources) int {
-	n := math.MaxInt32
-	if need.Processors > 0 {
-		n = min(n, int(free.Processors/need.Processors))
-	}
-	if need.Memory > 0 {
-		n = min(n, int(free.Memory/need.Memory))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int(free.Accelerators/need.Accelerators))
-	}
-	return max(n, 0)
-}
-
 // at returns how many runs of g a worker has in its books.
 func (g *stage) at(w *worker) int {
 	n := 0
@@ -504,9 +285,6 @@
 	}
 	t.lastRun = number
 	r.phase = phaseRecorded
-	if g.started.IsZero() {
-		g.started = s.now
-	}
 	g.job.starts = append(g.job.starts, StartOrder{
 		Worker: r.worker.id,
 		Run:    r.id,
@@ -525,20 +303,6 @@
 	})
 }
 
-// nextGangRun returns the number that all members of the gang's next run
-// share: one more than any member has had, or that of the members that are
-// already recorded.
-func (g *stage) nextGangRun() RunNumber {
-	var most RunNumber
-	for _, t := range g.tasks {
-		most = max(most, t.lastRun)
-		if t.run != nil && t.run.phase == phaseRecorded {
-			return t.run.id.Number
-		}
-	}
-	return most + 1
-}
-
 // startFrom returns the saved progress to go on from. One member's is good
 // for its whole gang.
 func (t *task) startFrom() string {
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -83,6 +83,18 @@
 	})
 }
 
+// listIn lists a worker in a rack and has it renew its lease.
+func (x *cell) listIn(id spoolsill.WorkerID, rack spoolsill.RackID) {
+	x.state.ListWorker(x.now, sched.Worker{
+		ID:       id,
+		Service:  "work",
+		Rack:     rack,
+		Address:  string(id),
+		Capacity: cores(10),
+	})
+	x.renew(id)
+}
+
 // renew has a worker renew its lease and answer with what it runs.
 func (x *cell) renew(id spoolsill.WorkerID, running ...sched.RunID) {
 	x.state.LeaseAsked(id, sched.LeaseEnd(x.now, lease))
--- /dev/null
+++ b/sched/gang.go
@@ -0,0 +1,169 @@
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
+
+// placeGang starts all tasks of a gang, or none.
+func (d *decider) placeGang(g *stage, q *Queue) {
+	ws := d.candidates(g, q)
+	seats := d.seats(g, q, ws)
+	if seats == nil {
+		d.gather(g, q)
+		return
+	}
+	renew := d.stale(g, q, seats)
+	for i, t := range g.tasks {
+		if len(renew) > 0 {
+			d.plan(t, seats[i])
+			continue
+		}
+		d.start(t, seats[i])
+	}
+	if len(renew) > 0 {
+		d.ask(g, q, renew, true)
+	}
+}
+
+// gather keeps the workers of the first gang that waits from those ranked below
+// it, so that it does not wait for ever.
+func (d *decider) gather(g *stage, q *Queue) {
+	if d.gang != nil {
+		return
+	}
+	from := g.advice.good
+	if q.Advisor == nil && d.ready[q.Service] != nil {
+		from = d.ready[q.Service].workers
+	}
+	if len(from) > 0 {
+		d.gang = g
+	}
+	for _, w := range from {
+		d.held[w] = true
+	}
+}
+
+// stale returns the workers of seats whose tickets must be renewed first.
+func (d *decider) stale(g *stage, q *Queue, seats []*worker) []spoolsill.WorkerID {
+	if q.Advisor == nil {
+		return nil
+	}
+	var ids []spoolsill.WorkerID
+	fresh := true
+	for _, w := range seats {
+		if !slices.Contains(ids, w.id) {
+			ids = append(ids, w.id)
+		}
+		fresh = fresh && g.advice.valid(w.id, d.now)
+	}
+	if fresh {
+		return nil
+	}
+	return ids
+}
+
+// seats returns a worker for each task of a gang, or nil. A gang that should be
+// in one rack is spread over several once it has waited for as long as that
+// costs.
+func (d *decider) seats(g *stage, q *Queue, ws []*worker) []*worker {
+	costs := time.Duration((d.config.FarFactor - 1) * float64(d.expected(q, g.step)))
+	if !g.step.SameRack || d.now.Sub(g.openedAt) >= costs {
+		return seatsAmong(g, ws)
+	}
+	for _, rack := range racksOf(ws) {
+		var in []*worker
+		for _, w := range ws {
+			if w.Rack == rack {
+				in = append(in, w)
+			}
+		}
+		if seats := seatsAmong(g, in); seats != nil {
+			return seats
+		}
+	}
+	return nil
+}
+
+func racksOf(ws []*worker) []spoolsill.RackID {
+	var racks []spoolsill.RackID
+	for _, w := range ws {
+		if !slices.Contains(racks, w.Rack) {
+			racks = append(racks, w.Rack)
+		}
+	}
+	return racks
+}
+
+func seatsAmong(g *stage, ws []*worker) []*worker {
+	need := g.step.room()
+	type offer struct {
+		w     *worker
+		seats int
+	}
+	offers := make([]offer, 0, len(ws))
+	total := 0
+	for _, w := range ws {
+		n := fitTimes(need, w.free())
+		if m := g.step.MaxPerWorker; m > 0 {
+			n = min(n, m-g.at(w))
+		}
+		n = min(n, len(g.tasks))
+		if n <= 0 {
+			continue
+		}
+		offers = append(offers, offer{
+			w:     w,
+			seats: n,
+		})
+		total += n
+	}
+	if total < len(g.tasks) {
+		return nil
+	}
+	slices.SortStableFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.w.health.slowness(), b.w.health.slowness()), cmp.Compare(b.seats, a.seats))
+	})
+	seats := make([]*worker, 0, len(g.tasks))
+	for _, o := range offers {
+		for range o.seats {
+			if len(seats) < len(g.tasks) {
+				seats = append(seats, o.w)
+			}
+		}
+	}
+	return seats
+}
+
+// fitTimes returns how often need fits into free.
+func fitTimes(need, free spoolsill.Resources) int {
+	n := math.MaxInt32
+	if need.Processors > 0 {
+		n = min(n, int(free.Processors/need.Processors))
+	}
+	if need.Memory > 0 {
+		n = min(n, int(free.Memory/need.Memory))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/need.Accelerators))
+	}
+	return max(n, 0)
+}
+
+// nextGangRun returns the number that all members of the gang's next run
+// share: one more than any member has had, or that of the members that are
+// already recorded.
+func (g *stage) nextGangRun() RunNumber {
+	var most RunNumber
+	for _, t := range g.tasks {
+		most = max(most, t.lastRun)
+		if t.run != nil && t.run.phase == phaseRecorded {
+			return t.run.id.Number
+		}
+	}
+	return most + 1
+}
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -162,6 +162,7 @@
 		}
 	}
 	g.open = true
+	g.openedAt = s.now
 	if !g.due.IsZero() {
 		s.timed = append(s.timed, g)
 		return
--- /dev/null
+++ b/sched/rank.go
@@ -0,0 +1,85 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A tier groups stages by what running them still earns.
+type tier int
+
+const (
+	tierUrgent tier = iota // of the first priority, and can be in time
+	tierTimely             // can be in time
+	tierLate               // can't be in time, still earns a part
+	tierLost               // earns nothing any more
+)
+
+// A rank orders stages: by tier, then by the time that is left.
+type rank struct {
+	tier  tier
+	slack time.Duration
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(
+		cmp.Compare(r.tier, o.tier),
+		cmp.Compare(r.slack, o.slack),
+	)
+}
+
+// lateFactor is up to how many times its objective a job earns a part, by the
+// platform's accounting.
+const lateFactor = 3
+
+func (s *State) rank(g *stage) rank {
+	q := s.queue(g.job)
+	objective := s.objective(g, q)
+	since := g.job.Received
+	if !g.due.IsZero() {
+		since = g.due
+	}
+	waited := s.now.Round(0).Sub(since)
+	chain := s.chainLeft(g)
+	slack := objective - waited - chain
+	r := rank{
+		tier:  tierTimely,
+		slack: slack,
+	}
+	switch {
+	case g.step.Lasting:
+		r.slack = 0
+	case waited+chain > lateFactor*objective:
+		r.tier = tierLost
+	case slack < 0:
+		r.tier = tierLate
+	case q.Priority == 0:
+		r.tier = tierUrgent
+	}
+	return r
+}
+
+// objective is the time within which the stage's round should be done.
+func (s *State) objective(g *stage, q *Queue) time.Duration {
+	var longest time.Duration
+	for i := range g.job.Steps {
+		longest = max(longest, s.chainFrom(g.job, q, i))
+	}
+	return time.Duration(q.Stretch*float64(longest)) + q.Goal
+}
+
+// chainFrom is the expected time of the longest chain that begins with a step.
+func (s *State) chainFrom(j *job, q *Queue, step int) time.Duration {
+	var after time.Duration
+	for i := step + 1; i < len(j.Steps); i++ {
+		if slices.Contains(j.Steps[i].After, step) {
+			after = max(after, s.chainFrom(j, q, i))
+		}
+	}
+	return s.expected(q, &j.Steps[step]) + after
+}
+
+func (s *State) chainLeft(g *stage) time.Duration {
+	return s.chainFrom(g.job, s.queue(g.job), g.id.Step)
+}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -436,3 +436,19 @@
 	x.c.Assert(next, qt.HasLen, 1)
 	x.c.Assert(next[0].Worker, qt.Equals, spoolsill.WorkerID("b"))
 }
+
+// A gang that should be in one rack waits for one, but not for ever.
+func TestGangIsSpreadOverRacksWhenWaitingCostsMore(t *testing.T) {
+	x := newCell(t)
+	x.listIn("a", "rack1")
+	x.listIn("b", "rack2")
+	g := gang(4, 4)
+	g.SameRack = true
+	x.state.AddJob(x.now, job("j", "q", g), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.pass(time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"a": nil,
+		"b": nil,
+	})
+	x.c.Assert(x.step(), qt.HasLen, 4)
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -26,8 +26,6 @@
 	// FarFactor is how much longer tasks take away from their data, or a
 	// gang spread over racks.
 	FarFactor float64
-	// RestoreTime is what a start from saved progress costs.
-	RestoreTime time.Duration
 }
 
 // A State holds the cell's workers, jobs and runs.
@@ -93,8 +91,8 @@
 	left      int // tasks that are not done
 	open      bool
 	due       time.Time // not before, by the wall clock
-	// started is when the first of its tasks was placed.
-	started time.Time
+	// openedAt is when its turn had come.
+	openedAt time.Time
 	// retryAt keeps a stage whose start was rejected from being tried at once.
 	retryAt time.Time
 	advice  advice
