leader: an older configuration never undoes a newer one

Cause: found by reading: a host that has just won the leadership told it the queues that it knew, and a configuration that came in that moment could be told first. Change: queues carry their version, and older ones change nothing. Result: leader.TestOlderQueuesChangeNothing fails without the check.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -84,6 +84,7 @@
 	losses   losses
 	rows     map[spoolsill.JobID][]byte
 
+	version   spoolsill.Version // of the queues
 	writing   bool
 	lastWrite time.Time // when the latest write that lasts was begun
 	decided   time.Time
@@ -106,7 +107,10 @@
 type event interface{}
 
 type (
-	queuesChanged  struct{ queues []sched.Queue }
+	queuesChanged struct {
+		version spoolsill.Version
+		queues  []sched.Queue
+	}
 	workersListed  struct{ rows []store.Row }
 	workerChanged  struct{ row store.Row }
 	jobsListed     struct{ rows []store.Row }
@@ -153,10 +157,12 @@
 	return l.config.Chain.Epoch()
 }
 
-// SetQueues takes in a newer configuration.
-func (l *Leader) SetQueues(q []sched.Queue) {
+// SetQueues takes in the queues of a configuration. An older one than the last
+// changes nothing, in whatever order they come.
+func (l *Leader) SetQueues(v spoolsill.Version, q []sched.Queue) {
 	l.send(queuesChanged{
-		queues: q,
+		version: v,
+		queues:  q,
 	})
 }
 
@@ -336,7 +342,10 @@
 	now := time.Now()
 	switch e := e.(type) {
 	case queuesChanged:
-		l.state.SetQueues(e.queues)
+		if e.version > l.version {
+			l.version = e.version
+			l.state.SetQueues(e.queues)
+		}
 	case workersListed:
 		l.takeWorkers(now, e.rows)
 	case workerChanged:
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -120,7 +120,7 @@
 			Log:      logrus.NewEntry(log),
 			Observer: x.observer,
 		})
-		l.SetQueues(queues())
+		l.SetQueues(1, queues())
 		ctx, cancel := context.WithCancel(x.ctx)
 		x.leaders = append(x.leaders, l)
 		x.kills = append(x.kills, cancel)
@@ -217,6 +217,30 @@
 	}
 }
 
+// Configurations may reach a leader in any order; an older one must not undo a
+// newer one.
+func TestOlderQueuesChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		l := x.lead("a")
+		moved := queues()
+		moved[0].Service = "elsewhere"
+		l.SetQueues(3, moved)
+		l.SetQueues(2, queues())
+		x.submit(sched.Job{
+			ID:    "j",
+			Queue: "plain",
+			Steps: []sched.Step{step(1, 1)},
+		})
+		pause.For(x.ctx, 3*time.Second)
+		x.c.Assert(x.workers.Starts(), qt.Equals, 0)
+		l.SetQueues(4, queues())
+		pause.For(x.ctx, 3*time.Second)
+		x.assertCompleted(l, []spoolsill.JobID{"j"})
+	})
+}
+
 func TestJobsAreDone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newCell(t.Context(), t, 4)
--- a/node/config.go
+++ b/node/config.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/platform"
-	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
 
@@ -46,12 +46,12 @@
 	return true
 }
 
-func (c *configs) queues() []sched.Queue {
+// tell has a leader take in the queues that are in force.
+func (c *configs) tell(l *leader.Leader) {
 	k := c.get()
-	if k.config == nil {
-		return nil
+	if k.config != nil {
+		l.SetQueues(k.version, k.config.Queues())
 	}
-	return k.config.Queues()
 }
 
 // Config implements [platform.Jobs].
@@ -104,6 +104,6 @@
 	}
 	n.log.WithField("version", uint64(c.Version)).WithField("from", from).WithField("queues", len(c.Routes)).Info("configuration in force")
 	if l := n.leaderHere(); l != nil {
-		l.SetQueues(c.Queues())
+		n.configs.tell(l)
 	}
 }
--- a/node/elect.go
+++ b/node/elect.go
@@ -236,7 +236,7 @@
 	l := n.newLeader(c)
 	n.setLeading(l, c.Epoch())
 	n.log.WithField("epoch", uint64(c.Epoch())).WithField("former", string(old.Host)).Info("this host leads")
-	l.SetQueues(n.configs.queues())
+	n.configs.tell(l)
 	err = l.Lead(ctx, releaseTime)
 	n.setLeading(nil, 0)
 	if errors.Is(err, leader.ErrOverloaded) {
