node: hosts tell the leader of the jobs that they accept

Change: a host tells the leader of a job once it lasts, without waiting; the feed gathers for 60 ms and brings what was not told.

--- a/internal/cellfake/store.go
+++ b/internal/cellfake/store.go
@@ -44,6 +44,15 @@
 	changed chan struct{}
 	slow    map[string]time.Duration // added to each listing of a table
 	away    bool
+	deaf    bool
+}
+
+// Deafen has feeds hear nothing, as the platform's may for a second; what they
+// missed they tell afterwards.
+func (s *Store) Deafen(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
 }
 
 // TurnAway has the store refuse all calls, or none any more.
@@ -262,6 +271,11 @@
 	if after < s.since {
 		return store.Changes{}, nil, store.ErrHistoryGone
 	}
+	if s.deaf {
+		return store.Changes{
+			Version: after,
+		}, s.changed, nil
+	}
 	c := store.Changes{
 		Version: s.version,
 	}
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -45,6 +45,15 @@
 	}
 }
 
+// Row returns the row that a host keeps a job in.
+func Row(partition string, j sched.Job) (store.Row, error) {
+	v, err := EncodeJob(j)
+	return store.Row{
+		Key:   jobKey(partition, j.ID),
+		Value: v,
+	}, err
+}
+
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id spoolsill.JobID) store.Key {
 	return store.Key{
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -17,6 +17,10 @@
 	// followWait is how long a feed waits for a change: half of the time
 	// within which a draining worker must get nothing new.
 	followWait = time.Second
+	// jobsPause lets changes of the jobs gather. Hosts tell of the jobs that
+	// they accept; the feed is for those that got lost on the way, and a
+	// client's most urgent work bears such a wait.
+	jobsPause = 60 * time.Millisecond
 	// workersPause lets the workers' entries gather, each of which is written
 	// anew every second or two. A draining worker is heard of so much later.
 	workersPause = 200 * time.Millisecond
@@ -166,6 +170,14 @@
 	})
 }
 
+// Tell takes in a row of the jobs table that lasts, from the host that wrote it:
+// sooner than the feed, which tells of it as well.
+func (l *Leader) Tell(r store.Row) {
+	l.send(jobChanged{
+		row: r,
+	})
+}
+
 // Status returns the state of a job as it lasts. The second result is false
 // when the leader does not know the job; it may have been accepted just now.
 func (l *Leader) Status(id spoolsill.JobID) (sched.JobStatus, bool) {
--- a/leader/load.go
+++ b/leader/load.go
@@ -161,6 +161,7 @@
 			Wait:    followWait,
 			Listed:  func(rows []store.Row) { l.send(jobsListed{rows: rows}) },
 			Changed: func(r store.Row) { l.send(jobChanged{row: r}) },
+			Pause:   jobsPause,
 			Heard:   l.hearJobs,
 			Failed:  l.reportFeed(jobstore.JobsTable),
 		},
--- a/leader/sweeper.go
+++ b/leader/sweeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -44,6 +45,9 @@
 
 // locate takes in where a row of a job lies.
 func (s *sweeper) locate(id spoolsill.JobID, k store.Key) {
+	if slices.Contains(s.keys[id], k) {
+		return
+	}
 	s.keys[id] = append(s.keys[id], k)
 }
 
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -31,6 +31,8 @@
 	// such job; less than askTimeout. A feed that tells of jobs answers some
 	// fifty times a second, one that has none to tell of once.
 	settleTimeout = 180 * time.Millisecond
+	// tellingMost bounds the calls that tell the leader of jobs.
+	tellingMost = 128
 	// handOnTimeout is for a job that the leader is to keep.
 	handOnTimeout = 600 * time.Millisecond
 	// retryAfter is when clients should come back; troubles of the store and
@@ -59,6 +61,9 @@
 		switch o {
 		case jobstore.Accepted, jobstore.Known:
 			n.log.WithField("job", string(j.ID)).WithField("queue", string(j.Queue)).WithField("outcome", o.String()).Info("job accepted")
+			if o == jobstore.Accepted {
+				n.tell(ctx, j)
+			}
 			return platform.Done, nil
 		case jobstore.Conflict:
 			return platform.Conflict, err
@@ -75,6 +80,35 @@
 	return n.notKept(j, maybe, tries, begun, last)
 }
 
+// tell tells the leader of a job that lasts, without waiting for an answer. What
+// gets lost, the leader learns from the store.
+func (n *Node) tell(ctx context.Context, j sched.Job) {
+	row, err := jobstore.Row(n.partition(), j)
+	if err != nil {
+		n.log.WithError(err).WithField("job", string(j.ID)).Error("job can't be told of")
+		return
+	}
+	if l := n.leaderHere(); l != nil {
+		l.Tell(row)
+		return
+	}
+	h, ok := n.leaderHost()
+	if !ok || !n.telling.TryAcquire(1) {
+		return
+	}
+	go func() {
+		defer n.telling.Release(1)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		defer cancel()
+		_, err := peer.Call[tellReply](ctx, n.peers, h, methodTell, tellRequest{
+			Row: row,
+		})
+		if err != nil {
+			n.log.WithError(err).WithField("job", string(j.ID)).WithField("leader", string(h)).Warn("leader was not told of a job")
+		}
+	}()
+}
+
 // notKept tells why a job was not kept, or is not known to be.
 func (n *Node) notKept(j sched.Job, maybe bool, tries int, begun time.Time, err error) (platform.Outcome, error) {
 	now := time.Now()
@@ -144,6 +178,10 @@
 		n.log.WithError(err).WithField("job", string(j.ID)).WithField("leader", string(h)).Warn("job could not be handed on")
 		return jobstore.Unknown, true
 	}
+	if r.Outcome == jobstore.Accepted {
+		// Kept by the leader's host, which knows of it.
+		return jobstore.Known, true
+	}
 	return r.Outcome, true
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/jobstore"
@@ -73,6 +74,8 @@
 	port     int // of the metrics
 	jobs     *jobstore.Writer
 
+	telling *semaphore.Weighted
+
 	configs configs
 	hosts   hostList
 	closing atomic.Bool
@@ -108,6 +111,7 @@
 		health:  h,
 		metrics: c.Metrics,
 		port:    c.MetricsPort,
+		telling: semaphore.NewWeighted(tellingMost),
 	}
 	if n.listen == nil {
 		n.listen = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -429,6 +429,20 @@
 	})
 }
 
+// Feeds may hear nothing for a while: the leader is told of jobs all the same.
+func TestJobsReachTheLeaderWithoutTheFeed(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		x.store.Deafen(true)
+		for i := range 3 {
+			x.c.Assert(x.call(i, http.MethodPost, "/q/"+jobID(i), body).status, qt.Equals, http.StatusOK)
+		}
+		pause.For(x.ctx, 3*time.Second)
+		for i := range 3 {
+			x.c.Assert(x.state(i, jobID(i)), qt.Equals, completed)
+		}
+	})
+}
+
 // A planned stop answers what comes in on open connections, and hands the
 // leadership over in a moment.
 func TestPlannedStopCutsOffNothing(t *testing.T) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -12,6 +12,7 @@
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
 )
 
 // The methods that hosts call each other by.
@@ -22,6 +23,7 @@
 	methodAdvise  = "advise"
 	methodSubmit  = "submit"
 	methodCancel  = "cancel"
+	methodTell    = "tell"
 )
 
 // hostSilent is how long ago a host may have greeted the leader to be asked
@@ -86,6 +88,13 @@
 	Outcome jobstore.Outcome
 }
 
+// A tellRequest tells the leader of a job that lasts.
+type tellRequest struct {
+	Row store.Row
+}
+
+type tellReply struct{}
+
 type cancelRequest struct {
 	Job spoolsill.JobID
 }
@@ -101,6 +110,7 @@
 	peer.Handle(n.peers, methodAdvise, n.adviceAsked)
 	peer.Handle(n.peers, methodSubmit, n.submitAsked)
 	peer.Handle(n.peers, methodCancel, n.cancelAsked)
+	peer.Handle(n.peers, methodTell, n.told)
 }
 
 func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
@@ -175,11 +185,23 @@
 	if err != nil {
 		n.log.WithError(err).WithField("job", string(j.ID)).Warn("job handed on by a host was not written")
 	}
+	if o == jobstore.Accepted {
+		n.tell(ctx, j)
+	}
 	return submitReply{
 		Outcome: o,
 	}, nil
 }
 
+func (n *Node) told(_ context.Context, _ peer.Caller, q tellRequest) (tellReply, error) {
+	l := n.leaderHere()
+	if l == nil {
+		return tellReply{}, errNotLeading
+	}
+	l.Tell(q.Row)
+	return tellReply{}, nil
+}
+
 func (n *Node) cancelAsked(ctx context.Context, _ peer.Caller, q cancelRequest) (cancelReply, error) {
 	known, err := n.cancelHere(ctx, q.Job)
 	return cancelReply{
