sched: chains of a job are worked out once

Cause: found by reading: the longest chain was walked recursively, in a time that doubles with each step when steps wait for all earlier ones: one such job would have stopped the leader. Change: one pass from the last step to the first, kept for half a second. Result: sched.TestManyChainsCostLittle (60 steps) passes; on the commit before it runs into its time limit of 10 s.

--- a/sched/rank.go
+++ b/sched/rank.go
@@ -62,24 +62,32 @@
 
 // objective is the time within which the stage's round should be done.
 func (s *State) objective(g *stage, q *Queue) time.Duration {
-	var longest time.Duration
-	for i := range g.job.Steps {
-		longest = max(longest, s.chainFrom(g.job, q, i))
-	}
-	return time.Duration(q.Stretch*float64(longest)) + q.Goal
+	return time.Duration(q.Stretch*float64(slices.Max(s.chains(g.job, q)))) + q.Goal
 }
 
-// chainFrom is the expected time of the longest chain that begins with a step.
-func (s *State) chainFrom(j *job, q *Queue, step int) time.Duration {
-	var after time.Duration
-	for i := step + 1; i < len(j.Steps); i++ {
-		if slices.Contains(j.Steps[i].After, step) {
-			after = max(after, s.chainFrom(j, q, i))
-		}
-	}
-	return s.expected(q, &j.Steps[step]) + after
+// chainLeft is the expected time of the longest chain that begins with g.
+func (s *State) chainLeft(g *stage) time.Duration {
+	return s.chains(g.job, s.queue(g.job))[g.id.Step]
 }
 
-func (s *State) chainLeft(g *stage) time.Duration {
-	return s.chainFrom(g.job, s.queue(g.job), g.id.Step)
+// chainsKept is how long a job's chains are kept: what is expected of its tasks
+// changes slowly.
+const chainsKept = 500 * time.Millisecond
+
+// chains returns for each step of a job the expected time of the longest chain
+// that begins with it. Steps wait only for earlier ones.
+func (s *State) chains(j *job, q *Queue) []time.Duration {
+	if j.chains != nil && s.now.Sub(j.chainsAt) < chainsKept {
+		return j.chains
+	}
+	j.chainsAt = s.now
+	j.chains = make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		p := &j.Steps[i]
+		j.chains[i] += s.expected(q, p)
+		for _, a := range p.After {
+			j.chains[a] = max(j.chains[a], j.chains[i])
+		}
+	}
+	return j.chains
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -452,3 +452,20 @@
 	})
 	x.c.Assert(x.step(), qt.HasLen, 4)
 }
+
+// A job whose every step waits for all earlier ones has very many chains; they
+// must not be walked one by one.
+func TestManyChainsCostLittle(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	var steps []sched.Step
+	for i := range 60 {
+		p := tasks(1, 1)
+		for a := range i {
+			p.After = append(p.After, a)
+		}
+		steps = append(steps, p)
+	}
+	x.state.AddJob(x.now, job("j", "q", steps...), sched.Progress{})
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1"})
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -72,11 +72,14 @@
 	state  JobState
 	stages []*stage
 	// runs counts the runs in the workers' books.
-	runs    int
-	undone  int // stages that are not done
-	dirty   bool
-	starts  []StartOrder // leave once the job's row is written
-	counted bool         // in State.waiting
+	runs   int
+	undone int // stages that are not done
+	dirty  bool
+	// chains are the expected times of its steps' chains, as of chainsAt.
+	chains   []time.Duration
+	chainsAt time.Time
+	starts   []StartOrder // leave once the job's row is written
+	counted  bool         // in State.waiting
 }
 
 // A stage is one step in one round of a job.
