sched, jobstore: one job can't be more than the store keeps

Cause: found by reading: a row longer than the store takes (64 KB) is refused for ever, and with it all jobs that share its write; a job of thousands of tasks would have stopped the leader, one of a thousand steps a host's acceptance. Change: jobs whose row or progress may become longer are answered 413; a batch of progress ends at 600 KB. Result: tests of node (413, others go on), sched (batches under 700 KB).

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -91,9 +91,10 @@
 	Conflict                // another job has its id
 	Refused                 // certainly nothing was written this time
 	Unknown                 // it may be kept
+	TooLarge                // the store can't keep it or its progress
 )
 
-var outcomeNames = [...]string{"accepted", "known", "conflict", "refused", "unknown"}
+var outcomeNames = [...]string{"accepted", "known", "conflict", "refused", "unknown", "too large"}
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -32,6 +32,8 @@
 	// Store is written to, in Partition.
 	Store     store.Store
 	Partition string
+	// MaxRow is the longest row that the store takes, in bytes; 0 means any.
+	MaxRow int
 	// Timeout returns how long one write may take now.
 	Timeout func() time.Duration
 
@@ -65,6 +67,10 @@
 	if err != nil {
 		return Refused, err
 	}
+	if w.MaxRow > 0 && max(len(v), sched.ProgressBytes(j)) > w.MaxRow {
+		// It would be refused, and with it all that share its write.
+		return TooLarge, nil
+	}
 	e := &entry{
 		ctx:   ctx,
 		job:   j,
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -67,6 +67,8 @@
 			return platform.Done, nil
 		case jobstore.Conflict:
 			return platform.Conflict, err
+		case jobstore.TooLarge:
+			return platform.TooLarge, nil
 		case jobstore.Unknown:
 			maybe = true
 		case jobstore.Refused:
--- a/node/node.go
+++ b/node/node.go
@@ -127,6 +127,7 @@
 	n.jobs = jobstore.NewWriter(jobstore.Writer{
 		Store:     n.store,
 		Partition: n.partition(),
+		MaxRow:    s.MaxRow,
 		Timeout:   h.writeTimeout,
 	})
 	n.handlePeers()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -191,6 +191,7 @@
 				AdvisorAddress: adviceAddr,
 				Cores:          0.4,
 				Memory:         256 * spoolsill.MiB,
+				MaxRow:         64 << 10,
 				Bounds: platform.Bounds{
 					Lease:      lease,
 					StopGrace:  6 * time.Second,
@@ -314,6 +315,7 @@
 			{http.MethodPost, "/q/" + jobID(1), `{"steps":[{"count":1,"afterRev":[0]}]}`, http.StatusBadRequest},
 			{http.MethodPost, "/q/nothex", body, http.StatusBadRequest},
 			{http.MethodPost, "/q/" + jobID(1), strings.Repeat("x", 20_000), http.StatusRequestEntityTooLarge},
+			{http.MethodPost, "/q/" + jobID(1), `{"steps":[{"count":5000}]}`, http.StatusRequestEntityTooLarge},
 			{http.MethodPost, "/none/" + jobID(1), body, http.StatusNotFound},
 			{http.MethodPut, "/q/" + jobID(1), body, http.StatusMethodNotAllowed},
 			{http.MethodGet, "/q/" + jobID(1), "", http.StatusGone},
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -13,16 +13,25 @@
 // entries in a transaction, and one is the leader's.
 const MaxRows = 90
 
+// maxBytes is from where on a batch takes no more rows: the store takes 1 MB, of
+// which base64 takes a quarter, and one more row has 64 KB.
+const maxBytes = 600 << 10
+
 // Batch returns what is to be written next, and whether there is anything.
 func (s *State) Batch(now time.Time) (Batch, bool, error) {
 	s.now = now
 	var b Batch
-	n := min(len(s.dirty), MaxRows)
-	for _, j := range s.dirty[:n] {
+	n, size := 0, 0
+	for _, j := range s.dirty {
+		if n == MaxRows || size > maxBytes {
+			break
+		}
+		n++
 		v, err := EncodeProgress(j.progress())
 		if err != nil {
 			return Batch{}, false, err
 		}
+		size += len(v)
 		j.dirty = false
 		b.Rows = append(b.Rows, JobRow{
 			ID:    j.ID,
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -52,6 +52,23 @@
 	return p, err
 }
 
+const (
+	// taskBytes is what the progress of one task may need: a worker's name,
+	// a saved text of some 20 bytes, numbers.
+	taskBytes = 56
+	// stageBytes is what a stage needs besides.
+	stageBytes = 24
+)
+
+// ProgressBytes returns how long the progress of a job may become.
+func ProgressBytes(j Job) int {
+	n := 0
+	for i := range j.Steps {
+		n += stageBytes + j.Steps[i].Tasks*taskBytes
+	}
+	return n * j.rounds()
+}
+
 // progress returns what is to be kept of j.
 func (j *job) progress() Progress {
 	p := Progress{
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -469,3 +470,28 @@
 	x.state.AddJob(x.now, job("j", "q", steps...), sched.Progress{})
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1"})
 }
+
+// A write holds at most what the store takes.
+func TestBatchesAreBounded(t *testing.T) {
+	x := newCell(t)
+	for i := range 20 {
+		x.worker(spoolsill.WorkerID(fmt.Sprintf("a-worker-with-a-long-name-%d", i)))
+	}
+	for i := range 40 {
+		p := tasks(1000, 0)
+		x.state.AddJob(x.now, job(spoolsill.JobID(fmt.Sprintf("j%d", i)), "q", p), sched.Progress{})
+	}
+	x.state.Decide(x.now)
+	for rows := 0; rows < 40; {
+		b, any, err := x.state.Batch(x.now)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Assert(any, qt.IsTrue)
+		size := 0
+		for _, r := range b.Rows {
+			x.c.Assert(len(r.Value) < sched.ProgressBytes(job("j", "q", tasks(1000, 0))), qt.IsTrue)
+			size += len(r.Value)
+		}
+		x.c.Assert(size < 700_000, qt.IsTrue)
+		rows += len(b.Rows)
+	}
+}
