--- a/sched/rank.go
+++ b/sched/rank.go
@@ -16,15 +16,18 @@
 	tierLost               // earns nothing any more
 )
 
-// A rank orders stages: by tier, then by the time that is left.
+// A rank orders stages: by tier, by the priority of their queue, then by the time
+// that is left.
 type rank struct {
-	tier  tier
-	slack time.Duration
+	tier     tier
+	priority int
+	slack    time.Duration
 }
 
 func (r rank) compare(o rank) int {
 	return cmp.Or(
 		cmp.Compare(r.tier, o.tier),
+		cmp.Compare(r.priority, o.priority),
 		cmp.Compare(r.slack, o.slack),
 	)
 }
@@ -44,8 +47,9 @@
 	chain := s.chainLeft(g)
 	slack := objective - waited - chain
 	r := rank{
-		tier:  tierTimely,
-		slack: slack,
+		tier:     tierTimely,
+		priority: q.Priority,
+		slack:    slack,
 	}
 	switch {
 	case g.step.Lasting:
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -495,3 +495,24 @@
 		rows += len(b.Rows)
 	}
 }
+
+// Of two stages that can both be in time, that of the queue that goes first is
+// served first, however little time the other has left.
+func TestPriorityGoesBeforeSlack(t *testing.T) {
+	x := newCell(t)
+	x.state.SetQueues([]sched.Queue{
+		{
+			ID:       "patient",
+			Service:  "work",
+			Priority: 2,
+			Stretch:  2,
+			Goal:     time.Second,
+		},
+	})
+	x.worker("w")
+	for _, j := range []sched.Job{job("a", "patient", tasks(1, 10)), job("b", "q", tasks(1, 10))} {
+		j.Received = x.now
+		x.state.AddJob(x.now, j, sched.Progress{})
+	}
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"b.0.0.0#1"})
+}
