leader, sched: the field's words for what renews leases and counts runs

Cause: read as a newcomer: hold is the platform's word for a renewal, books and burying are pictures. Change: renewer, account, declareDead; no code changed.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -82,7 +82,7 @@
 	written sync.WaitGroup
 	ctx     context.Context //nolint:containedctx // calls outlive the functions that order them, not the leadership
 
-	holds    map[spoolsill.WorkerID]*hold
+	renewers map[spoolsill.WorkerID]*renewer
 	advising *adviser
 	sweeper  *sweeper
 	losses   losses
@@ -93,7 +93,7 @@
 	lastWrite time.Time // when the latest write that lasts was begun
 	decided   time.Time
 	late      time.Duration // a moving average of how late the loop is
-	kept      time.Time     // when the holds were last compared with the workers
+	kept      time.Time     // when the renewers were last compared with the workers
 	loaded    bool
 
 	mu       sync.Mutex
@@ -146,7 +146,7 @@
 	l := &Leader{
 		config:   c,
 		events:   make(chan event, eventBuffer),
-		holds:    map[spoolsill.WorkerID]*hold{},
+		renewers: map[spoolsill.WorkerID]*renewer{},
 		statuses: map[spoolsill.JobID]sched.JobStatus{},
 		waiting:  map[sched.QueueID]int{},
 		hears:    make(chan struct{}),
@@ -412,7 +412,7 @@
 	l.sweeper.sweep(ctx, now)
 	if l.loaded {
 		// Not before: an end of a job that is not known yet would be lost.
-		l.keepHolds(ctx, now)
+		l.keepRenewers(ctx, now)
 	}
 	l.logNotes()
 	return l.write(ctx, now)
--- a/leader/order.go
+++ b/leader/order.go
@@ -26,7 +26,7 @@
 // sendStart sends a start order, and again to the letter when it is not
 // answered: a run that is there already is not started twice.
 func (l *Leader) sendStart(o sched.StartOrder) {
-	h := l.holds[o.Worker]
+	h := l.renewers[o.Worker]
 	if h == nil {
 		l.state.StartAnswered(time.Now(), sched.StartAnswer{
 			Worker:  o.Worker,
@@ -44,7 +44,7 @@
 	})
 }
 
-func (h *hold) start(ctx context.Context, o sched.StartOrder) sched.StartAnswer {
+func (h *renewer) start(ctx context.Context, o sched.StartOrder) sched.StartAnswer {
 	a := sched.StartAnswer{
 		Worker:  o.Worker,
 		Run:     o.Run,
@@ -76,7 +76,7 @@
 	return a
 }
 
-func (h *hold) startOnce(ctx context.Context, o sched.StartOrder) (Reply, sched.ClockMillis) {
+func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder) (Reply, sched.ClockMillis) {
 	now := time.Now()
 	deadline := h.workerTime(now) + sched.ClockMillis(startWindow.Milliseconds())
 	c, cancel := context.WithTimeout(ctx, startTimeout)
@@ -110,7 +110,7 @@
 
 // sendStop sends a stop order until it is answered.
 func (l *Leader) sendStop(ctx context.Context, o sched.StopOrder) {
-	h := l.holds[o.Worker]
+	h := l.renewers[o.Worker]
 	if h == nil {
 		return
 	}
--- a/leader/hold.go
+++ b/leader/renewer.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// holdWait is how long a worker waits for an end before it answers a
+	// renewWait is how long a worker waits for an end before it answers a
 	// renewal. Workers whose last answer is older than two such waits get
 	// nothing new.
-	holdWait = time.Second
-	// holdSlack is how much longer than asked an answer may take.
-	holdSlack = 600 * time.Millisecond
+	renewWait = time.Second
+	// renewSlack is how much longer than asked an answer may take.
+	renewSlack = 600 * time.Millisecond
 	// lossyWait and lossySlack take their places while orders get lost, so
 	// that an end is not heard of a second and a half late. They cost more
 	// calls.
@@ -27,15 +27,15 @@
 	// fifty count: a second of a cell of today.
 	lossy    = 0.015
 	lossRate = 0.02
-	// holdRetry is between renewals that got no answer.
-	holdRetry = 100 * time.Millisecond
+	// renewRetry is between renewals that got no answer.
+	renewRetry = 100 * time.Millisecond
 	// ackWait is how long a renewal waits for the ends of the last answer to
 	// be written, before it goes out without them to keep the lease.
 	ackWait = time.Second
 )
 
-// A hold keeps one worker's lease renewed.
-type hold struct {
+// A renewer keeps one worker's lease renewed.
+type renewer struct {
 	leader *Leader
 	target Target
 	cancel context.CancelFunc
@@ -47,12 +47,12 @@
 	wake    chan struct{}
 }
 
-// keepEvery is how often the holds are compared with the workers, and the hosts
+// keepEvery is how often the renewers are compared with the workers, and the hosts
 // counted: what comes or goes is noticed so much later.
 const keepEvery = 50 * time.Millisecond
 
-// keepHolds starts and ends holds as workers come and go.
-func (l *Leader) keepHolds(ctx context.Context, now time.Time) {
+// keepRenewers starts and ends renewers as workers come and go.
+func (l *Leader) keepRenewers(ctx context.Context, now time.Time) {
 	if now.Sub(l.kept) < keepEvery {
 		return
 	}
@@ -61,21 +61,21 @@
 	wanted := map[spoolsill.WorkerID]bool{}
 	for _, id := range l.state.Workers() {
 		wanted[id] = true
-		if l.holds[id] == nil {
-			l.hold(ctx, id)
+		if l.renewers[id] == nil {
+			l.startRenewer(ctx, id)
 		}
 	}
-	for id, h := range l.holds {
+	for id, h := range l.renewers {
 		if !wanted[id] {
 			h.cancel()
-			delete(l.holds, id)
+			delete(l.renewers, id)
 		}
 	}
 }
 
-func (l *Leader) hold(ctx context.Context, id spoolsill.WorkerID) {
+func (l *Leader) startRenewer(ctx context.Context, id spoolsill.WorkerID) {
 	ctx, cancel := context.WithCancel(ctx)
-	h := &hold{
+	h := &renewer{
 		leader: l,
 		target: Target{
 			Worker:  id,
@@ -84,12 +84,12 @@
 		cancel: cancel,
 		wake:   make(chan struct{}, 1),
 	}
-	l.holds[id] = h
+	l.renewers[id] = h
 	l.spawn(func() { h.run(ctx) })
 }
 
 // ack takes in that ends up to n last in the store.
-func (h *hold) ack(n uint64) {
+func (h *renewer) ack(n uint64) {
 	h.mu.Lock()
 	h.acked = n
 	h.mu.Unlock()
@@ -99,13 +99,13 @@
 	}
 }
 
-func (h *hold) read() (acked uint64, clock sched.ClockMillis, at time.Time) {
+func (h *renewer) read() (acked uint64, clock sched.ClockMillis, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.acked, h.clock, h.clockAt
 }
 
-func (h *hold) setClock(c sched.ClockMillis, at time.Time) {
+func (h *renewer) setClock(c sched.ClockMillis, at time.Time) {
 	if c == 0 {
 		return
 	}
@@ -117,7 +117,7 @@
 
 // workerTime returns what the worker's clock shows about now; 0 before its
 // first answer.
-func (h *hold) workerTime(now time.Time) sched.ClockMillis {
+func (h *renewer) workerTime(now time.Time) sched.ClockMillis {
 	_, c, at := h.read()
 	if c == 0 {
 		return 0
@@ -129,7 +129,7 @@
 // that got no answer, renew nothing: they only make our epoch known and read the
 // worker's clock. An order without an answer may yet be carried out, so the
 // lease of a silent worker would otherwise never be certain to have ended.
-func (h *hold) run(ctx context.Context) {
+func (h *renewer) run(ctx context.Context) {
 	var seen uint64
 	answers := false
 	for ctx.Err() == nil {
@@ -163,15 +163,15 @@
 			h.leader.send(workerRefused{
 				worker: h.target.Worker,
 			})
-			pause.For(ctx, holdRetry)
+			pause.For(ctx, renewRetry)
 		default:
-			pause.For(ctx, holdRetry)
+			pause.For(ctx, renewRetry)
 		}
 	}
 }
 
 // awaitAck waits until the ends up to seen are written, for a while.
-func (h *hold) awaitAck(ctx context.Context, seen uint64) {
+func (h *renewer) awaitAck(ctx context.Context, seen uint64) {
 	t := time.NewTimer(ackWait)
 	defer t.Stop()
 	for {
@@ -188,7 +188,7 @@
 	}
 }
 
-func (h *hold) renew(ctx context.Context, acked uint64, wait, slack time.Duration, extend bool) (sched.Heartbeat, Reply) {
+func (h *renewer) renew(ctx context.Context, acked uint64, wait, slack time.Duration, extend bool) (sched.Heartbeat, Reply) {
 	var deadline sched.ClockMillis
 	if extend {
 		deadline = h.leaseDeadline(time.Now())
@@ -238,13 +238,13 @@
 	if l.share > lossy {
 		return lossyWait, lossySlack
 	}
-	return holdWait, holdSlack
+	return renewWait, renewSlack
 }
 
 // leaseDeadline returns until when the worker may keep what it runs, on its
 // clock. It is never later than twice the lease after our last write that
 // lasts: a later leader waits that long for workers that it can't reach.
-func (h *hold) leaseDeadline(now time.Time) sched.ClockMillis {
+func (h *renewer) leaseDeadline(now time.Time) sched.ClockMillis {
 	c := h.workerTime(now)
 	if c == 0 {
 		return 0
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -157,7 +157,7 @@
 
 // usePlan records the planned runs whose tickets hold now and gives the room
 // of the others back. Of a gang all run or none. Runs whose workers are gone
-// meanwhile are no longer in the books.
+// meanwhile are no longer counted there.
 func (s *State) usePlan(g *stage) {
 	plan := g.planned
 	g.planned = nil
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -159,7 +159,7 @@
 	return ""
 }
 
-// Idle reports whether a worker has nothing in its books.
+// Idle reports whether a worker has no runs.
 func (s *State) Idle(id spoolsill.WorkerID) bool {
 	w := s.workers[id]
 	return w == nil || len(w.runs) == 0
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// at returns how many runs of g a worker has in its books.
+// at returns how many runs of g a worker has.
 func (g *stage) at(w *worker) int {
 	n := 0
 	for _, t := range g.tasks {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// inherit puts a run that a former leader recorded into its worker's books.
+// inherit puts a run that a former leader recorded into its worker's account.
 func (s *State) inherit(t *task, p TaskProgress) {
 	w := s.worker(p.Worker)
 	r := &run{
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -16,7 +16,7 @@
 	)
 }
 
-// book puts a run into its worker's books.
+// book puts a run into its worker's account.
 func (s *State) book(r *run) {
 	r.worker.runs[r.id] = r
 	r.worker.used = r.worker.used.Add(r.need)
@@ -24,7 +24,7 @@
 	r.task.stage.job.runs++
 }
 
-// release takes a run out of its worker's books: it is certainly not there.
+// release takes a run out of its worker's account: it is certainly not there.
 func (s *State) release(r *run) {
 	w := r.worker
 	if w.runs[r.id] != r {
@@ -67,7 +67,7 @@
 	return o
 }
 
-// lose takes a run that is certainly gone out of the books; its task is open
+// lose takes a run that is certainly gone out of its worker's account; its task is open
 // again.
 func (s *State) lose(r *run, reason string) {
 	s.release(r)
@@ -328,7 +328,7 @@
 	return now.Sub(r.begun)
 }
 
-// lateEnd takes in an end of a run that is not in the books any more: only
+// lateEnd takes in an end of a run that is not counted any more: only
 // work that is done changes anything.
 func (s *State) lateEnd(e End) {
 	if e.Kind != EndDone {
--- a/sched/state.go
+++ b/sched/state.go
@@ -71,7 +71,7 @@
 	Job
 	state  JobState
 	stages []*stage
-	// runs counts the runs in the workers' books.
+	// runs counts the runs in the workers' accounts.
 	runs   int
 	undone int // stages that are not done
 	dirty  bool
@@ -129,7 +129,7 @@
 )
 
 // A run is one start of a task at a worker. Its room is taken as long as it
-// is in the worker's books.
+// is in the worker's account.
 type run struct {
 	id       RunID
 	task     *task
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -24,7 +24,7 @@
 	unwellFor = 700 * time.Millisecond
 )
 
-// A worker is one life of a machine with its books.
+// A worker is one life of a machine and the account of its runs.
 type worker struct {
 	Worker
 	id     spoolsill.WorkerID
@@ -49,7 +49,7 @@
 	health health
 }
 
-// worker returns the books of a worker, and opens them when there are none.
+// worker returns the account of a worker, and opens it when there is none.
 func (s *State) worker(id spoolsill.WorkerID) *worker {
 	w := s.workers[id]
 	if w != nil {
@@ -81,18 +81,18 @@
 	}
 	w.listed = true
 	w.Worker = l
-	s.buryOlderLives(w)
+	s.endOlderLives(w)
 }
 
-// buryOlderLives declares the other lives of a machine dead: a machine has one
+// endOlderLives declares the other lives of a machine dead: a machine has one
 // life at a time, and this one was listed later.
-func (s *State) buryOlderLives(w *worker) {
+func (s *State) endOlderLives(w *worker) {
 	if w.Machine == "" {
 		return
 	}
 	for _, o := range s.order {
 		if o != w && !o.dead && o.Machine == w.Machine && !o.listed {
-			s.bury(o, "machine has a new life")
+			s.declareDead(o, "machine has a new life")
 		}
 	}
 }
@@ -109,7 +109,7 @@
 	s.noteWorker(w, "no longer listed", now.Sub(w.answered))
 	for _, o := range s.order {
 		if o != w && o.listed && w.Machine != "" && o.Machine == w.Machine {
-			s.bury(w, "machine has a new life")
+			s.declareDead(w, "machine has a new life")
 			return
 		}
 	}
@@ -121,7 +121,7 @@
 func (s *State) WorkerDied(now time.Time, id spoolsill.WorkerID) {
 	s.now = now
 	if w := s.workers[id]; w != nil && !w.dead {
-		s.bury(w, "its address answers for another life")
+		s.declareDead(w, "its address answers for another life")
 	}
 }
 
@@ -132,7 +132,7 @@
 	s.now = now
 	w := s.workers[id]
 	if w != nil && !w.dead && w.Draining && !w.listed {
-		s.bury(w, "it has left as announced")
+		s.declareDead(w, "it has left as announced")
 	}
 }
 
@@ -185,8 +185,8 @@
 	return now.Add(d + time.Duration(float64(d)*clockSlack) + leaseMargin)
 }
 
-// bury drops all runs of a worker that is certainly gone.
-func (s *State) bury(w *worker, reason string) {
+// declareDead drops all runs of a worker that is certainly gone.
+func (s *State) declareDead(w *worker, reason string) {
 	w.dead = true
 	w.listed = false
 	s.noteWorker(w, "dead: "+reason, s.now.Sub(w.answered))
@@ -209,7 +209,7 @@
 	return rs
 }
 
-// forget drops the books of a worker that is not listed and has no runs. Dead
+// forget drops the account of a worker that is not listed and has no runs. Dead
 // ones are kept as a name, so that a late list entry does not revive them.
 func (s *State) forget(w *worker) {
 	if w.listed || len(w.runs) > 0 || w.dead {
@@ -259,7 +259,7 @@
 	return w.Capacity.Sub(w.used)
 }
 
-// CheckRoom returns an error when the runs in a worker's books need more than
+// CheckRoom returns an error when the runs of a worker need more than
 // it has, or are counted wrong. It is meant for tests.
 func (s *State) CheckRoom() error {
 	for _, w := range s.order {
@@ -268,7 +268,7 @@
 			sum = sum.Add(r.need)
 		}
 		if sum != w.used {
-			return fmt.Errorf("worker %s: books say %v, runs need %v", w.id, w.used, sum)
+			return fmt.Errorf("worker %s: account says %v, runs need %v", w.id, w.used, sum)
 		}
 		if w.listed && w.free().Negative() {
 			return fmt.Errorf("worker %s: %v used of %v", w.id, w.used, w.Capacity)
