--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,9 @@
 	stopMargin = 500 * time.Millisecond
 	// headerTimeout bounds reading a request's header.
 	headerTimeout = 3 * time.Second
+	// readTimeout bounds reading a whole request: a body of 256 KB over a slow
+	// line.
+	readTimeout = 10 * time.Second
 	// idleTimeout closes clients' idle connections.
 	idleTimeout = 30 * time.Second
 	// keepFactor is how many times longer than must be the states of jobs that
@@ -248,6 +251,7 @@
 			Observe: n.metrics.Call,
 		},
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -431,6 +431,45 @@
 	})
 }
 
+// A client that never sends the rest of its request must not keep a connection
+// for ever.
+func TestHalfARequestIsCutOff(t *testing.T) {
+	run(t, 1, 0, func(x *cell) {
+		dial := x.network.Dialer(standin.Node{
+			Name:  "slow",
+			Place: "clients",
+		})
+		c, err := dial(x.ctx, "tcp", x.hosts[0].Settings.ClientAddress)
+		x.c.Assert(err, qt.IsNil)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /q/"+jobID(1)+" HTTP/1.1\r\nHost: cell.example\r\nContent-Length: 100\r\n\r\n{")
+		x.c.Assert(err, qt.IsNil)
+		begun := time.Now()
+		_, err = io.ReadAll(c)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Assert(time.Since(begun) <= 20*time.Second, qt.IsTrue)
+	})
+}
+
+// A client that says that it waits for an hour is not held for one.
+func TestLongDeadlinesAreBounded(t *testing.T) {
+	run(t, 1, 0, func(x *cell) {
+		x.store.Fault = func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLose }
+		r, err := http.NewRequestWithContext(x.ctx, http.MethodPost, "http://"+x.hosts[0].Settings.ClientAddress+"/q/"+jobID(1), strings.NewReader(body))
+		x.c.Assert(err, qt.IsNil)
+		r.Host = "cell.example"
+		r.Header.Set("X-Spoolsill-Deadline-Ms", "3600000")
+		c := x.newClient()
+		c.Timeout = time.Hour
+		begun := time.Now()
+		p, err := c.Do(r)
+		x.c.Assert(err, qt.IsNil)
+		_ = p.Body.Close()
+		x.c.Assert(p.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+		x.c.Assert(time.Since(begun) <= 10*time.Second, qt.IsTrue)
+	})
+}
+
 // Feeds may hear nothing for a while: the leader is told of jobs all the same.
 func TestJobsReachTheLeaderWithoutTheFeed(t *testing.T) {
 	run(t, 3, 1, func(x *cell) {
