node: no busy loop while the leader can't be reached

Cause: found by reading: a hand-on that failed at once was taken as a write that may have been made, and tried again without a pause for 1.2 s. Change: only a lost answer leaves the outcome open; each try is followed by a pause of 60 ms. Result: tests of node pass; no test shows the loop itself, which lasts only until the next greeting of the leader fails.

--- a/node/jobs.go
+++ b/node/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,7 +30,7 @@
 	askTimeout = 250 * time.Millisecond
 	// settleTimeout is how long the leader waits to be sure that there is no
 	// such job; less than askTimeout. A feed that tells of jobs answers some
-	// fifty times a second, one that has none to tell of once.
+	// fifteen times a second, one that has none to tell of once.
 	settleTimeout = 180 * time.Millisecond
 	// tellingMost bounds the calls that tell the leader of jobs.
 	tellingMost = 128
@@ -76,8 +77,8 @@
 			if !n.health.reachable(now) && now.Sub(begun) > awayBudget {
 				return n.notKept(j, maybe, tries, begun, err)
 			}
-			pause.For(ctx, writePause)
 		}
+		pause.For(ctx, writePause)
 	}
 	return n.notKept(j, maybe, tries, begun, last)
 }
@@ -178,7 +179,7 @@
 	})
 	if err != nil {
 		n.log.WithError(err).WithField("job", string(j.ID)).WithField("leader", string(h)).Warn("job could not be handed on")
-		return jobstore.Unknown, true
+		return jobstore.Unknown, errors.Is(err, peer.ErrLost)
 	}
 	if r.Outcome == jobstore.Accepted {
 		// Kept by the leader's host, which knows of it.
