leader, node: the row remembers how large hosts are

After such a restart no host knew how large the others are, and a host of 0.19 core that was up a moment earlier could lead. Change: the leader's row carries the largest host's cores; small hosts wait up to 0.8 s (0.5 s before) for larger ones. Result: node.TestSmallHostLetsLargeOnesLeadAfterARestart fails 5 of 5 times without the change and passes 5 of 5 with it.

--- a/leader/chain.go
+++ b/leader/chain.go
@@ -33,6 +33,10 @@
 	Life spoolsill.Incarnation `msgpack:"l"`
 	// Write counts the writes of the epoch.
 	Write uint64 `msgpack:"w"`
+	// MostCores is that of the largest host that has led or was known to a
+	// leader, so that small hosts let others go first also when all hosts
+	// have been restarted.
+	MostCores float64 `msgpack:"c"`
 	// Released tells that the leader has ended as planned.
 	Released bool `msgpack:"r"`
 }
@@ -81,6 +85,7 @@
 	}
 	c.epoch = old.Epoch + 1
 	c.head.Epoch = c.epoch
+	c.head.MostCores = max(old.MostCores, me.MostCores)
 	if err := c.write(ctx, c.head, nil, nil); err != nil {
 		return nil, err
 	}
--- a/node/elect.go
+++ b/node/elect.go
@@ -38,8 +38,9 @@
 	watchEvery = 100 * time.Millisecond
 	// handicap is how long a host that is tiny beside the largest one waits
 	// before it takes over; a host half as large waits half as long. It is
-	// longer than hosts are apart in noticing that the leader is gone.
-	handicap = 500 * time.Millisecond
+	// longer than hosts are apart in starting, and in noticing that the leader is
+	// gone.
+	handicap = 800 * time.Millisecond
 	// firstHandicap is how long a host with one core waits before any host has
 	// led and told of the largest; smaller ones wait longer.
 	firstHandicap = 20 * time.Millisecond
@@ -141,6 +142,9 @@
 func (n *Node) handicap() time.Duration {
 	n.mu.Lock()
 	most := n.mostCores
+	if most == 0 {
+		most = n.head.MostCores
+	}
 	late := time.Since(n.resignedAt) < resigned
 	n.mu.Unlock()
 	cores := max(n.settings.Cores, leastCores)
@@ -251,12 +255,21 @@
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	return leader.Take(ctx, n.store, old, v, leader.Head{
-		Host:    n.settings.Host,
-		Address: n.peerAddress(),
-		Life:    n.life,
+		Host:      n.settings.Host,
+		Address:   n.peerAddress(),
+		Life:      n.life,
+		MostCores: max(n.settings.Cores, n.knownCores()),
 	})
 }
 
+// knownCores is the processor time of the largest host that a leader told of; 0
+// if none has.
+func (n *Node) knownCores() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.mostCores
+}
+
 func (n *Node) setLeading(l *leader.Leader, e spoolsill.Epoch) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -48,6 +49,7 @@
 	store   *cellfake.Store
 	workers *cellfake.Workers
 	hosts   []*host
+	cores   map[int]float64 // of hosts that are not of the usual size
 	cancel  context.CancelFunc
 	running sync.WaitGroup // hosts
 	serving sync.WaitGroup // stand-ins
@@ -189,7 +191,7 @@
 				ReadyAddress:   ip + ":81",
 				StoreAddress:   storeAddress,
 				AdvisorAddress: adviceAddr,
-				Cores:          0.4,
+				Cores:          cmp.Or(x.cores[i], 0.4),
 				Memory:         256 * spoolsill.MiB,
 				MaxRow:         64 << 10,
 				Bounds: platform.Bounds{
@@ -484,6 +486,27 @@
 	})
 }
 
+// After a restart of all hosts a small one must not take over from a large one
+// just because it was up first: the row remembers how large hosts are.
+func TestSmallHostLetsLargeOnesLeadAfterARestart(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		large := x.leader()
+		small := 1 - large
+		for _, h := range x.hosts {
+			h.stop()
+		}
+		x.running.Wait()
+		x.cores = map[int]float64{
+			small: 0.1,
+		}
+		x.start(small)
+		pause.For(x.ctx, 250*time.Millisecond)
+		x.start(large)
+		pause.For(x.ctx, 2*time.Second)
+		x.c.Assert(x.leader(), qt.Equals, large)
+	})
+}
+
 // A planned stop answers what comes in on open connections, and hands the
 // leadership over in a moment.
 func TestPlannedStopCutsOffNothing(t *testing.T) {
