--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -147,7 +147,7 @@
 		return st, false, err
 	}
 	if row.Version > 0 {
-		p, err := DecodeProgress(row.Value)
+		p, err := sched.DecodeProgress(row.Value)
 		st.State = p.State
 		return st, true, err
 	}
@@ -188,8 +188,3 @@
 
 // readsAtOnce bounds the reads that one look-up has under way.
 const readsAtOnce = 8
-
-// DecodeProgress reads a row of the progress table.
-func DecodeProgress(b []byte) (sched.Progress, error) {
-	return sched.DecodeProgress(b)
-}
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -165,17 +165,6 @@
 	return w == nil || len(w.runs) == 0
 }
 
-// NextDue returns when the next timed stage is due, by the wall clock.
-func (s *State) NextDue() (time.Time, bool) {
-	var next time.Time
-	for _, g := range s.timed {
-		if next.IsZero() || g.due.Before(next) {
-			next = g.due
-		}
-	}
-	return next, !next.IsZero()
-}
-
 // Jobs returns the states of all jobs, in the order of their ids.
 func (s *State) Jobs() []JobStatus {
 	out := make([]JobStatus, 0, len(s.jobs))
--- a/sched/event.go
+++ b/sched/event.go
@@ -199,7 +199,6 @@
 	NoteEnded      NoteKind = "task ended"
 	NoteGone       NoteKind = "run is gone"
 	NoteStop       NoteKind = "task stop ordered"
-	NoteJobAdded   NoteKind = "job added"
 	NoteJobEnded   NoteKind = "job ended"
 	NoteWorker     NoteKind = "worker changed"
 	NoteStray      NoteKind = "unknown run at worker"
