sched: only workers that answer are asked about

Questions named the workers with most free processors first; those of the hall cut off had the most, since their runs had been given up, and could take nothing. Change: workers that take nothing now are not asked about. Test: fails without the change.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -88,12 +88,17 @@
 	return o
 }
 
-// unasked returns workers that g may use and was not told about, those with
-// most free processors first.
-func (s *State) unasked(g *stage, q *Queue) []spoolsill.WorkerID {
+// unasked returns workers that g may use now and was not told about, those with
+// most free processors first. Workers that can't be reached have the most, as
+// far as is known, and are of no use.
+func (d *decider) unasked(g *stage, q *Queue) []spoolsill.WorkerID {
+	r := d.ready[q.Service]
+	if r == nil {
+		return nil
+	}
 	var ws []*worker
-	for _, w := range s.order {
-		if s.eligible(g, q, w) && !g.advice.asked[w.id] {
+	for _, w := range r.workers {
+		if g.allows(w) && !g.advice.asked[w.id] {
 			ws = append(ws, w)
 		}
 	}
--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -126,3 +126,19 @@
 		x.c.Assert(x.state.Advices(), qt.HasLen, 2*hosts)
 	}
 }
+
+// Workers that don't answer look idle: their runs are given up, and nothing new
+// is started there.
+func TestOnlyWorkersThatAnswerAreAskedAbout(t *testing.T) {
+	x := newCell(t)
+	x.worker("silent")
+	x.worker("busy")
+	x.pass(3*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"busy": nil,
+	})
+	x.state.AddJob(x.now, job("other", "q", tasks(1, 4)), sched.Progress{})
+	x.take(x.step())
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 1)), sched.Progress{})
+	x.step()
+	x.c.Assert(x.question().Workers, qt.DeepEquals, []spoolsill.WorkerID{"busy"})
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -145,10 +145,9 @@
 	return a.asked != nil
 }
 
-// eligible reports whether g's tasks may ever run at w.
-func (s *State) eligible(g *stage, q *Queue, w *worker) bool {
-	return w.listed && !w.dead && !w.Draining && w.Service == q.Service &&
-		(g.step.Requires == "" || slices.Contains(w.Labels, g.step.Requires))
+// allows reports whether g's tasks may run at w, as far as its label tells.
+func (g *stage) allows(w *worker) bool {
+	return g.step.Requires == "" || slices.Contains(w.Labels, g.step.Requires)
 }
 
 // candidates returns the workers where g may start something now and that have
@@ -168,7 +167,7 @@
 		if !w.ready || !need.Fits(w.free()) || w.Service != q.Service {
 			continue
 		}
-		if g.step.Requires != "" && !slices.Contains(w.Labels, g.step.Requires) {
+		if !g.allows(w) {
 			continue
 		}
 		if d.held[w] && q.Priority > 0 && g != d.gang {
