jobstore, node: a store that breaks connections is not called in a hot loop

Hosts in doubt about the leader read its row ten times a second besides. Change: tries that fail at once are 40 to 250 ms apart, as refused ones are; reads that fail 250 ms. Test: 200 writes in a second without the change, at most 8 with it.

--- a/internal/cellfake/store.go
+++ b/internal/cellfake/store.go
@@ -20,6 +20,7 @@
 	StoreRefuse            // nothing is done
 	StoreLose              // done, without an answer
 	StoreLate              // done later if its conditions still hold, without an answer
+	StoreBreak             // not done; the connection breaks at once
 )
 
 // lateBy is how much later than sent a late transaction is done.
@@ -131,6 +132,8 @@
 	switch f {
 	case StoreRefuse:
 		return store.Result{}, store.ErrRefused
+	case StoreBreak:
+		return store.Result{}, fmt.Errorf("%w: connection reset", store.ErrUnknown)
 	case StoreLose:
 		s.apply(t)
 		<-ctx.Done()
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -117,6 +117,26 @@
 	})
 }
 
+// A store that breaks all connections is not called as fast as it does so: each
+// call costs, and all hosts make them at once.
+func TestBrokenConnectionsAreNotTriedAtOnce(t *testing.T) {
+	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+		writes := 0
+		s.Fault = func(store.Transaction) cellfake.StoreFault {
+			writes++
+			return cellfake.StoreBreak
+		}
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		o, _ := w.Accept(short, job("j", "s"))
+		c.Assert(o, qt.Equals, jobstore.Unknown)
+		c.Assert(writes <= 8, qt.IsTrue, qt.Commentf("%d writes in a second", writes))
+		s.Fault = nil
+		o, _ = w.Accept(ctx, job("k", "s"))
+		c.Assert(o, qt.Equals, jobstore.Accepted)
+	})
+}
+
 func TestStateFromTheStore(t *testing.T) {
 	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
 		_, known, err := jobstore.State(ctx, s, "j")
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -21,8 +21,11 @@
 	batchBytes = 600 << 10
 	// queueMost bounds the jobs that wait for their write.
 	queueMost = 2048
-	// refusedPause is between tries that the store refused.
-	refusedPause = 40 * time.Millisecond
+	// pauseFirst is between tries that the store refused, or whose connection
+	// broke: some usual writes. It doubles up to pauseMost while they go on
+	// failing, which is how much later than the store a host is back.
+	pauseFirst = 40 * time.Millisecond
+	pauseMost  = 250 * time.Millisecond
 )
 
 // A Writer keeps jobs in a host's own partition, so that hosts do not wait for
@@ -38,6 +41,7 @@
 	Timeout func() time.Duration
 
 	queue chan *entry
+	delay time.Duration // before the next try after one that failed
 }
 
 // An entry is a job that is to be kept.
@@ -158,13 +162,18 @@
 		for _, e := range batch {
 			e.tried = true
 		}
+		if !errors.Is(err, context.DeadlineExceeded) {
+			w.rest(ctx) // else it has been waited for long enough
+		}
 		return batch
 	case r.Applied:
+		w.delay = 0
 		for _, e := range batch {
 			e.settle(Accepted, nil)
 		}
 		return nil
 	default:
+		w.delay = 0
 		return w.settleKnown(batch, r.Current)
 	}
 }
@@ -180,10 +189,16 @@
 		}
 		rest = append(rest, e)
 	}
-	pause.For(ctx, refusedPause)
+	w.rest(ctx)
 	return rest
 }
 
+// rest pauses after a try that failed, for longer each time.
+func (w *Writer) rest(ctx context.Context) {
+	w.delay = min(max(2*w.delay, pauseFirst), pauseMost)
+	pause.For(ctx, w.delay)
+}
+
 // unique answers the second of two equal entries like a retry: later.
 func unique(batch []*entry) []*entry {
 	seen := map[spoolsill.JobID]bool{}
--- a/node/elect.go
+++ b/node/elect.go
@@ -36,6 +36,9 @@
 	staleMost = 1500 * time.Millisecond // added when the store is slow
 	// watchEvery is how often the row is read while the leader is in doubt.
 	watchEvery = 100 * time.Millisecond
+	// watchFailed is between reads that fail: all hosts make them at once, and
+	// calls cost also while the store is away.
+	watchFailed = 250 * time.Millisecond
 	// handicap is how long a host that is tiny beside the largest one waits
 	// before it takes over; a host half as large waits half as long. It is
 	// longer than hosts are apart in starting, and in noticing that the leader is
@@ -114,7 +117,7 @@
 	for ctx.Err() == nil {
 		h, v, err := leader.ReadHead(ctx, n.store)
 		if err != nil {
-			pause.For(ctx, watchEvery)
+			pause.For(ctx, watchFailed)
 			continue
 		}
 		now := time.Now()
