sched: gangs' tickets are kept valid while they wait, questions in parts

Cause: on the grown Supra site gangs waited 1.32 s for the first advice (one question about 100 workers), then 2.4 s (p50) for room. Tickets hold 1.5 s, so most gangs found room with tickets that had run out, and held it idle for another 0.75 s until the advisor had answered. A question about more workers kept a stage from using those that it knew. Change: first questions of a gang go out in parts, as far as hosts are free to ask; the tickets of gangs that wait are renewed before they run out, by a quarter of the hosts at most; stages go on with what they know while they ask for more.

--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -111,16 +111,13 @@
 }
 
 // compareQuestions orders the most urgent queue's first, then those for which
-// room is held.
+// room is held, then those for gangs that wait.
 func compareQuestions(a, b sched.AdviceOrder) int {
 	if c := cmp.Compare(min(a.Priority, 1), min(b.Priority, 1)); c != 0 {
 		return c
 	}
-	if a.Held != b.Held {
-		if a.Held {
-			return -1
-		}
-		return 1
+	if c := cmp.Compare(b.Purpose, a.Purpose); c != 0 {
+		return c
 	}
 	return cmp.Compare(a.Priority, b.Priority)
 }
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// warmShare is the part of the hosts that may renew tickets of gangs that
+	// wait, one in so many: questions about new work go before.
+	warmShare = 4
 	// ticketMargin is how long a ticket must still hold when a start is
 	// decided: a write, the call itself and some queueing.
 	ticketMargin = 200 * time.Millisecond
@@ -33,8 +36,12 @@
 	asked   map[spoolsill.WorkerID]bool // and answered: good or never
 	tickets map[spoolsill.WorkerID]ticket
 	good    []*worker // those with a ticket, valid or not
-	pending time.Time // when the question under way was ordered; zero if none is
-	last    time.Time // when the last answer came
+	// learning counts the questions under way about workers that are not
+	// known yet; warming tells that one renews the tickets of a gang that
+	// waits. Every question is answered, if only to say that it was lost.
+	learning int
+	warming  bool
+	last     time.Time // when the last answer about new workers came
 }
 
 type ticket struct {
@@ -53,29 +60,52 @@
 	a.tickets[id] = t
 }
 
-// underWay reports whether a question waits for its answer. Every question is
-// answered, if only to say that it was lost.
-func (a *advice) underWay() bool {
-	return !a.pending.IsZero()
-}
-
-// ask orders a question about workers. Room is held for the tasks of a
-// question that only renews tickets.
-func (s *State) ask(g *stage, q *Queue, workers []spoolsill.WorkerID, held bool) {
+// ask orders a question about workers.
+func (s *State) ask(g *stage, q *Queue, workers []spoolsill.WorkerID, p Purpose) {
 	if len(workers) == 0 {
 		return
 	}
-	g.advice.pending = s.now
+	switch p {
+	case Learn:
+		g.advice.learning++
+	case Warm:
+		g.advice.warming = true
+		s.warming++
+	}
 	s.asking++
 	s.advices = append(s.advices, AdviceOrder{
 		Stage:    g.id,
 		Workers:  workers,
 		Priority: q.Priority,
-		Held:     held,
+		Purpose:  p,
 		Cost:     q.Advisor.cost(len(workers)),
+		Ordered:  s.now,
 	})
 }
 
+// learnMore asks about workers that are not known yet: of a gang, which needs many,
+// in parts, as far as hosts are free to ask.
+func (d *decider) learnMore(g *stage, q *Queue, workers []spoolsill.WorkerID) {
+	parts := 1
+	if g.step.Gang {
+		width := q.Advisor.width()
+		parts = min((len(workers)+width-1)/width, (d.askers-d.asking)/2)
+	}
+	size := (len(workers) + max(parts, 1) - 1) / max(parts, 1)
+	for part := range slices.Chunk(workers, size) {
+		d.ask(g, q, part, Learn)
+	}
+}
+
+// width is how many workers one question is about: asking about more at once
+// costs little up to there.
+func (a *Advisor) width() int {
+	if a.PerWorker <= 0 {
+		return maxAsked
+	}
+	return min(maxAsked, max(minAsked, int(adviceWidth*float64(a.Base)/float64(a.PerWorker))))
+}
+
 // SetAskers takes in how many hosts can ask the advisor.
 func (s *State) SetAskers(n int) {
 	s.askers = n
@@ -104,10 +134,10 @@
 	}
 	sortByFree(ws)
 	most := maxAsked
-	if !g.step.Gang && q.Advisor.PerWorker > 0 {
-		most = max(minAsked, int(adviceWidth*float64(q.Advisor.Base)/float64(q.Advisor.PerWorker)))
+	if !g.step.Gang {
+		most = q.Advisor.width()
 	}
-	most = min(most, maxAsked, len(ws))
+	most = min(most, len(ws))
 	ids := make([]spoolsill.WorkerID, most)
 	for i := range ids {
 		ids[i] = ws[i].id
@@ -119,6 +149,9 @@
 func (s *State) Advised(now time.Time, a Advice) {
 	s.now = now
 	s.asking--
+	if a.Order.Purpose == Warm {
+		s.warming--
+	}
 	j := s.jobs[a.Order.Stage.Job]
 	if j == nil || j.state.Final() {
 		return
@@ -127,23 +160,42 @@
 	if g == nil {
 		return
 	}
-	x := &g.advice
 	s.note(Note{
 		Kind:   NoteAdvised,
 		Job:    j.ID,
-		Reason: fmt.Sprintf("stage %s: %d of %d workers may run it, lost %v", g.id, len(a.Tickets), len(a.Order.Workers), a.Lost),
-		Age:    now.Sub(x.pending),
+		Reason: fmt.Sprintf("stage %s: %d of %d workers may run it, asked to %s, lost %v", g.id, len(a.Tickets), len(a.Order.Workers), a.Order.Purpose, a.Lost),
+		Age:    now.Sub(a.Order.Ordered),
 	})
-	x.pending = time.Time{}
+	x := &g.advice
+	switch a.Order.Purpose {
+	case Learn:
+		x.learning--
+	case Warm:
+		x.warming = false
+	}
+	if !a.Lost {
+		s.takeTickets(g, a)
+	}
+	if a.Order.Purpose == Learn {
+		return
+	}
 	if a.Lost {
 		s.dropPlan(g)
 		return
 	}
+	s.usePlan(g)
+}
+
+// takeTickets takes in which workers may run a stage.
+func (s *State) takeTickets(g *stage, a Advice) {
+	x := &g.advice
 	if x.asked == nil {
 		x.asked = map[spoolsill.WorkerID]bool{}
 		x.tickets = map[spoolsill.WorkerID]ticket{}
 	}
-	x.last = now
+	if a.Order.Purpose == Learn {
+		x.last = s.now
+	}
 	for _, id := range a.Order.Workers {
 		x.asked[id] = true
 	}
@@ -157,7 +209,6 @@
 			until: a.Received.Add(a.Valid),
 		}
 	}
-	s.usePlan(g)
 }
 
 // usePlan records the planned runs whose tickets hold now and gives the room
@@ -212,6 +263,29 @@
 	r.task.stage.job.runs--
 }
 
+// keepWarm renews the tickets of a gang that waits for room before they run
+// out, so that it starts at once when there is room, instead of holding that
+// until the advisor has answered.
+func (d *decider) keepWarm(g *stage, q *Queue) {
+	a := &g.advice
+	if q.Advisor == nil || a.warming || d.warming >= max(d.askers/warmShare, 1) {
+		return
+	}
+	var ids []spoolsill.WorkerID
+	for _, w := range a.good {
+		if w.ready && len(ids) < maxAsked {
+			ids = append(ids, w.id)
+		}
+	}
+	soon := d.now.Add(q.Advisor.cost(len(ids)) + ticketMargin)
+	for _, id := range ids {
+		if !a.valid(id, soon) {
+			d.ask(g, q, ids, Warm)
+			return
+		}
+	}
+}
+
 func (s *State) dropPlan(g *stage) {
 	for _, r := range g.planned {
 		s.unplan(r)
--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -65,7 +65,7 @@
 	x.end(big[0], sched.EndDone)
 	x.c.Assert(x.step(), qt.HasLen, 0)
 	q := x.question()
-	x.c.Assert(q.Held, qt.IsTrue)
+	x.c.Assert(q.Purpose, qt.Equals, sched.Renew)
 	x.state.AddJob(x.now, job("late", "q", tasks(1, 10)), sched.Progress{})
 	x.pass(6*time.Second, map[spoolsill.WorkerID][]sched.RunID{
 		"w": nil,
@@ -142,3 +142,50 @@
 	x.step()
 	x.c.Assert(x.question().Workers, qt.DeepEquals, []spoolsill.WorkerID{"busy"})
 }
+
+// A gang that waits for room has its tickets renewed meanwhile, so that the
+// room does not stand idle until the advisor has answered.
+func TestTicketsOfAWaitingGangAreKeptValid(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("big", "q", tasks(1, 10)), sched.Progress{})
+	big := x.step()
+	x.take(big)
+	x.state.AddJob(x.now, job("j", "advised", gang(2, 5)), sched.Progress{})
+	x.step()
+	x.advise(x.question(), "w")
+	x.pass(1500*time.Millisecond, map[spoolsill.WorkerID][]sched.RunID{
+		"w": {big[0].Run},
+	})
+	q := x.question()
+	x.c.Assert(q.Purpose, qt.Equals, sched.Warm)
+	x.advise(q, "w")
+	x.end(big[0], sched.EndDone)
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1", "j.0.0.1#1"})
+	x.c.Assert(x.state.Advices(), qt.HasLen, 0)
+}
+
+// The answers about parts of the workers come sooner than one about all.
+func TestGangsAskInPartsAsFarAsHostsAreFree(t *testing.T) {
+	for hosts, parts := range map[int]int{1: 1, 4: 2, 20: 3} {
+		x := newCell(t)
+		x.state.SetAskers(hosts)
+		for i := range 60 {
+			x.worker(spoolsill.WorkerID(fmt.Sprint("w", i)))
+		}
+		x.state.AddJob(x.now, job("j", "advised", gang(2, 1)), sched.Progress{})
+		x.step()
+		asked := map[spoolsill.WorkerID]bool{}
+		questions := x.state.Advices()
+		for _, q := range questions {
+			for _, id := range q.Workers {
+				asked[id] = true
+			}
+		}
+		x.c.Assert(questions, qt.HasLen, parts)
+		x.c.Assert(asked, qt.HasLen, 60)
+		// The first answer is enough to start.
+		x.advise(questions[0], questions[0].Workers[0])
+		x.c.Assert(x.step(), qt.HasLen, 2)
+	}
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -125,24 +125,24 @@
 }
 
 // advised asks the advisor where nothing is known yet, and about more workers
-// when the known ones have had no room for a while.
+// when the known ones have had no room for a while. It reports whether any
+// worker is known.
 func (d *decider) advised(g *stage, q *Queue) bool {
 	a := &g.advice
-	if a.underWay() {
-		return false
+	known := a.asked != nil
+	if a.learning > 0 || known && d.now.Sub(a.last) <= askMore {
+		return known
 	}
-	if a.asked == nil || d.now.Sub(a.last) > askMore {
-		if q.Priority > 0 && d.asking >= askingEach*max(d.askers, 1) {
-			return a.asked != nil
-		}
-		more := d.unasked(g, q)
-		if len(more) > 0 {
-			d.ask(g, q, more, false)
-			return false
-		}
+	if q.Priority > 0 && d.asking >= askingEach*max(d.askers, 1) {
+		return known
+	}
+	more := d.unasked(g, q)
+	if len(more) == 0 {
 		a.last = d.now // all are known: look again after a while
+		return known
 	}
-	return a.asked != nil
+	d.learnMore(g, q, more)
+	return known
 }
 
 // allows reports whether g's tasks may run at w, as far as its label tells.
@@ -200,7 +200,7 @@
 		}
 	}
 	if len(renew) > 0 {
-		d.ask(g, q, renew, true)
+		d.ask(g, q, renew, Renew)
 	}
 }
 
--- a/sched/event.go
+++ b/sched/event.go
@@ -132,10 +132,31 @@
 	Stage    StageID
 	Workers  []spoolsill.WorkerID
 	Priority int
-	// Held tells that room is held until the answer comes.
-	Held bool
+	Purpose  Purpose
 	// Cost is how long the advisor needs.
 	Cost time.Duration
+	// Ordered is when the question was ordered.
+	Ordered time.Time
+}
+
+// A Purpose is what a question to the advisor is for.
+type Purpose uint8
+
+// The purposes of questions.
+const (
+	Learn Purpose = iota // which of more workers may run the stage
+	Warm                 // tickets of a gang that waits are kept valid
+	Renew                // room is held until the tickets are valid again
+)
+
+var purposeNames = [...]string{"learn", "keep warm", "renew"}
+
+// String returns the purpose's name.
+func (p Purpose) String() string {
+	if int(p) >= len(purposeNames) {
+		return "unknown"
+	}
+	return purposeNames[p]
 }
 
 // A Ticket allows the tasks of a stage to start at a worker.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -15,6 +15,7 @@
 	seats := d.seats(g, q, ws)
 	if seats == nil {
 		d.gather(g, q)
+		d.keepWarm(g, q)
 		return
 	}
 	renew := d.stale(g, q, seats)
@@ -25,8 +26,8 @@
 		}
 		d.start(t, seats[i])
 	}
-	if len(renew) > 0 {
-		d.ask(g, q, renew, true)
+	if len(renew) > 0 && !g.advice.warming {
+		d.ask(g, q, renew, Renew)
 	}
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -45,6 +45,7 @@
 	stops   []StopOrder
 	advices []AdviceOrder
 	asking  int // questions to the advisor that are not answered
+	warming int // of them, those that keep tickets valid
 	askers  int // hosts that can ask it
 	notes   []Note
 	told    []JobStatus
