soak: real hosts are harmed from outside, clients and workers judge

Harms come in series that overlap: SIGKILL, SIGTERM, SIGSTOP, SIGHUP, restarts of one, of the leader, of all; proxies that delay, reset, silence or cut one way; a store that loses writes, does them late, forgets history, turns all away; workers that lose orders, do them late, leave, vanish from the list; configurations. A judge compares what clients were told with what workers started. Its first plays found faults of the soak itself: a heal that waited for the wrong life of a host, and gangs counted by task where one end stands for all. The rows and settings of the stand-in platform now stand once, in internal/standin/wire, for the tests of package node as well. Left out: cuts between hosts (they announce the addresses that they listen on, so no proxy fits between) and clocks.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -36,6 +36,9 @@
 	Work  func(r sched.RunID) (time.Duration, sched.EndKind)
 	// Fault chooses the fate of each order; nil means that all is well.
 	Fault func(w spoolsill.WorkerID) OrderFault
+	// Room is how many runs a worker has room for; more are a broken promise.
+	// 0 means that this is not judged.
+	Room int
 
 	mu      sync.Mutex
 	workers map[spoolsill.WorkerID]*worker
@@ -327,6 +330,9 @@
 			}
 		}
 	}
+	if f.Room > 0 && len(w.running) >= f.Room {
+		f.broken = append(f.broken, fmt.Sprintf("%s#%d started at %s, which has no room", r.Task, r.Number, w.id))
+	}
 	took, kind := time.Second, sched.EndDone
 	if f.Work != nil {
 		took, kind = f.Work(r)
--- /dev/null
+++ b/internal/soak/harm.go
@@ -0,0 +1,292 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/standin/wire"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// A harm befalls a run for some time.
+type harm struct {
+	name  string
+	begin func(x *run, ctx context.Context) (heal func())
+}
+
+// harms are all kinds; each is as likely as its share of the list.
+var harms = []harm{
+	{name: "kill", begin: (*run).kill},
+	{name: "kill-leader", begin: (*run).killLeader},
+	{name: "kill-all", begin: (*run).killAll},
+	{name: "stop", begin: (*run).stop},
+	{name: "pause", begin: (*run).pause},
+	{name: "pause-leader", begin: (*run).pauseLeader},
+	{name: "reload", begin: (*run).reload},
+	{name: "store-of-host", begin: (*run).harmStoreOfHost},
+	{name: "store", begin: (*run).harmStore},
+	{name: "advisor-of-host", begin: (*run).harmAdvisorOfHost},
+	{name: "worker", begin: (*run).harmWorker},
+	{name: "worker-leaves", begin: (*run).removeWorker},
+	{name: "lost-writes", begin: (*run).loseWrites},
+	{name: "late-writes", begin: (*run).delayWrites},
+	{name: "turned-away", begin: (*run).turnAway},
+	{name: "history-gone", begin: (*run).forget},
+	{name: "lost-orders", begin: (*run).loseOrders},
+	{name: "late-orders", begin: (*run).delayOrders},
+	{name: "config", begin: (*run).configure},
+}
+
+const (
+	// harmGap and harmTime are the most between two harms, and that one
+	// lasts: several overlap, and some outlast leases.
+	harmGap  = 900 * time.Millisecond
+	harmTime = 5 * time.Second
+)
+
+// harm has harms begin one after another for d, and returns once all have
+// healed.
+func (x *run) harm(ctx context.Context, d time.Duration) {
+	var healing sync.WaitGroup
+	defer healing.Wait()
+	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+		h := harms[x.random.IntN(len(harms))]
+		last := time.Duration(x.random.Int64N(int64(harmTime)))
+		x.note("begins: %s", h.name)
+		heal := h.begin(x, ctx)
+		healing.Go(func() {
+			wait(ctx, last)
+			heal()
+			x.note("heals: %s", h.name)
+		})
+		wait(ctx, time.Duration(x.random.Int64N(int64(harmGap))))
+	}
+}
+
+// note adds a line to the run's own story.
+func (x *run) note(format string, args ...any) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_, _ = fmt.Fprintf(x.story, "%7.3f s: "+format+"\n", append([]any{time.Since(x.began).Seconds()}, args...)...)
+}
+
+func (x *run) anyHost() *Process {
+	return x.hosts[x.random.IntN(len(x.hosts))]
+}
+
+func (x *run) restart(p *Process) {
+	if err := p.Start(); err != nil {
+		x.judge.Ended(err)
+	}
+}
+
+func (x *run) killOne(p *Process) func() {
+	x.note("kills %s", p.Settings.Host)
+	ended := p.Signal(syscall.SIGKILL)
+	return func() {
+		<-ended
+		x.restart(p)
+	}
+}
+
+func (x *run) kill(context.Context) func() {
+	return x.killOne(x.anyHost())
+}
+
+func (x *run) killLeader(context.Context) func() {
+	return x.killOne(x.leader())
+}
+
+func (x *run) killAll(context.Context) func() {
+	var heals []func()
+	for _, p := range x.hosts {
+		heals = append(heals, x.killOne(p))
+	}
+	return func() {
+		for _, heal := range heals {
+			heal()
+		}
+	}
+}
+
+// stop stops a host as planned. The host may be paused meanwhile.
+func (x *run) stop(context.Context) func() {
+	p := x.anyHost()
+	x.note("stops %s", p.Settings.Host)
+	ended := p.Signal(syscall.SIGTERM)
+	return func() {
+		select {
+		case <-ended:
+		case <-time.After(p.Settings.StopGrace):
+			<-p.Signal(syscall.SIGKILL)
+		}
+		x.restart(p)
+	}
+}
+
+func (x *run) pauseOne(p *Process) func() {
+	x.note("pauses %s", p.Settings.Host)
+	p.Signal(syscall.SIGSTOP)
+	return func() { p.Signal(syscall.SIGCONT) }
+}
+
+func (x *run) pause(context.Context) func() {
+	return x.pauseOne(x.anyHost())
+}
+
+func (x *run) pauseLeader(context.Context) func() {
+	return x.pauseOne(x.leader())
+}
+
+func (x *run) reload(context.Context) func() {
+	for _, p := range x.hosts {
+		p.Signal(syscall.SIGHUP)
+	}
+	return func() {}
+}
+
+// harmProxy sets a proxy to a random mode.
+func (x *run) harmProxy(what string, proxies ...*Proxy) func() {
+	m := Mode(1 + x.random.IntN(int(OneWay)))
+	x.note("%s: %s", what, m)
+	for _, p := range proxies {
+		p.Set(m)
+	}
+	return func() {
+		for _, p := range proxies {
+			p.Set(Pass)
+		}
+	}
+}
+
+func (x *run) harmStoreOfHost(context.Context) func() {
+	i := x.random.IntN(len(x.hosts))
+	return x.harmProxy("store of "+x.hosts[i].Settings.Host, x.stores[i])
+}
+
+func (x *run) harmStore(context.Context) func() {
+	return x.harmProxy("store", x.stores...)
+}
+
+func (x *run) harmAdvisorOfHost(context.Context) func() {
+	i := x.random.IntN(len(x.hosts))
+	return x.harmProxy("advisor of "+x.hosts[i].Settings.Host, x.advisors[i])
+}
+
+func (x *run) harmWorker(context.Context) func() {
+	i := x.random.IntN(len(x.workers))
+	return x.harmProxy("worker "+string(x.workers[i].ID), x.workers[i].proxy)
+}
+
+// removeWorker has a worker's entry go while it lives on, as during an outage of
+// the store, or says that it leaves.
+func (x *run) removeWorker(context.Context) func() {
+	w := x.workers[x.random.IntN(len(x.workers))]
+	if x.random.IntN(2) == 0 {
+		wire.DeleteWorker(x.store, w.ID)
+	} else {
+		e := w.WorkerEntry
+		e.Draining = true
+		x.list(e)
+	}
+	return func() { x.list(w.WorkerEntry) }
+}
+
+func (x *run) list(e wire.WorkerEntry) {
+	if err := wire.PutWorker(x.store, e); err != nil {
+		x.judge.Ended(err)
+	}
+}
+
+// faulty makes some of the store's writes or of the workers' orders go wrong.
+const faulty = 0.3
+
+func (x *run) setWriteFault(f cellfake.StoreFault) func() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.writeFault = f
+	return func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.writeFault = cellfake.StoreWell
+	}
+}
+
+func (x *run) loseWrites(context.Context) func() {
+	return x.setWriteFault(cellfake.StoreLose)
+}
+
+func (x *run) delayWrites(context.Context) func() {
+	return x.setWriteFault(cellfake.StoreLate)
+}
+
+// fateOfWrite implements the store's Fault.
+func (x *run) fateOfWrite(store.Transaction) cellfake.StoreFault {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if rand.Float64() < faulty {
+		return x.writeFault
+	}
+	return cellfake.StoreWell
+}
+
+func (x *run) turnAway(context.Context) func() {
+	x.store.TurnAway(true)
+	return func() { x.store.TurnAway(false) }
+}
+
+func (x *run) forget(context.Context) func() {
+	x.store.Deafen(true)
+	return func() {
+		x.store.Forget()
+		x.store.Deafen(false)
+	}
+}
+
+func (x *run) setOrderFault(f cellfake.OrderFault) func() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.orderFault = f
+	return func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.orderFault = cellfake.OrderWell
+	}
+}
+
+func (x *run) loseOrders(context.Context) func() {
+	return x.setOrderFault(cellfake.OrderLose)
+}
+
+func (x *run) delayOrders(context.Context) func() {
+	return x.setOrderFault(cellfake.OrderLate)
+}
+
+// fateOfOrder implements the workers' Fault.
+func (x *run) fateOfOrder(spoolsill.WorkerID) cellfake.OrderFault {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if rand.Float64() < faulty {
+		return x.orderFault
+	}
+	return cellfake.OrderWell
+}
+
+// configure puts the next configuration into the store. Each version has one
+// more route, by which a host shows what it has in force.
+func (x *run) configure(context.Context) func() {
+	x.mu.Lock()
+	x.version++
+	v := x.version
+	x.mu.Unlock()
+	if err := x.putConfig(v); err != nil {
+		x.judge.Ended(err)
+	}
+	return func() {}
+}
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,222 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// startAfterEnd is how long after a job was shown as completed a start on its
+// way may still arrive: the platform allows a second.
+const startAfterEnd = time.Second
+
+// A Judge knows what clients were told of their jobs and what workers have
+// started, and says which promises that breaks. It is safe for concurrent use.
+type Judge struct {
+	mu     sync.Mutex
+	jobs   map[spoolsill.JobID]*record
+	broken []string
+	began  time.Time
+}
+
+// A record is what is known of one job.
+type record struct {
+	steps     []step
+	mayRun    bool // some try to hand it in was not refused for good
+	tries     int
+	accepted  bool
+	cancelled bool // a cancel was sent
+	shown     string
+	shownAt   time.Time
+	// doneAt has for each task the earliest end of a run that succeeds.
+	doneAt map[sched.TaskID]time.Time
+	starts int
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
+	return &Judge{
+		jobs:  map[spoolsill.JobID]*record{},
+		began: time.Now(),
+	}
+}
+
+func (j *Judge) breach(format string, args ...any) {
+	j.broken = append(j.broken, fmt.Sprintf("%7.3f s: ", time.Since(j.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// Broken returns the promises that were broken.
+func (j *Judge) Broken() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.broken...)
+}
+
+// HandIn takes in that a job is about to be handed in.
+func (j *Judge) HandIn(id spoolsill.JobID, steps []step) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.jobs[id]
+	if r == nil {
+		r = &record{
+			steps:  steps,
+			doneAt: map[sched.TaskID]time.Time{},
+		}
+		j.jobs[id] = r
+	}
+	r.tries++
+	r.mayRun = true
+}
+
+// refuses reports whether a status says that a job never runs.
+func refuses(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// HandedIn takes in the answer to a hand-in; status 0 means that there was none.
+func (j *Judge) HandedIn(id spoolsill.JobID, status int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.jobs[id]
+	switch {
+	case status == http.StatusOK:
+		r.accepted = true
+	case refuses(status) && r.tries == 1:
+		r.mayRun = false
+	}
+	if status == http.StatusNotFound || status == http.StatusGone {
+		j.breach("hand-in of %s got %d", id, status)
+	}
+}
+
+// CancelSent takes in that a job is about to be cancelled.
+func (j *Judge) CancelSent(id spoolsill.JobID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[id].cancelled = true
+}
+
+// Shown takes in a job's state as a client was told it; "gone" means that
+// there is no such job.
+func (j *Judge) Shown(id spoolsill.JobID, state string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.jobs[id]
+	switch {
+	case state == "gone" && r.accepted:
+		j.breach("%s was accepted and is not known", id)
+	case state == sched.Cancelled.String() && !r.cancelled:
+		j.breach("%s is shown as cancelled, and nobody did so", id)
+	case state == sched.Completed.String():
+		j.checkDone(id, r)
+	}
+	if final(r.shown) && state != r.shown {
+		j.breach("%s was %s and is shown as %s", id, r.shown, state)
+	}
+	if final(state) && !final(r.shown) {
+		r.shown = state
+		r.shownAt = time.Now()
+	}
+}
+
+func final(state string) bool {
+	return state == sched.Completed.String() || state == sched.Failed.String() || state == sched.Cancelled.String()
+}
+
+// checkDone breaks a promise when a job can't be done by now.
+func (j *Judge) checkDone(id spoolsill.JobID, r *record) {
+	done := make([]int, len(r.steps))
+	for t, at := range r.doneAt {
+		if !at.After(time.Now()) {
+			done[t.Stage.Step]++
+		}
+	}
+	for i, s := range r.steps {
+		// One end stands for a whole gang.
+		if done[i] < s.Count && !(s.Gang && done[i] > 0) {
+			j.breach("%s is shown as completed with %d of %d tasks of step %d done", id, done[i], s.Count, i)
+		}
+	}
+}
+
+// Started takes in that a worker has started a run, which will take so long if
+// nothing ends it, and end like that.
+func (j *Judge) Started(x sched.RunID, took time.Duration, k sched.EndKind) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	id := x.Task.Stage.Job
+	r := j.jobs[id]
+	if r == nil {
+		j.breach("%s#%d was started, and nobody handed its job in", x.Task, x.Number)
+		return
+	}
+	r.starts++
+	if !r.mayRun {
+		j.breach("%s#%d was started, and its job was refused", x.Task, x.Number)
+	}
+	if r.shown == sched.Completed.String() && time.Since(r.shownAt) > startAfterEnd {
+		j.breach("%s#%d was started after its job was completed", x.Task, x.Number)
+	}
+	end := time.Now().Add(took)
+	if at, ok := r.doneAt[x.Task]; k == sched.EndDone && (!ok || end.Before(at)) {
+		r.doneAt[x.Task] = end
+	}
+}
+
+// Open returns the jobs that were accepted and have not been seen to end.
+func (j *Judge) Open() []spoolsill.JobID {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var ids []spoolsill.JobID
+	for id, r := range j.jobs {
+		if r.accepted && !final(r.shown) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// NeverEnded breaks a promise for each job that has not ended in time.
+func (j *Judge) NeverEnded(ids []spoolsill.JobID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, id := range ids {
+		j.breach("%s was accepted and has not ended: %d starts, cancelled %v", id, j.jobs[id].starts, j.jobs[id].cancelled)
+	}
+}
+
+// WentBack breaks a promise: a host forgot a configuration that it had in force.
+func (j *Judge) WentBack(host string, version, shows int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breach("host %s had configuration %d in force and shows %d", host, version, shows)
+}
+
+// Ended breaks a promise for a host that ended by itself.
+func (j *Judge) Ended(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breach("%s", err)
+}
+
+// Counts returns how many jobs were handed in, accepted and seen to end, and how
+// many runs were started.
+func (j *Judge) Counts() (jobs, accepted, ended, starts int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, r := range j.jobs {
+		jobs++
+		starts += r.starts
+		if r.accepted {
+			accepted++
+		}
+		if final(r.shown) {
+			ended++
+		}
+	}
+	return jobs, accepted, ended, starts
+}
--- /dev/null
+++ b/internal/standin/wire/platform.go
@@ -0,0 +1,164 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/template"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// Domain is the host name that all routes of a stand-in's configuration have.
+const Domain = "cell.example"
+
+// A WorkerEntry is what a worker says about itself.
+type WorkerEntry struct {
+	ID       spoolsill.WorkerID
+	Address  string
+	Machine  string
+	Rack     string
+	Capacity spoolsill.Resources
+	Draining bool
+	// Remaining is the least time that a draining worker stays.
+	Remaining time.Duration
+}
+
+// PutWorker writes a worker's entry as the worker does.
+func PutWorker(s *cellfake.Store, e WorkerEntry) error {
+	state := "ready"
+	if e.Draining {
+		state = "draining"
+	}
+	return put(s, platform.WorkersTable, string(e.ID), map[string]any{
+		"service": "work",
+		"addr":    e.Address,
+		"state":   state,
+		"machine": e.Machine,
+		"capacity": map[string]int64{
+			"cpu":   int64(e.Capacity.Processors),
+			"memMb": int64(e.Capacity.Memory / spoolsill.MiB),
+		},
+		"labels":      []string{"a", e.Rack},
+		"remainingMs": e.Remaining.Milliseconds(),
+		"new":         "fields that nobody knows are skipped",
+	})
+}
+
+// DeleteWorker removes a worker's entry, as the platform does once it is silent
+// or gone.
+func DeleteWorker(s *cellfake.Store, id spoolsill.WorkerID) {
+	s.Delete(store.Key{
+		Table: platform.WorkersTable,
+		Name:  string(id),
+	})
+}
+
+// A Route is a queue of a stand-in's configuration.
+type Route struct {
+	Queue    sched.QueueID
+	Prefix   string
+	Priority int
+	// Advised tells that the advisor must be asked.
+	Advised bool
+}
+
+// PutConfig writes a configuration as the operators do.
+func PutConfig(s *cellfake.Store, version int, routes []Route) error {
+	var list []any
+	for _, r := range routes {
+		x := map[string]any{
+			"name":        r.Queue,
+			"host":        Domain,
+			"pathPrefix":  r.Prefix,
+			"priority":    r.Priority,
+			"service":     "work",
+			"maxAttempts": 3,
+			"stretch":     2,
+			"goalMs":      1000,
+		}
+		if r.Advised {
+			x["advice"] = map[string]float64{
+				"decide_ms": 5,
+				"each_ms":   0.1,
+				"valid_ms":  1000,
+			}
+		}
+		list = append(list, x)
+	}
+	return put(s, platform.OperatorTable, platform.ConfigRow, map[string]any{
+		"version": version,
+		"routes":  list,
+		"limits": map[string]int{
+			"maxBodyBytes": 10_000,
+		},
+	})
+}
+
+func put(s *cellfake.Store, table, name string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	s.Put(store.Put{
+		Key: store.Key{
+			Table: table,
+			Name:  name,
+		},
+		Value: b,
+	})
+	return nil
+}
+
+// HostSettings is what a host's settings file says.
+type HostSettings struct {
+	Host           string
+	Hall           string
+	IP             string
+	ClientAddress  string
+	ReadyAddress   string
+	StoreAddress   string
+	AdvisorAddress string
+	PeerPort       int
+	Cores          float64
+	MemoryMB       int
+	Lease          time.Duration
+	StopGrace      time.Duration
+}
+
+var settingsText = template.Must(template.New("settings").Parse(`node = "{{.Host}}"
+zone = "{{.Hall}}"
+ip = "{{.IP}}"
+portRange = [{{.PeerPort}}, {{.PeerPort}}]
+advice = "{{.AdvisorAddress}}"
+[listen]
+front = "{{.ClientAddress}}"
+readyAddr = "{{.ReadyAddress}}"
+[limits]
+cpuShare = {{.Cores}}
+cores = 1
+memoryMb = {{.MemoryMB}}
+[bounds]
+maxHoldMs = {{.Lease.Milliseconds}}
+graceS = {{.StopGrace.Seconds}}
+stop_ms = 200
+far_x = 1.0
+status_s = 120
+[platform]
+addr = "{{.StoreAddress}}"
+row_bytes = 65536
+`))
+
+// Text returns the settings file.
+func (s HostSettings) Text() (string, error) {
+	var b strings.Builder
+	if err := settingsText.Execute(&b, s); err != nil {
+		return "", fmt.Errorf("settings of %s: %w", s.Host, err)
+	}
+	return b.String(), nil
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -117,53 +116,36 @@
 		Name:  string(id),
 		Place: "workers",
 	}, a, wire.Worker(x.workers, id))
-	x.put(platform.WorkersTable, string(id), map[string]any{
-		"service":  "work",
-		"addr":     a,
-		"state":    "ready",
-		"machine":  "m" + string(id),
-		"capacity": map[string]int{"cpu": 8000, "memMb": 8000},
-		"labels":   []string{"a", "r1-1"},
-		"new":      "fields that nobody knows are skipped",
-	})
-}
-
-func (x *cell) put(table, name string, v any) {
-	b, err := json.Marshal(v)
-	x.c.Assert(err, qt.IsNil)
-	x.store.Put(store.Put{
-		Key: store.Key{
-			Table: table,
-			Name:  name,
+	x.c.Assert(wire.PutWorker(x.store, wire.WorkerEntry{
+		ID:      id,
+		Address: a,
+		Machine: "m" + string(id),
+		Rack:    "r1-1",
+		Capacity: spoolsill.Resources{
+			Processors: 8 * spoolsill.Core,
+			Memory:     8000 * spoolsill.MiB,
 		},
-		Value: b,
-	})
+	}), qt.IsNil)
 }
 
 // configure writes a configuration with the queue at /q/, and one at /extra/ if
 // that is wanted.
 func (x *cell) configure(version int, extra bool) {
-	route := func(name, prefix string) map[string]any {
-		return map[string]any{
-			"name":        name,
-			"host":        "cell.example",
-			"pathPrefix":  prefix,
-			"service":     "work",
-			"maxAttempts": 3,
-			"stretch":     2,
-			"goalMs":      1000,
-			"advice":      map[string]float64{"decide_ms": 5, "each_ms": 0.1, "valid_ms": 1000},
-		}
+	routes := []wire.Route{
+		{
+			Queue:   "q",
+			Prefix:  "/q/",
+			Advised: true,
+		},
 	}
-	routes := []any{route("q", "/q/")}
 	if extra {
-		routes = append(routes, route("extra", "/extra/"))
+		routes = append(routes, wire.Route{
+			Queue:   "extra",
+			Prefix:  "/extra/",
+			Advised: true,
+		})
 	}
-	x.put(platform.OperatorTable, platform.ConfigRow, map[string]any{
-		"version": version,
-		"routes":  routes,
-		"limits":  map[string]int{"maxBodyBytes": 10_000},
-	})
+	x.c.Assert(wire.PutConfig(x.store, version, routes), qt.IsNil)
 }
 
 func hostName(i int) string {
@@ -240,7 +222,7 @@
 func (x *cell) callBy(c *http.Client, host int, method, path, body string) result {
 	r, err := http.NewRequestWithContext(x.ctx, method, "http://"+x.hosts[host].Settings.ClientAddress+path, strings.NewReader(body))
 	x.c.Assert(err, qt.IsNil)
-	r.Host = "cell.example"
+	r.Host = wire.Domain
 	p, err := c.Do(r)
 	if err != nil {
 		return result{
@@ -459,7 +441,7 @@
 		x.store.Fault = func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLose }
 		r, err := http.NewRequestWithContext(x.ctx, http.MethodPost, "http://"+x.hosts[0].Settings.ClientAddress+"/q/"+jobID(1), strings.NewReader(body))
 		x.c.Assert(err, qt.IsNil)
-		r.Host = "cell.example"
+		r.Host = wire.Domain
 		r.Header.Set("X-Spoolsill-Deadline-Ms", "3600000")
 		c := x.newClient()
 		c.Timeout = time.Hour
