sched: workers that leave without a word, and entries that lapse with the store

Some workers never say that they drain: their entry goes, and they go on for as long as one that does. Entries that lapsed with an outage of the store are back about two seconds after it. Both looked alike here: nothing new was started for two seconds at any worker whose entry had lapsed, and work at one that left for good died with it. Change: a worker that is no longer listed is taken to leave within the drain time of the platform, and saved work is moved before that. After a write that took longer than two tries, the store is taken to be back from an outage: workers whose entries went around then are used on for two seconds as long as they answer; those still missing after that leave. Ruled out: taking a worker that is not listed and refuses connections for dead: a cut that resets looks the same.

--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -147,6 +147,7 @@
 maxHoldMs = {{.Lease.Milliseconds}}
 graceS = {{.StopGrace.Seconds}}
 stop_ms = 200
+drainMs = 2000
 far_x = 1.0
 status_s = 120
 [platform]
--- a/leader/write.go
+++ b/leader/write.go
@@ -54,8 +54,16 @@
 	return nil
 }
 
+// outage is how long a write must have taken for the store to have been away,
+// and not just slow: longer than one try may take.
+const outage = 2 * tryMost
+
 func (l *Leader) takeWritten(now time.Time, e batchWritten) {
 	l.writing = false
+	if now.Sub(e.begun) > outage {
+		l.config.Log.WithField("took_ms", now.Sub(e.begun).Milliseconds()).Info("store is back")
+		l.state.StoreBack(now)
+	}
 	l.lastWrite = e.begun
 	l.publish(e.begun, e.batch.Statuses)
 	for _, o := range l.state.Written(now, e.batch) {
--- a/node/node.go
+++ b/node/node.go
@@ -309,6 +309,7 @@
 			Lease:     b.Lease,
 			KeepEnded: keepFactor * b.StatusKept,
 			StopTime:  b.StopTime,
+			DrainTime: b.DrainTime,
 			FarFactor: b.FarFactor,
 		},
 		Log:      n.log,
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -136,7 +136,7 @@
 func (s *State) mayLeave(r *run) bool {
 	g := r.task.stage
 	return !r.task.done && !g.job.state.Final() && !r.stopping &&
-		r.worker.listed && !r.worker.Draining
+		r.worker.present(s.now) && !r.worker.Draining
 }
 
 // Workers returns the ids of the workers that are to be kept in touch with:
@@ -144,7 +144,7 @@
 func (s *State) Workers() []spoolsill.WorkerID {
 	var ids []spoolsill.WorkerID
 	for _, w := range s.order {
-		if !w.dead && w.Address != "" && (w.listed || len(w.runs) > 0) {
+		if !w.dead && w.Address != "" && (w.present(s.now) || len(w.runs) > 0) {
 			ids = append(ids, w.id)
 		}
 	}
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -40,6 +40,8 @@
 		StartLease:     3 * time.Second,
 		TakenOver:      x.now,
 		InheritedLease: 2 * lease,
+		StopTime:       200 * time.Millisecond,
+		DrainTime:      2 * time.Second,
 		FarFactor:      2,
 	})
 	s.SetQueues([]sched.Queue{
--- a/sched/state.go
+++ b/sched/state.go
@@ -23,6 +23,8 @@
 	KeepEnded time.Duration
 	// StopTime is how long a worker needs to stop a run.
 	StopTime time.Duration
+	// DrainTime is how long a worker that leaves goes on at least.
+	DrainTime time.Duration
 	// FarFactor is how much longer tasks take away from their data, or a
 	// gang spread over racks.
 	FarFactor float64
@@ -49,9 +51,11 @@
 	askers  int // hosts that can ask it
 	notes   []Note
 	told    []JobStatus
-	checked time.Time // when runs that stand still were last looked for
-	ended   []endedJob
-	waiting map[QueueID]int
+	// storeBack is when the store was last back after an outage.
+	storeBack time.Time
+	checked   time.Time // when runs that stand still were last looked for
+	ended     []endedJob
+	waiting   map[QueueID]int
 }
 
 // New returns a state that knows of nothing.
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -42,8 +42,13 @@
 	renewed time.Time
 	// strays are runs that it has and no record names.
 	strays int
-	// leaves is when a draining worker may be gone at the earliest.
-	leaves time.Time
+	// leaves is when a worker that drains, or is no longer listed, may be gone
+	// at the earliest; unlisted is when its entry went.
+	leaves   time.Time
+	unlisted time.Time
+	// lapsed is until when a worker whose entry went with an outage of the
+	// store is taken as listed.
+	lapsed time.Time
 	unwell time.Time // nothing new before
 	ready  bool      // takes something new, as of the pass under way
 	health health
@@ -80,6 +85,7 @@
 		s.noteWorker(w, "listed", 0)
 	}
 	w.listed = true
+	w.lapsed = time.Time{}
 	w.Worker = l
 	s.endOlderLives(w)
 }
@@ -107,6 +113,11 @@
 	}
 	w.listed = false
 	s.noteWorker(w, "no longer listed", now.Sub(w.answered))
+	w.unlisted = now
+	if !w.Draining {
+		w.leaves = now.Add(s.config.DrainTime)
+		s.mayHaveLapsed(w)
+	}
 	for _, o := range s.order {
 		if o != w && o.listed && w.Machine != "" && o.Machine == w.Machine {
 			s.declareDead(w, "machine has a new life")
@@ -136,11 +147,50 @@
 	}
 }
 
+// relistTime is how long after an outage of the store the entries that went with
+// it take to be back, by the platform's word: about two seconds.
+const relistTime = 2 * time.Second
+
+// StoreBack takes in that the store takes writes again after an outage. Entries
+// that went with it say nothing about their workers until they had the time to
+// be back.
+func (s *State) StoreBack(now time.Time) {
+	s.now = now
+	s.storeBack = now
+	for _, w := range s.order {
+		if !w.listed && !w.dead && !w.Draining && now.Sub(w.unlisted) < relistTime {
+			s.mayHaveLapsed(w)
+		}
+	}
+}
+
+// mayHaveLapsed has a worker that is no longer listed used on for a while, if
+// its entry may have gone with the store.
+func (s *State) mayHaveLapsed(w *worker) {
+	if s.storeBack.IsZero() || s.now.Sub(s.storeBack) >= relistTime {
+		return
+	}
+	w.lapsed = s.storeBack.Add(relistTime)
+	w.leaves = w.lapsed.Add(s.config.DrainTime)
+	s.noteWorker(w, "its entry may have gone with the store", s.now.Sub(s.storeBack))
+}
+
+// present reports whether a worker is in the cell, as far as entries tell.
+func (w *worker) present(now time.Time) bool {
+	return w.listed || now.Before(w.lapsed)
+}
+
+// leaving reports whether a worker will be gone soon: it says so, or its entry
+// went without a word.
+func (w *worker) leaving(now time.Time) bool {
+	return w.Draining || !w.present(now)
+}
+
 // saveLeaving stops what a worker about to leave can't finish, if its progress
 // is saved at the stop: it goes on elsewhere.
 func (s *State) saveLeaving() {
 	for _, w := range s.order {
-		if !w.Draining || w.dead || len(w.runs) == 0 || w.leaves.Sub(s.now) > s.config.StopTime+saveMargin {
+		if !w.leaving(s.now) || w.dead || len(w.runs) == 0 || w.leaves.Sub(s.now) > s.config.StopTime+saveMargin {
 			continue
 		}
 		for _, r := range sortedRuns(w) {
@@ -212,7 +262,7 @@
 // forget drops the account of a worker that is not listed and has no runs. Dead
 // ones are kept as a name, so that a late list entry does not revive them.
 func (s *State) forget(w *worker) {
-	if w.listed || len(w.runs) > 0 || w.dead {
+	if w.present(s.now) || len(w.runs) > 0 || w.dead {
 		return
 	}
 	if s.now.Before(w.leased) {
@@ -250,7 +300,7 @@
 // have been renewed: a worker that answers again after a silence may be about
 // to end all that it runs.
 func (w *worker) takes(now time.Time) bool {
-	return w.listed && !w.Draining && !w.dead && w.strays == 0 &&
+	return w.present(now) && !w.Draining && !w.dead && w.strays == 0 &&
 		now.Sub(w.answered) < silentAfter && !now.Before(w.unwell) &&
 		w.renewed.Sub(now) > leaseLeft
 }
@@ -270,7 +320,7 @@
 		if sum != w.used {
 			return fmt.Errorf("worker %s: account says %v, runs need %v", w.id, w.used, sum)
 		}
-		if w.listed && w.free().Negative() {
+		if w.present(s.now) && w.free().Negative() {
 			return fmt.Errorf("worker %s: %v used of %v", w.id, w.used, w.Capacity)
 		}
 	}
