--- /dev/null
+++ b/leader/export_test.go
@@ -0,0 +1,4 @@
+package leader
+
+// CompareQuestions orders questions to the advisor.
+var CompareQuestions = compareQuestions
