sched: a gang that waits keeps some workers, and several gangs do

Cause: the first gang that waited kept all workers that it may use (up to a quarter of the cell) from all others, however small it was, and gangs behind it kept none, so that they were overtaken by smaller work for ever. Change: a gang keeps workers for three times its tasks; gangs behind the first keep some as well, up to a third of the workers; they go on with the same ones.

--- a/sched/decide.go
+++ b/sched/decide.go
@@ -19,7 +19,7 @@
 	s.openDue()
 	d := decider{
 		State: s,
-		held:  map[*worker]bool{},
+		held:  map[*worker]*stage{},
 		ready: map[spoolsill.ServiceID]*readyWorkers{},
 	}
 	d.collectReady()
@@ -60,9 +60,8 @@
 // A decider is one pass over the stages that wait.
 type decider struct {
 	*State
-	// held are the workers that a gang, ranked higher, gathers room at.
-	held  map[*worker]bool
-	gang  *stage
+	// held has the workers that gangs gather room at, by gang.
+	held  map[*worker]*stage
 	ready map[spoolsill.ServiceID]*readyWorkers
 }
 
@@ -170,7 +169,7 @@
 		if !g.allows(w) {
 			continue
 		}
-		if d.held[w] && q.Priority > 0 && g != d.gang {
+		if h := d.held[w]; h != nil && h != g && q.Priority > 0 {
 			continue
 		}
 		ws = append(ws, w)
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -18,6 +18,7 @@
 		d.keepWarm(g, q)
 		return
 	}
+	g.gathered = nil
 	renew := d.stale(g, q, seats)
 	for i, t := range g.tasks {
 		if len(renew) > 0 {
@@ -31,21 +32,46 @@
 	}
 }
 
-// gather keeps the workers of the first gang that waits from those ranked below
-// it, so that it does not wait for ever.
+const (
+	// gatherFactor is for how many times its tasks a gang that waits keeps
+	// workers from stages ranked below it, by what they hold when empty: with
+	// just enough of them it would wait for the last run to end, and with all
+	// that it may use, room would stand idle.
+	gatherFactor = 3
+	// gatherShare is the part of the workers that gangs ranked below the first
+	// may keep besides, one in so many.
+	gatherShare = 3
+)
+
+// gather keeps workers for a gang that waits, so that it does not wait for
+// ever. It goes on with those that it kept in the last pass.
 func (d *decider) gather(g *stage, q *Queue) {
-	if d.gang != nil {
+	r := d.ready[q.Service]
+	if r == nil || len(d.held) > 0 && len(d.held) >= len(r.workers)/gatherShare {
+		g.gathered = nil
 		return
 	}
 	from := g.advice.good
-	if q.Advisor == nil && d.ready[q.Service] != nil {
-		from = d.ready[q.Service].workers
+	if q.Advisor == nil {
+		from = r.workers
 	}
-	if len(from) > 0 {
-		d.gang = g
+	seats := 0
+	keep := func(w *worker) bool {
+		n := fitTimes(g.step.room(), w.Capacity)
+		if !w.ready || d.held[w] != nil || n == 0 || seats >= gatherFactor*len(g.tasks) {
+			return false
+		}
+		d.held[w] = g
+		seats += n
+		return true
 	}
+	g.gathered = slices.DeleteFunc(g.gathered, func(w *worker) bool { return !keep(w) })
+	from = slices.Clone(from)
+	sortByFree(from)
 	for _, w := range from {
-		d.held[w] = true
+		if keep(w) {
+			g.gathered = append(g.gathered, w)
+		}
 	}
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -106,6 +106,8 @@
 	retryAt time.Time
 	advice  advice
 	planned []*run // room taken while a ticket is renewed
+	// gathered are the workers that a gang keeps while it waits for room.
+	gathered []*worker
 }
 
 // A task is one task of a stage.
