leader, sched: the log tells how full the cell is

Change: each two seconds the leader tells workers, cores, runs, doubt, stages that wait and questions under way.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -37,6 +37,8 @@
 	// countAge is how old the count of waiting jobs may be: the platform allows
 	// two seconds, and a feed that has nothing to tell answers each second.
 	countAge = 2 * time.Second
+	// loadEvery is how often the log tells how full the cell is.
+	loadEvery = 2 * time.Second
 	// eventBuffer is how many events may wait for the loop.
 	eventBuffer = 4096
 )
@@ -93,6 +95,7 @@
 	lastWrite time.Time // when the latest write that lasts was begun
 	decided   time.Time
 	late      time.Duration // a moving average of how late the loop is
+	loadTold  time.Time     // when the log last told how full the cell is
 	kept      time.Time     // when the renewers were last compared with the workers
 	loaded    bool
 
@@ -415,9 +418,31 @@
 		l.keepRenewers(ctx, now)
 	}
 	l.logNotes()
+	l.logLoad(now)
 	return l.write(ctx, now)
 }
 
+// logLoad tells now and then how full the cell is.
+func (l *Leader) logLoad(now time.Time) {
+	if !l.loaded || now.Sub(l.loadTold) < loadEvery {
+		return
+	}
+	l.loadTold = now
+	x := l.state.Load()
+	l.config.Log.WithFields(logrus.Fields{
+		"epoch":         uint64(l.Epoch()),
+		"workers":       x.Workers,
+		"ready":         x.Ready,
+		"cores":         int64(x.Capacity.Processors / spoolsill.Core),
+		"cores_used":    int64(x.Used.Processors / spoolsill.Core),
+		"runs":          x.Runs,
+		"runs_in_doubt": x.Doubtful,
+		"stages_wait":   x.Stages,
+		"stages_late":   x.Late,
+		"questions":     x.Asking,
+	}).Info("load of the cell")
+}
+
 func (l *Leader) logNotes() {
 	for _, n := range l.state.Notes() {
 		l.config.Observer.Note(n)
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -113,3 +113,50 @@
 		s.Told()
 	}
 }
+
+// BenchmarkDecideGangs measures one look at a full cell of 350 workers with 60
+// gangs that wait, each of which may use a quarter of the workers.
+func BenchmarkDecideGangs(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := busyState(350, 0, now)
+	s.SetAskers(40)
+	s.SetQueues([]sched.Queue{
+		{
+			ID:       "gangs",
+			Service:  "work",
+			Priority: 1,
+			Stretch:  4,
+			Goal:     time.Second,
+			Advisor: &sched.Advisor{
+				Base:      540 * time.Millisecond,
+				PerWorker: 7 * time.Millisecond,
+			},
+		},
+	})
+	for i := range 60 {
+		j := job(spoolsill.JobID(fmt.Sprintf("gang-%d", i)), "gangs", gang(20, 18))
+		j.Received = now
+		s.AddJob(now, j, sched.Progress{})
+	}
+	for range 5 {
+		s.Decide(now)
+		for _, q := range s.Advices() {
+			a := sched.Advice{
+				Order:    q,
+				Received: now,
+				Valid:    time.Hour,
+			}
+			for i := 0; i < len(q.Workers); i += 4 {
+				a.Tickets = append(a.Tickets, sched.Ticket{
+					Worker: q.Workers[i],
+				})
+			}
+			s.Advised(now, a)
+		}
+		now = now.Add(time.Second / 2)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Decide(now)
+	}
+}
--- /dev/null
+++ b/sched/load.go
@@ -0,0 +1,62 @@
+package sched
+
+import (
+	"github.com/spoolsill/spoolsill"
+)
+
+// A Load tells how full the cell is, for operators.
+type Load struct {
+	// Workers counts those that are not known to be gone, Ready those of them
+	// that take something now.
+	Workers int
+	Ready   int
+	// Capacity and Used are of the ready ones.
+	Capacity spoolsill.Resources
+	Used     spoolsill.Resources
+	// Runs counts the runs in all accounts, Doubtful those that may or may
+	// not be at their worker.
+	Runs     int
+	Doubtful int
+	// Stages counts those whose turn has come and that have tasks to place,
+	// Late those of them that can't be in time any more.
+	Stages int
+	Late   int
+	// Asking counts the questions to the advisor under way.
+	Asking int
+}
+
+// Load returns how full the cell is. Cost: O(workers + runs + stages).
+func (s *State) Load() Load {
+	var l Load
+	for _, w := range s.order {
+		if w.dead {
+			continue
+		}
+		l.Workers++
+		l.Runs += len(w.runs)
+		for _, r := range w.runs {
+			if r.phase == phaseDoubt || r.phase == phaseInherited {
+				l.Doubtful++
+			}
+		}
+		if !w.ready {
+			continue
+		}
+		l.Ready++
+		l.Capacity = l.Capacity.Add(w.Capacity)
+		l.Used = l.Used.Add(w.used)
+	}
+	for _, g := range s.open {
+		if !g.placeable() || g.job.state.Final() {
+			continue
+		}
+		l.Stages++
+		if s.rank(g).tier >= tierLate {
+			l.Late++
+		}
+	}
+	for _, n := range s.asking {
+		l.Asking += n
+	}
+	return l
+}
