--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -22,11 +22,9 @@
 const (
 	// askSlack is how much longer than its cost a question may take.
 	askSlack = 800 * time.Millisecond
-	// longQuestion is from when a question counts as long. One host in
-	// shortShare, and shortHosts at least, are kept from long ones, so that
-	// short ones find a host that is free soon.
+	// longQuestion is from when a question counts as long. shortHosts are
+	// kept from long ones, so that short ones find a host that is free soon.
 	longQuestion = 150 * time.Millisecond
-	shortShare   = 4
 	shortHosts   = 2
 	// failedRest is how long a host whose question got no answer is asked
 	// only when no other can: as long as troubles of one host mostly last.
@@ -113,8 +111,7 @@
 }
 
 // compareQuestions orders the most urgent queue's first, then those for which
-// room is held, then those for gangs that wait, and of the rest the short ones:
-// they hold the long ones up by little.
+// room is held, then those for gangs that wait.
 func compareQuestions(a, b sched.AdviceOrder) int {
 	if c := cmp.Compare(min(a.Priority, 1), min(b.Priority, 1)); c != 0 {
 		return c
@@ -122,15 +119,14 @@
 	if c := cmp.Compare(b.Purpose, a.Purpose); c != 0 {
 		return c
 	}
-	return cmp.Compare(a.Cost, b.Cost)
+	return cmp.Compare(a.Priority, b.Priority)
 }
 
 // free returns a host that asks nothing at the moment. Long questions go to
 // the first hosts only, short ones to the last that is free.
 func (a *adviser) free(hosts []spoolsill.HostID, long bool) (spoolsill.HostID, bool) {
 	if long {
-		kept := max(shortHosts, len(hosts)/shortShare)
-		hosts = hosts[:max(len(hosts)-kept, (len(hosts)+1)/2)]
+		hosts = hosts[:max(len(hosts)-shortHosts, (len(hosts)+1)/2)]
 	}
 	for _, h := range slices.Backward(hosts) {
 		if !a.busy[h] {
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -15,9 +15,9 @@
 	// ticketMargin is how long a ticket must still hold when a start is
 	// decided: a write, the call itself and some queueing.
 	ticketMargin = 200 * time.Millisecond
-	// askingEach bounds the questions of a queue that are under way for each
-	// host that can ask, so that those of the stages ranked first are not
-	// stuck behind others: one that is being answered and one that waits.
+	// askingEach bounds the questions under way for each host that can ask,
+	// so that those of the stages ranked first are not stuck behind others:
+	// one that is being answered and one that waits.
 	askingEach = 2
 	// adviceWidth is the part of an advisor's base cost that is spent on
 	// asking about more workers at once.
@@ -72,10 +72,9 @@
 		g.advice.warming = true
 		s.warming++
 	}
-	s.asking[q.ID]++
+	s.asking++
 	s.advices = append(s.advices, AdviceOrder{
 		Stage:    g.id,
-		Queue:    q.ID,
 		Workers:  workers,
 		Priority: q.Priority,
 		Purpose:  p,
@@ -90,7 +89,7 @@
 	parts := 1
 	if g.step.Gang {
 		width := q.Advisor.width()
-		parts = min((len(workers)+width-1)/width, (d.askers-d.asking[q.ID])/2)
+		parts = min((len(workers)+width-1)/width, (d.askers-d.asking)/2)
 	}
 	size := (len(workers) + max(parts, 1) - 1) / max(parts, 1)
 	for part := range slices.Chunk(workers, size) {
@@ -149,7 +148,7 @@
 // Advised takes in an answer of the advisor.
 func (s *State) Advised(now time.Time, a Advice) {
 	s.now = now
-	s.asking[a.Order.Queue]--
+	s.asking--
 	if a.Order.Purpose == Warm {
 		s.warming--
 	}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -132,7 +132,7 @@
 	if a.learning > 0 || known && d.now.Sub(a.last) <= askMore {
 		return known
 	}
-	if q.Priority > 0 && d.asking[q.ID] >= askingEach*max(d.askers, 1) {
+	if q.Priority > 0 && d.asking >= askingEach*max(d.askers, 1) {
 		return known
 	}
 	more := d.unasked(g, q)
--- a/sched/event.go
+++ b/sched/event.go
@@ -130,7 +130,6 @@
 // An AdviceOrder asks the advisor which workers may run a stage.
 type AdviceOrder struct {
 	Stage    StageID
-	Queue    QueueID
 	Workers  []spoolsill.WorkerID
 	Priority int
 	Purpose  Purpose
--- a/sched/load.go
+++ b/sched/load.go
@@ -55,8 +55,6 @@
 			l.Late++
 		}
 	}
-	for _, n := range s.asking {
-		l.Asking += n
-	}
+	l.Asking = s.asking
 	return l
 }
--- a/sched/state.go
+++ b/sched/state.go
@@ -46,9 +46,9 @@
 	acks    map[spoolsill.WorkerID]uint64
 	stops   []StopOrder
 	advices []AdviceOrder
-	asking  map[QueueID]int // questions to the advisor that are not answered
-	warming int             // of them, those that keep tickets valid
-	askers  int             // hosts that can ask it
+	asking  int // questions to the advisor that are not answered
+	warming int // of them, those that keep tickets valid
+	askers  int // hosts that can ask it
 	notes   []Note
 	told    []JobStatus
 	// storeBack is when the store was last back after an outage.
@@ -68,7 +68,6 @@
 		learnt:  map[QueueID]*experience{},
 		acks:    map[spoolsill.WorkerID]uint64{},
 		waiting: map[QueueID]int{},
-		asking:  map[QueueID]int{},
 	}
 }
 
