node: a leader that may have been replaced tells no states that can change

The story: host2 led (epoch 2), was paused for two seconds, host4 took over and completed the job; when host2 woke it answered the question that had waited at its port from memory, before it knew that it was deposed. A leader that is cut from the store would do so for as long as the cut lasts.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,7 +20,8 @@
 // seeds are run by CI: one that showed nothing, and every seed that has ever
 // shown a broken promise, with a word on the cause.
 var seeds = []uint64{
-	4, // kills all hosts, the leader and single ones
+	4,   // kills all hosts, the leader and single ones
+	102, // a leader that was paused told that a completed job still ran
 }
 
 // TestPromisesHoldWhileHostsAreHarmed runs real processes; its verdict does not
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -188,6 +188,9 @@
 	return r.Outcome, true
 }
 
+// errStoreAway is returned for what only the store knows while it is away.
+var errStoreAway = errors.New("node: the store can't be reached")
+
 // State implements [platform.Jobs]: the leader knows, and the store does when
 // the leader does not or is not there.
 func (n *Node) State(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, platform.Outcome, error) {
@@ -197,6 +200,9 @@
 			State: r.State,
 		}, stateOutcome(r.Known), nil
 	}
+	if !n.health.tryable(time.Now()) {
+		return sched.JobStatus{}, platform.Unable, errStoreAway
+	}
 	s, known, err := jobstore.State(ctx, n.store, id)
 	switch {
 	case err != nil:
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -417,6 +417,27 @@
 
 // A client that never sends the rest of its request must not keep a connection
 // for ever.
+// A leader that is cut from the store does not know what the next one has done:
+// it must not tell that a job runs which others have seen completed.
+func TestCutLeaderTellsNoOldStates(t *testing.T) {
+	run(t, 3, 3, func(x *cell) {
+		old := x.leader()
+		next := (old + 1) % 3
+		x.c.Assert(x.call(next, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
+		pause.For(x.ctx, 300*time.Millisecond)
+		x.c.Assert(x.state(old, jobID(1)), qt.Equals, `{"state":"running"}`)
+		x.network.SetCut(hostName(old), platformPlace.Name, true)
+		for x.state(next, jobID(1)) != completed {
+			pause.For(x.ctx, 100*time.Millisecond)
+		}
+		r := x.call(old, http.MethodGet, "/q/"+jobID(1), "")
+		x.c.Assert(r.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%v", r))
+		x.network.SetCut(hostName(old), platformPlace.Name, false)
+		pause.For(x.ctx, 2*time.Second)
+		x.c.Assert(x.state(old, jobID(1)), qt.Equals, completed)
+	})
+}
+
 func TestHalfARequestIsCutOff(t *testing.T) {
 	run(t, 1, 0, func(x *cell) {
 		dial := x.network.Dialer(standin.Node{
--- a/node/peers.go
+++ b/node/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
@@ -144,6 +145,9 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	s, known, sure := l.Settle(ctx, q.Job)
+	if known && !s.State.Final() && !n.leadsAlone(l) {
+		return stateReply{}, nil
+	}
 	return stateReply{
 		Known: known,
 		Sure:  sure,
@@ -151,6 +155,14 @@
 	}, nil
 }
 
+// leadsAlone reports whether no other host can have taken over from this one:
+// they wait until its row has not changed for longer than this. A leader that
+// was paused or is cut from the store would else tell that a job runs which the
+// next one has completed.
+func (n *Node) leadsAlone(l *leader.Leader) bool {
+	return time.Since(l.Fresh()) < lapse+n.health.usualWrite()
+}
+
 func (n *Node) waitingAsked(_ context.Context, _ peer.Caller, q waitingRequest) (waitingReply, error) {
 	l := n.leaderHere()
 	if l == nil {
