--- a/internal/soak/harm.go
+++ b/internal/soak/harm.go
@@ -204,13 +204,23 @@
 	}
 }
 
-// faulty makes some of the store's writes or of the workers' orders go wrong.
-const faulty = 0.3
+// faultyLeast and faultyMost bound which part of the store's writes, or of the
+// workers' orders, goes wrong.
+const (
+	faultyLeast = 0.2
+	faultyMost  = 0.9
+)
+
+// faultyPart returns a random part.
+func (x *run) faultyPart() float64 {
+	return faultyLeast + x.random.Float64()*(faultyMost-faultyLeast)
+}
 
 func (x *run) setWriteFault(f cellfake.StoreFault) func() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.writeFault = f
+	x.faultyWrites = x.faultyPart()
 	return func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
@@ -230,7 +240,7 @@
 func (x *run) fateOfWrite(store.Transaction) cellfake.StoreFault {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if rand.Float64() < faulty {
+	if rand.Float64() < x.faultyWrites {
 		return x.writeFault
 	}
 	return cellfake.StoreWell
@@ -253,6 +263,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.orderFault = f
+	x.faultyOrders = x.faultyPart()
 	return func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
@@ -272,7 +283,7 @@
 func (x *run) fateOfOrder(spoolsill.WorkerID) cellfake.OrderFault {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if rand.Float64() < faulty {
+	if rand.Float64() < x.faultyOrders {
 		return x.orderFault
 	}
 	return cellfake.OrderWell
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -30,6 +30,7 @@
 	tries     int
 	accepted  bool
 	cancelled bool // a cancel was sent
+	missed    bool // it was shown as not known although it was accepted
 	shown     string
 	shownAt   time.Time
 	// doneAt has for each task the earliest end of a run that succeeds.
@@ -107,7 +108,8 @@
 	defer j.mu.Unlock()
 	r := j.jobs[id]
 	switch {
-	case state == "gone" && r.accepted:
+	case state == "gone" && r.accepted && !r.missed:
+		r.missed = true
 		j.breach("%s was accepted and is not known", id)
 	case state == sched.Cancelled.String() && !r.cancelled:
 		j.breach("%s is shown as cancelled, and nobody did so", id)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -93,7 +93,10 @@
 	story      *bytes.Buffer
 	writeFault cellfake.StoreFault
 	orderFault cellfake.OrderFault
-	version    int // of the configuration
+	// faultyWrites and faultyOrders are the parts that go wrong.
+	faultyWrites float64
+	faultyOrders float64
+	version      int // of the configuration
 }
 
 type soakedWorker struct {
