holder, node, docs: read as a newcomer

A tenure's method stands with the tenure; a shadowed name in the watch; where the figures of waiting gangs come from; the soak in README. No behaviour changes.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -362,16 +362,6 @@
 	}
 }
 
-// unstored returns the entries that the table lacks, as far as is known.
-func (t *tenure) unstored() []recordlog.Entry {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.writer == nil {
-		return nil
-	}
-	return t.writer.Unstored()
-}
-
 func (h *Holder) endTenure() {
 	h.mu.Lock()
 	t := h.tenure
--- a/holder/tenure.go
+++ b/holder/tenure.go
@@ -342,3 +342,13 @@
 func (t *tenure) leaseEnd(now lease.Reading) time.Time {
 	return now.Wall.Add(t.h.config.TaskLease)
 }
+
+// unstored returns the entries that the table lacks, as far as is known.
+func (t *tenure) unstored() []recordlog.Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.writer == nil {
+		return nil
+	}
+	return t.writer.Unstored()
+}
--- a/node/elect.go
+++ b/node/elect.go
@@ -143,7 +143,7 @@
 		}
 		if h.Released || v == 0 || now.Sub(since) >= n.lapseOf(h, &call) {
 			pause.For(ctx, n.handicap()+n.turn())
-			if _, now, err := leader.ReadHead(ctx, n.store); err != nil || now != v {
+			if _, current, err := leader.ReadHead(ctx, n.store); err != nil || current != v {
 				continue // another host was first, as far as is known
 			}
 			n.lead(ctx, h, v)
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -10,7 +10,8 @@
 
 const (
 	// warmShare is the part of the hosts that may renew tickets of gangs that
-	// wait, one in so many: questions about new work go before.
+	// wait, one in so many: questions about new work go before. Tried on the
+	// grown deployments, see docs/DECISIONS.md.
 	warmShare = 4
 	// ticketMargin is how long a ticket must still hold when a start is
 	// decided: a write, the call itself and some queueing.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -36,7 +36,8 @@
 	// gatherFactor is for how many times its tasks a gang that waits keeps
 	// workers from stages ranked below it, by what they hold when empty: with
 	// just enough of them it would wait for the last run to end, and with all
-	// that it may use, room would stand idle.
+	// that it may use, room would stand idle. Tried on the grown deployments,
+	// see docs/DECISIONS.md.
 	gatherFactor = 3
 	// gatherShare is the part of the workers that gangs ranked below the first
 	// may keep besides, one in so many.
