--- a/internal/cellfake/store.go
+++ b/internal/cellfake/store.go
@@ -34,10 +34,8 @@
 
 // A Store keeps rows in memory. It implements [store.Store].
 type Store struct {
-	// Fault chooses the fate of each transaction; nil means that all is well.
-	Fault func(t store.Transaction) StoreFault
-
 	mu      sync.Mutex
+	fault   func(t store.Transaction) StoreFault
 	version store.Version
 	rows    map[store.Key]store.Row
 	changes []store.Row
@@ -48,6 +46,29 @@
 	deaf    bool
 }
 
+// SetFault has f choose the fate of each transaction; nil means that all is
+// well. f is called by many goroutines.
+func (s *Store) SetFault(f func(t store.Transaction) StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// fate returns what becomes of a transaction.
+func (s *Store) fate(t store.Transaction) StoreFault {
+	s.mu.Lock()
+	f, away := s.fault, s.away
+	s.mu.Unlock()
+	switch {
+	case away:
+		return StoreRefuse
+	case f == nil:
+		return StoreWell
+	default:
+		return f(t)
+	}
+}
+
 // Deafen has feeds hear nothing, as the platform's may for a second; what they
 // missed they tell afterwards.
 func (s *Store) Deafen(deaf bool) {
@@ -122,14 +143,7 @@
 		s.apply(t)
 		return store.Result{}, fmt.Errorf("%w: %w", store.ErrUnknown, err)
 	}
-	f := StoreWell
-	if s.Fault != nil {
-		f = s.Fault(t)
-	}
-	if s.turnsAway() {
-		f = StoreRefuse
-	}
-	switch f {
+	switch s.fate(t) {
 	case StoreRefuse:
 		return store.Result{}, store.ErrRefused
 	case StoreBreak:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -139,7 +139,7 @@
 	}
 	for i, s := range r.steps {
 		// One end stands for a whole gang.
-		if done[i] < s.Count && !(s.Gang && done[i] > 0) {
+		if done[i] < s.Count && (!s.Gang || done[i] == 0) {
 			j.breach("%s is shown as completed with %d of %d tasks of step %d done", id, done[i], s.Count, i)
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -154,7 +154,7 @@
 	if err := os.MkdirAll(x.config.Dir, 0o750); err != nil {
 		return err
 	}
-	x.store.Fault = x.fateOfWrite
+	x.store.SetFault(x.fateOfWrite)
 	x.fakes.Fault = x.fateOfOrder
 	x.fakes.Room = room
 	x.fakes.Work = x.work
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -164,8 +164,8 @@
 			answered <- err
 		}()
 		select {
-		case <-answered:
-			t.Fatalf("mode %s lets an answer through", m)
+		case err := <-answered:
+			t.Fatalf("mode %s lets an answer through: %v", m, err)
 		case <-time.After(50 * time.Millisecond):
 		}
 		p.Set(soak.Pass)
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,13 +64,13 @@
 	for _, f := range []cellfake.StoreFault{cellfake.StoreLose, cellfake.StoreLate} {
 		with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
 			calls := 0
-			s.Fault = func(store.Transaction) cellfake.StoreFault {
+			s.SetFault(func(store.Transaction) cellfake.StoreFault {
 				calls++
 				if calls == 1 {
 					return f
 				}
 				return cellfake.StoreWell
-			}
+			})
 			o, _ := w.Accept(ctx, job("j", "s"))
 			c.Assert(o, qt.Equals, jobstore.Accepted)
 			pause.For(ctx, 5*time.Second)
@@ -84,10 +85,10 @@
 func TestJobsShareWrites(t *testing.T) {
 	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
 		writes := 0
-		s.Fault = func(store.Transaction) cellfake.StoreFault {
+		s.SetFault(func(store.Transaction) cellfake.StoreFault {
 			writes++
 			return cellfake.StoreWell
-		}
+		})
 		var g sync.WaitGroup
 		for i := range 100 {
 			g.Go(func() {
@@ -109,7 +110,7 @@
 		o, _ := w.Accept(ctx, job("j", "s"))
 		c.Assert(o, qt.Equals, jobstore.Refused)
 		s.TurnAway(false)
-		s.Fault = func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLose }
+		s.SetFault(func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLose })
 		short, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
 		o, _ = w.Accept(short, job("j", "s"))
@@ -121,17 +122,17 @@
 // call costs, and all hosts make them at once.
 func TestBrokenConnectionsAreNotTriedAtOnce(t *testing.T) {
 	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
-		writes := 0
-		s.Fault = func(store.Transaction) cellfake.StoreFault {
-			writes++
+		var writes atomic.Int32
+		s.SetFault(func(store.Transaction) cellfake.StoreFault {
+			writes.Add(1)
 			return cellfake.StoreBreak
-		}
+		})
 		short, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
 		o, _ := w.Accept(short, job("j", "s"))
 		c.Assert(o, qt.Equals, jobstore.Unknown)
-		c.Assert(writes <= 8, qt.IsTrue, qt.Commentf("%d writes in a second", writes))
-		s.Fault = nil
+		c.Assert(writes.Load() <= 8, qt.IsTrue, qt.Commentf("%d writes in a second", writes.Load()))
+		s.SetFault(nil)
 		o, _ = w.Accept(ctx, job("k", "s"))
 		c.Assert(o, qt.Equals, jobstore.Accepted)
 	})
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -269,9 +269,9 @@
 	d := &dice{
 		r: rand.New(rand.NewPCG(seed, 1)),
 	}
-	x.store.Fault = func(store.Transaction) cellfake.StoreFault {
+	x.store.SetFault(func(store.Transaction) cellfake.StoreFault {
 		return cellfake.StoreFault(d.roll(0.85, 0.05, 0.05, 0.05))
-	}
+	})
 	x.workers.Fault = func(spoolsill.WorkerID) cellfake.OrderFault {
 		return cellfake.OrderFault(d.roll(0.85, 0.05, 0.05, 0.05))
 	}
--- a/node/elect_test.go
+++ b/node/elect_test.go
@@ -92,14 +92,14 @@
 		defer x.end()
 		var mu sync.Mutex
 		tries := 0
-		x.store.Fault = func(s store.Transaction) cellfake.StoreFault {
+		x.store.SetFault(func(s store.Transaction) cellfake.StoreFault {
 			if len(s.Conditions) > 0 && s.Conditions[0].Key == leader.HeadKey && s.Conditions[0].Version == 0 {
 				mu.Lock()
 				tries++
 				mu.Unlock()
 			}
 			return cellfake.StoreWell
-		}
+		})
 		const hosts = 60
 		for i := range hosts {
 			x.start(i)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -413,7 +413,7 @@
 // A client that says that it waits for an hour is not held for one.
 func TestLongDeadlinesAreBounded(t *testing.T) {
 	run(t, 1, 0, func(x *cell) {
-		x.store.Fault = func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLose }
+		x.store.SetFault(func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLose })
 		r, err := http.NewRequestWithContext(x.ctx, http.MethodPost, "http://"+x.hosts[0].Settings.ClientAddress+"/q/"+jobID(1), strings.NewReader(body))
 		x.c.Assert(err, qt.IsNil)
 		r.Host = wire.Domain
