--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,7 +25,7 @@
 	Together int           `help:"How many to run at once." default:"1"`
 	Duration time.Duration `help:"How long harm is done in each run." default:"20s"`
 	Hosts    int           `help:"Hosts of a run." default:"5"`
-	Workers  int           `help:"Workers of a run." default:"8"`
+	Workers  int           `help:"Workers of a run." default:"12"`
 	Clients  int           `help:"Clients of a run." default:"12"`
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,7 +30,7 @@
 	Seed uint64
 	// Duration is how long harm is done; 0 means 20 s.
 	Duration time.Duration
-	// Hosts, Workers and Clients count what there is of each; 0 means 5, 8
+	// Hosts, Workers and Clients count what there is of each; 0 means 5, 12
 	// and 12.
 	Hosts   int
 	Workers int
@@ -64,10 +64,11 @@
 	settleStep = 200 * time.Millisecond
 	// startTime is how long hosts have before harm begins.
 	startTime = 2 * time.Second
-	// taskTime and taskSpread are how long tasks take; failing is the share of
+	// taskTime and taskSpread are how long tasks take, some longer than all tries
+	// of a start, so that a second run meets the first; failing is the share of
 	// the runs that fail.
 	taskTime   = 100 * time.Millisecond
-	taskSpread = 900 * time.Millisecond
+	taskSpread = 1900 * time.Millisecond
 	failing    = 0.03
 	// The ports of a host; each host has an address of its own.
 	clientPort = 7700
@@ -136,7 +137,7 @@
 		}
 	}
 	set(&c.Hosts, 5)
-	set(&c.Workers, 8)
+	set(&c.Workers, 12)
 	set(&c.Clients, 12)
 	if c.Duration == 0 {
 		c.Duration = 20 * time.Second
