--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -189,3 +189,25 @@
 		x.c.Assert(x.step(), qt.HasLen, 2)
 	}
 }
+
+// A worker that is back after its account was closed is the one that the advisor
+// named: it is not asked about again.
+func TestAdviceOutlivesAWorkersAbsence(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("big", "q", tasks(1, 10)), sched.Progress{})
+	x.take(x.step())
+	x.state.AddJob(x.now, job("j", "advised", gang(2, 5)), sched.Progress{})
+	x.step()
+	x.advise(x.question(), "w")
+	// The worker is cut off until its lease is over, and then comes back.
+	x.state.UnlistWorker(x.now, "w")
+	x.pass(2*lease, nil)
+	x.worker("w")
+	x.state.CancelJob(x.now, "big")
+	x.step()
+	q := x.question()
+	x.c.Assert(q.Workers, qt.DeepEquals, []spoolsill.WorkerID{"w"})
+	x.advise(q, "w")
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1", "j.0.0.1#1"})
+}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -30,6 +30,9 @@
 	id     spoolsill.WorkerID
 	listed bool
 	dead   bool
+	// closed tells that the account is not looked at: the worker is not listed
+	// and has no runs. It is opened again when the worker is back.
+	closed bool
 	used   spoolsill.Resources
 	runs   map[RunID]*run
 	// seen is the highest end that was taken in.
@@ -58,6 +61,7 @@
 func (s *State) worker(id spoolsill.WorkerID) *worker {
 	w := s.workers[id]
 	if w != nil {
+		s.reopen(w)
 		return w
 	}
 	w = &worker{
@@ -70,6 +74,17 @@
 	return w
 }
 
+// reopen has the account of a worker that is back looked at again. It is the
+// same one: what the advisor said of this life of the worker, and what is known
+// of its health, still holds.
+func (s *State) reopen(w *worker) {
+	if !w.closed {
+		return
+	}
+	w.closed = false
+	s.order = append(s.order, w)
+}
+
 // ListWorker takes in a worker as the platform lists it.
 func (s *State) ListWorker(now time.Time, l Worker) {
 	s.now = now
@@ -124,7 +139,7 @@
 			return
 		}
 	}
-	s.forget(w)
+	s.closeAccount(w)
 }
 
 // WorkerDied takes in proof that this life of a worker is over: its address
@@ -241,7 +256,7 @@
 	w.listed = false
 	s.noteWorker(w, "dead: "+reason, s.now.Sub(w.answered))
 	s.dropRuns(w, reason)
-	s.forget(w)
+	s.closeAccount(w)
 }
 
 func (s *State) dropRuns(w *worker, reason string) {
@@ -259,16 +274,18 @@
 	return rs
 }
 
-// forget drops the account of a worker that is not listed and has no runs. Dead
-// ones are kept as a name, so that a late list entry does not revive them.
-func (s *State) forget(w *worker) {
+// closeAccount closes the account of a worker that is not listed and has no
+// runs. Dead ones stay as they are, so that a late list entry does not revive
+// them.
+func (s *State) closeAccount(w *worker) {
 	if w.present(s.now) || len(w.runs) > 0 || w.dead {
 		return
 	}
 	if s.now.Before(w.leased) {
 		return
 	}
-	delete(s.workers, w.id)
+	w.closed = true
+	w.ready = false
 	s.order = slices.DeleteFunc(s.order, func(o *worker) bool { return o == w })
 }
 
@@ -283,7 +300,7 @@
 			s.noteWorker(w, "lease is over", s.now.Sub(w.answered))
 			s.dropRuns(w, "lease is over")
 		}
-		s.forget(w)
+		s.closeAccount(w)
 	}
 }
 
