store: a listing goes on where a call failed

The jobs lie in a partition a host. The store took more calls than it answers and refused some with 429; one refused call of some 300 threw the whole listing away, and the next one began anew. Clients meanwhile asked for states that no leader could tell, from the store.

Change: a listing keeps the pages that it has read; only what was refused is asked for again. The version to go on from is that of the first try, so that the feed tells of what changed meanwhile. The same for the progress of jobs.

Shown: store.TestFollowerListsATableThatIsCrowded (one listing in five refused) never ends in ten seconds with the former code, and takes less than two calls a partition now. Not ruled out: that others' calls must be fewer as well; measured next.

--- a/leader/load.go
+++ b/leader/load.go
@@ -12,10 +12,16 @@
 	"github.com/spoolsill/spoolsill/store"
 )
 
-// loadProgress reads the progress of all jobs, until it succeeds.
+// loadProgress reads the progress of all jobs, until it succeeds. Nobody else
+// writes it meanwhile, or the leadership is over.
 func (l *Leader) loadProgress(ctx context.Context) (map[spoolsill.JobID][]byte, error) {
+	list := store.Listing{
+		Store:     l.config.Store,
+		Table:     jobstore.ProgressTable,
+		Partition: jobstore.CellPartition,
+	}
 	for {
-		rows, _, err := store.ListAll(ctx, l.config.Store, jobstore.ProgressTable, jobstore.CellPartition)
+		rows, _, err := list.ReadAll(ctx)
 		if err == nil {
 			m := make(map[spoolsill.JobID][]byte, len(rows))
 			for _, r := range rows {
--- a/store/follow.go
+++ b/store/follow.go
@@ -4,11 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/spoolsill/spoolsill/internal/pause"
 )
 
@@ -19,8 +16,6 @@
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 250 * time.Millisecond
-	// listsAtOnce bounds the partitions that are read side by side.
-	listsAtOnce = 8
 )
 
 // A Follower keeps up with a table: it lists its partitions and then takes in
@@ -48,20 +43,22 @@
 func (f *Follower) Run(ctx context.Context) {
 	delay := retryFirst
 	var at Version
-	listed := false
+	list := newTableListing(f.Store, f.Table)
 	failing := false
 	for ctx.Err() == nil {
 		sent := time.Now()
 		var err error
-		if listed {
+		if list == nil {
 			w := f.Wait
 			if failing {
 				w = 0 // to learn at once that calls work again
 			}
 			at, err = f.step(ctx, at, w)
 		} else {
-			at, err = f.list(ctx)
-			listed = err == nil
+			at, err = f.list(ctx, list)
+			if err == nil {
+				list = nil
+			}
 		}
 		switch {
 		case err == nil:
@@ -74,7 +71,7 @@
 			}
 			failing = false
 		case errors.Is(err, ErrHistoryGone):
-			listed = false
+			list = newTableListing(f.Store, f.Table)
 		case ctx.Err() == nil:
 			if !failing {
 				f.report(err)
@@ -92,32 +89,14 @@
 	}
 }
 
-// list reads the whole table. The version to go on from is read first, so that
-// no change is missed, also of partitions that are made meanwhile.
-func (f *Follower) list(ctx context.Context) (Version, error) {
-	p, err := f.Store.List(ctx, f.Table, "", "", 1)
-	if err != nil {
-		return 0, err
-	}
-	parts, err := f.Store.Partitions(ctx, f.Table)
+// list reads the whole table, or what of it an earlier call could not.
+func (f *Follower) list(ctx context.Context, t *tableListing) (Version, error) {
+	rows, at, err := t.readAll(ctx)
 	if err != nil {
 		return 0, err
 	}
-	pages := make([][]Row, len(parts))
-	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(listsAtOnce)
-	for i, part := range parts {
-		g.Go(func() error {
-			rows, _, err := ListAll(ctx, f.Store, f.Table, part)
-			pages[i] = rows
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
-		return 0, err
-	}
-	f.Listed(slices.Concat(pages...))
-	return p.Version, nil
+	f.Listed(rows)
+	return at, nil
 }
 
 func (f *Follower) step(ctx context.Context, at Version, wait time.Duration) (Version, error) {
--- /dev/null
+++ b/store/list.go
@@ -0,0 +1,119 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// listsAtOnce bounds the partitions that are read side by side.
+const listsAtOnce = 8
+
+// A Listing reads a partition page by page. After a failed call it goes on where
+// it was: a store that refuses some calls would else never be read to the end.
+type Listing struct {
+	Store     Store
+	Table     string
+	Partition string
+
+	rows  []Row
+	first Version // as of which the first page was read
+	from  string
+	begun bool
+	done  bool
+}
+
+// ReadAll returns all rows of the partition and the version as of which the
+// first page was read: a feed that goes on from it misses no change. It may be
+// called again after an error, not by several goroutines at once.
+func (l *Listing) ReadAll(ctx context.Context) ([]Row, Version, error) {
+	for !l.done {
+		p, err := l.Store.List(ctx, l.Table, l.Partition, l.from, 0)
+		if err != nil {
+			return nil, 0, err
+		}
+		l.take(p)
+	}
+	return l.rows, l.first, nil
+}
+
+func (l *Listing) take(p Page) {
+	if !l.begun {
+		l.begun = true
+		l.first = p.Version
+	}
+	l.rows = append(l.rows, p.Rows...)
+	if !p.More || len(p.Rows) == 0 {
+		l.done = true
+		return
+	}
+	l.from = p.Rows[len(p.Rows)-1].Key.Name + "\x00"
+}
+
+// A tableListing reads all partitions of a table. Like a [Listing] it goes on
+// after an error.
+type tableListing struct {
+	store Store
+	table string
+	// version was read before all rows, so that a feed that goes on from it
+	// misses no change, also of partitions that are made meanwhile.
+	version Version
+	begun   bool
+	parts   map[string]*Listing
+}
+
+func newTableListing(s Store, table string) *tableListing {
+	return &tableListing{
+		store: s,
+		table: table,
+		parts: map[string]*Listing{},
+	}
+}
+
+// readAll returns all rows of the table, and the version to go on from.
+func (t *tableListing) readAll(ctx context.Context) ([]Row, Version, error) {
+	if !t.begun {
+		p, err := t.store.List(ctx, t.table, "", "", 1)
+		if err != nil {
+			return nil, 0, err
+		}
+		t.begun = true
+		t.version = p.Version
+	}
+	names, err := t.store.Partitions(ctx, t.table)
+	if err != nil {
+		return nil, 0, err
+	}
+	pages := make([][]Row, len(names))
+	failed := make([]error, len(names))
+	var g errgroup.Group
+	g.SetLimit(listsAtOnce)
+	for i, name := range names {
+		l := t.part(name)
+		g.Go(func() error {
+			// One that fails does not end the others: what they read is kept.
+			pages[i], _, failed[i] = l.ReadAll(ctx)
+			return nil
+		})
+	}
+	_ = g.Wait() // always nil
+	if err := errors.Join(failed...); err != nil {
+		return nil, 0, err
+	}
+	return slices.Concat(pages...), t.version, nil
+}
+
+func (t *tableListing) part(name string) *Listing {
+	l := t.parts[name]
+	if l == nil {
+		l = &Listing{
+			Store:     t.store,
+			Table:     t.table,
+			Partition: name,
+		}
+		t.parts[name] = l
+	}
+	return l
+}
--- /dev/null
+++ b/store/list_test.go
@@ -0,0 +1,145 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+const (
+	table      = "jobs"
+	partitions = 40
+	rowsEach   = 3
+)
+
+// A crowdedStore refuses one listing in a few, as a store does that takes more
+// calls than it can answer.
+type crowdedStore struct {
+	store.Store
+	mu    sync.Mutex
+	calls int
+	// refuses is one in how many listings.
+	refuses int
+}
+
+func (s *crowdedStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	s.mu.Lock()
+	s.calls++
+	refused := s.calls%s.refuses == 0
+	s.mu.Unlock()
+	if refused {
+		return store.Page{}, store.ErrRefused
+	}
+	return s.Store.List(ctx, table, partition, from, limit)
+}
+
+func fill(s *cellfake.Store) {
+	for p := range partitions {
+		for r := range rowsEach {
+			s.Put(store.Put{
+				Key: store.Key{
+					Table:     table,
+					Partition: fmt.Sprintf("host%d", p),
+					Name:      fmt.Sprintf("job%d-%d", p, r),
+				},
+				Value: []byte("x"),
+			})
+		}
+	}
+}
+
+// A table of many partitions is read to its end though many a listing is refused,
+// and what changes meanwhile is not missed.
+func TestFollowerListsATableThatIsCrowded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		s := &crowdedStore{
+			Store:   inner,
+			refuses: 5,
+		}
+		seen := map[string]bool{}
+		listings := 0
+		f := store.Follower{
+			Store: s,
+			Table: table,
+			Wait:  time.Second,
+			Listed: func(rows []store.Row) {
+				listings++
+				for _, r := range rows {
+					seen[r.Key.Name] = true
+				}
+			},
+			Changed: func(r store.Row) { seen[r.Key.Name] = true },
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(20 * time.Millisecond)
+		inner.Put(store.Put{
+			Key: store.Key{
+				Table:     table,
+				Partition: "host0",
+				Name:      "came-meanwhile",
+			},
+			Value: []byte("x"),
+		})
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		qt.Assert(t, listings, qt.Equals, 1)
+		qt.Assert(t, seen, qt.HasLen, partitions*rowsEach+1)
+		// Each page is asked for again only when it was refused.
+		qt.Assert(t, s.calls < 2*partitions, qt.IsTrue)
+	})
+}
+
+// A listing that failed goes on where it was.
+func TestListingGoesOnAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := cellfake.NewStore()
+		const rows = 1700
+		for r := range rows {
+			inner.Put(store.Put{
+				Key: store.Key{
+					Table:     table,
+					Partition: "cell",
+					Name:      fmt.Sprintf("job%04d", r),
+				},
+			})
+		}
+		s := &crowdedStore{
+			Store:   inner,
+			refuses: 2,
+		}
+		l := store.Listing{
+			Store:     s,
+			Table:     table,
+			Partition: "cell",
+		}
+		failures := 0
+		var got []store.Row
+		for range 10 {
+			var err error
+			got, _, err = l.ReadAll(t.Context())
+			if err == nil {
+				break
+			}
+			qt.Assert(t, err, qt.ErrorIs, store.ErrRefused)
+			failures++
+		}
+		qt.Assert(t, got, qt.HasLen, rows)
+		qt.Assert(t, failures, qt.Equals, 3)
+	})
+}
--- a/store/store.go
+++ b/store/store.go
@@ -119,25 +119,3 @@
 		Key: k,
 	}, nil
 }
-
-// ListAll returns all rows of a partition and the version as of which the
-// first page was read: a feed that goes on from it misses no change.
-func ListAll(ctx context.Context, s Store, table, partition string) ([]Row, Version, error) {
-	var rows []Row
-	var first Version
-	from := ""
-	for n := 0; ; n++ {
-		p, err := s.List(ctx, table, partition, from, 0)
-		if err != nil {
-			return nil, 0, err
-		}
-		if n == 0 {
-			first = p.Version
-		}
-		rows = append(rows, p.Rows...)
-		if !p.More || len(p.Rows) == 0 {
-			return rows, first, nil
-		}
-		from = p.Rows[len(p.Rows)-1].Key.Name + "\x00"
-	}
-}
