--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -1,10 +1,12 @@
-// Package logstory tells the story of one job, task, worker or host from saved
-// logs of many processes: every line that names it, in the order of time, with
-// the changes of leader, store and configuration around it.
+// Package logstory tells the story of one request, job, task, worker or host from
+// saved logs of many processes: every line that names it, in the order of time,
+// with the changes of leader, store and configuration around it. The story of a
+// request is that of its job.
 package logstory
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -84,12 +86,14 @@
 // lines around it are told.
 const margin = 2 * time.Second
 
-// Story returns the lines that name id, and those that explain them, in the
-// order of time. It is empty when no line names id.
+// Story returns the lines that name id, or the job of the request that id is,
+// and those that explain them, in the order of time. It is empty when no line
+// names id.
 func Story(lines []Line, id string) []Line {
+	ids := append(jobsOf(lines, id), id)
 	var own []Line
 	for _, l := range lines {
-		if l.names(id) {
+		if l.namesAny(ids) {
 			own = append(own, l)
 		}
 	}
@@ -101,7 +105,7 @@
 	from := own[0].Time.Add(-margin)
 	to := own[len(own)-1].Time.Add(margin)
 	for _, l := range lines {
-		if !l.names(id) && slices.Contains(around, l.Message) && !l.Time.Before(from) && !l.Time.After(to) {
+		if !l.namesAny(ids) && slices.Contains(around, l.Message) && !l.Time.Before(from) && !l.Time.After(to) {
 			own = append(own, l)
 		}
 	}
@@ -109,6 +113,27 @@
 	return own
 }
 
+// jobsOf returns the jobs that a request was about, if id is one's. A line that
+// refuses it has the job at the end of its path.
+func jobsOf(lines []Line, id string) []string {
+	var jobs []string
+	for _, l := range lines {
+		if text(l.Fields, "request") != id {
+			continue
+		}
+		path := text(l.Fields, "path")
+		job := cmp.Or(text(l.Fields, "job"), path[strings.LastIndexByte(path, '/')+1:])
+		if job != "" && !slices.Contains(jobs, job) {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
+func (l *Line) namesAny(ids []string) bool {
+	return slices.ContainsFunc(ids, l.names)
+}
+
 // names reports whether a line is about id: a field is it, or begins with it
 // and a dot, as a task's does with its job's, or ends in it after a slash, as a
 // path does.
--- a/logstory/logstory_test.go
+++ b/logstory/logstory_test.go
@@ -33,6 +33,33 @@
 	c.Assert(logstory.Story(lines, "none"), qt.HasLen, 0)
 }
 
+// A client names its request, not the job: the story is that of the job, with all
+// its tries.
+func TestStoryOfARequestIsThatOfItsJob(t *testing.T) {
+	c := qt.New(t)
+	const log = `
+{"host":"h1","msg":"request refused","path":"/q/a1","request":"r1","status":502,"time":"2026-01-01T00:00:01.9Z"}
+{"host":"h2","msg":"job accepted","job":"a1","request":"r2","time":"2026-01-01T00:00:02Z"}
+{"host":"h2","msg":"job accepted","job":"b2","request":"r3","time":"2026-01-01T00:00:02.1Z"}
+{"host":"h2","msg":"job ended","job":"a1","reason":"failed","time":"2026-01-01T00:00:03Z"}
+{"host":"h2","msg":"request refused","path":"/q/","request":"r4","status":404,"time":"2026-01-01T00:00:04Z"}
+`
+	lines, _, err := logstory.Read(strings.NewReader(log))
+	c.Assert(err, qt.IsNil)
+	for request, want := range map[string][]string{
+		"r1": {"request refused", "job accepted", "job ended"},
+		"r2": {"request refused", "job accepted", "job ended"},
+		"r3": {"job accepted"},
+		"r4": {"request refused"},
+	} {
+		var messages []string
+		for _, l := range logstory.Story(lines, request) {
+			messages = append(messages, l.Message)
+		}
+		c.Assert(messages, qt.DeepEquals, want, qt.Commentf("request %s", request))
+	}
+}
+
 func ExampleWrite() {
 	lines, _, err := logstory.Read(strings.NewReader(log))
 	if err != nil {
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -61,7 +61,12 @@
 		tries++
 		switch o {
 		case jobstore.Accepted, jobstore.Known:
-			n.log.WithField("job", string(j.ID)).WithField("queue", string(j.Queue)).WithField("outcome", o.String()).Info("job accepted")
+			n.log.WithFields(logrus.Fields{
+				"request": platform.RequestOf(ctx),
+				"job":     string(j.ID),
+				"queue":   string(j.Queue),
+				"outcome": o.String(),
+			}).Info("job accepted")
 			if o == jobstore.Accepted {
 				n.tell(ctx, j)
 			}
@@ -75,12 +80,12 @@
 		case jobstore.Refused:
 			now := time.Now()
 			if !n.health.reachable(now) && now.Sub(begun) > awayBudget {
-				return n.notKept(j, maybe, tries, begun, err)
+				return n.notKept(ctx, j, maybe, tries, begun, err)
 			}
 		}
 		pause.For(ctx, writePause)
 	}
-	return n.notKept(j, maybe, tries, begun, last)
+	return n.notKept(ctx, j, maybe, tries, begun, last)
 }
 
 // tell tells the leader of a job that lasts, without waiting for an answer. What
@@ -113,10 +118,11 @@
 }
 
 // notKept tells why a job was not kept, or is not known to be.
-func (n *Node) notKept(j sched.Job, maybe bool, tries int, begun time.Time, err error) (platform.Outcome, error) {
+func (n *Node) notKept(ctx context.Context, j sched.Job, maybe bool, tries int, begun time.Time, err error) (platform.Outcome, error) {
 	now := time.Now()
 	leader, answers := n.leaderHost()
 	n.log.WithError(err).WithFields(logrus.Fields{
+		"request":          platform.RequestOf(ctx),
 		"job":              string(j.ID),
 		"may_be_kept":      maybe,
 		"tries":            tries,
@@ -251,7 +257,7 @@
 			return platform.NoSuch, nil
 		}
 		if err == nil {
-			n.log.WithField("job", string(id)).Info("job cancelled")
+			n.log.WithField("request", platform.RequestOf(ctx)).WithField("job", string(id)).Info("job cancelled")
 			return platform.Done, nil
 		}
 		last = err
