node: a slow store keeps its leader

While the store was slow, the leader answered, but its writes were seldom. Other hosts took its row, unchanged for half a second, for a lost leader; four of them tried to take over, each try some writes that the store does in turn, so that the leader's own came through no more. Epochs 1 to 5 in five seconds, and nothing was started meanwhile.

Change: how long a host's own read of the row takes tells a store that is slow from a leader that is cut from it; the row must stay as it is for five such reads more.

Shown: node.TestSlowStoreKeepsItsLeader (the stand-in does transactions of a partition in turn now, also those given up) has epoch 2 with the former code; a leader that is cut off is replaced as before (TestCutLeaderTellsNoOldStates).

--- a/internal/cellfake/store.go
+++ b/internal/cellfake/store.go
@@ -42,6 +42,8 @@
 	since   store.Version // changes up to it are forgotten
 	changed chan struct{}
 	slow    map[string]time.Duration // added to each listing of a table
+	pace    time.Duration            // added to each call, see Slow
+	turns   map[string]time.Time     // until when each partition's transactions take
 	away    bool
 	deaf    bool
 }
@@ -97,6 +99,44 @@
 		rows:    map[store.Key]store.Row{},
 		changed: make(chan struct{}),
 		slow:    map[string]time.Duration{},
+		turns:   map[string]time.Time{},
+	}
+}
+
+// Slow makes each call take longer; the transactions of a partition are done one
+// after the other, also those whose callers have given up. 0 ends it.
+func (s *Store) Slow(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = by
+}
+
+// turn returns how long a transaction takes that is sent now.
+func (s *Store) turn(t store.Transaction) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pace == 0 {
+		return callTime
+	}
+	now := time.Now()
+	part := partitionOf(t)
+	end := now
+	if s.turns[part].After(now) {
+		end = s.turns[part]
+	}
+	end = end.Add(callTime + s.pace)
+	s.turns[part] = end
+	return end.Sub(now)
+}
+
+func partitionOf(t store.Transaction) string {
+	switch {
+	case len(t.Puts) > 0:
+		return t.Puts[0].Key.Partition
+	case len(t.Deletes) > 0:
+		return t.Deletes[0].Partition
+	default:
+		return ""
 	}
 }
 
@@ -110,7 +150,7 @@
 func (s *Store) listDelay(table string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.slow[table]
+	return s.slow[table] + s.pace
 }
 
 // Forget drops the history, as the platform may at any time.
@@ -138,9 +178,11 @@
 
 // Commit implements [store.Store].
 func (s *Store) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
-	if err := spend(ctx, callTime); err != nil {
+	begun := time.Now()
+	took := s.turn(t)
+	if err := spend(ctx, took); err != nil {
 		// A call that its caller gave up is on its way all the same.
-		s.apply(t)
+		time.AfterFunc(took-time.Since(begun), func() { s.apply(t) })
 		return store.Result{}, fmt.Errorf("%w: %w", store.ErrUnknown, err)
 	}
 	switch s.fate(t) {
--- a/node/elect.go
+++ b/node/elect.go
@@ -33,6 +33,10 @@
 	// usual time of a write is added, which tells when the store is slow.
 	lapse       = 500 * time.Millisecond
 	lapseWrites = 4
+	// lapseReads times as long as a read takes, a leader may need for a write
+	// when the store has just become slow: its first four tries are given up too
+	// early and are done in turn.
+	lapseReads = 5
 	// lapseGone is the same when the leader's process is gone: its port
 	// refuses connections, or it says that it does not lead. A host that has
 	// just taken over needs a moment to know it.
@@ -131,12 +135,14 @@
 	first := true
 	var call greeting
 	for ctx.Err() == nil {
+		begun := time.Now()
 		h, v, err := leader.ReadHead(ctx, n.store)
 		if err != nil {
 			pause.For(ctx, n.spaced(watchFailed))
 			continue
 		}
 		now := time.Now()
+		read := now.Sub(begun)
 		if first || v != at {
 			at = v
 			since = now
@@ -148,7 +154,7 @@
 		if call.well(ctx, n, h) {
 			return
 		}
-		if h.Released || v == 0 || now.Sub(since) >= n.lapseOf(h, &call) {
+		if h.Released || v == 0 || now.Sub(since) >= n.lapseOf(h, &call, read) {
 			pause.For(ctx, n.handicap()+n.turn())
 			if _, current, err := leader.ReadHead(ctx, n.store); err != nil || current != v {
 				continue // another host was first, as far as is known
@@ -259,14 +265,17 @@
 	}
 }
 
-// lapseOf is how long a row must stay as it is.
-func (n *Node) lapseOf(h leader.Head, g *greeting) time.Duration {
+// lapseOf is how long a row must stay as it is. How long this host's latest read
+// of it took tells a store that is slow, for the leader as well, from a leader that
+// is cut from it: in a store that is slow, to take over does harm, since each try
+// is one more write that the leader's own wait behind.
+func (n *Node) lapseOf(h leader.Head, g *greeting, read time.Duration) time.Duration {
 	if h.Host == n.settings.Host || g.last.gone {
 		// The leader's process is gone; here it was an earlier life of this
 		// host.
 		return lapseGone
 	}
-	return lapse + lapseWrites*n.health.usualWrite()
+	return lapse + max(lapseWrites*n.health.usualWrite(), lapseReads*read)
 }
 
 // lead tries to take over and leads until it is deposed or ctx ends.
--- a/node/elect_test.go
+++ b/node/elect_test.go
@@ -38,8 +38,31 @@
 	})
 }
 
-// A client that never sends the rest of its request must not keep a connection
-// for ever.
+// A store that is sixty times slower than usual makes the leader's writes seldom. To
+// take over from it would only add to them: the leader stays, and goes on. One that
+// is cut from the store while others reach it is still replaced
+// (TestCutLeaderTellsNoOldStates).
+func TestSlowStoreKeepsItsLeader(t *testing.T) {
+	run(t, 5, 3, func(x *cell) {
+		before, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		x.store.Slow(480 * time.Millisecond)
+		pause.For(x.ctx, 300*time.Millisecond)
+		for i := range 5 {
+			x.call(i, http.MethodPost, "/q/"+jobID(i), body)
+		}
+		pause.For(x.ctx, 5*time.Second)
+		x.store.Slow(0)
+		pause.For(x.ctx, 3*time.Second)
+		after, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Assert(after.Epoch, qt.Equals, before.Epoch)
+		for i := range 5 {
+			x.c.Assert(x.state(i, jobID(i)), qt.Equals, completed)
+		}
+	})
+}
+
 // A leader that is cut from the store does not know what the next one has done:
 // it must not tell that a job runs which others have seen completed.
 func TestCutLeaderTellsNoOldStates(t *testing.T) {
