store: a transaction that is overdue is sent again, and still waited for

A write took 1.1 to 1.9 s. Each host gave it up after 0.35 s and sent a larger one, which the store did behind it, then a third; the first one's answer, which would have come in time for the client, was thrown away, and later ones were refused with 429 since the partition's turn was full of tries. The leader did the same from 0.15 s on.

Change: store.CommitPatiently keeps the earlier tries under way while it sends more, and takes the first answer. Of a store that is slow that is the first try's, of one that loses answers a later one's. How long a try took that was answered is learnt from that try alone, and a rise is believed at once, so that the next writes are not sent twice.

--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -26,6 +26,10 @@
 	// failing, which is how much later than the store a host is back.
 	pauseFirst = 40 * time.Millisecond
 	pauseMost  = 250 * time.Millisecond
+	// triesAtOnce is how many tries of a write are waited for side by side, and
+	// writeWithin for how long: two thirds of what clients wait in all.
+	triesAtOnce = 3
+	writeWithin = 2 * time.Second
 )
 
 // A Writer keeps jobs in a host's own partition, so that hosts do not wait for
@@ -37,7 +41,8 @@
 	Partition string
 	// MaxRow is the longest row that the store takes, in bytes; 0 means any.
 	MaxRow int
-	// Timeout returns how long one write may take now.
+	// Timeout returns how long one try of a write is waited for now before
+	// another one is sent.
 	Timeout func() time.Duration
 
 	queue chan *entry
@@ -147,14 +152,17 @@
 	return kept
 }
 
-// write tries once to keep a batch, and returns the jobs that are still to be
-// kept.
+// write tries to keep a batch, and returns the jobs that are still to be kept.
 func (w *Writer) write(ctx context.Context, batch []*entry) []*entry {
 	batch = unique(batch)
 	t := w.transaction(batch)
-	c, cancel := context.WithTimeout(ctx, w.Timeout())
+	c, cancel := context.WithTimeout(ctx, writeWithin)
 	defer cancel()
-	r, err := w.Store.Commit(c, t)
+	r, _, err := store.CommitPatiently(c, w.Store, t, store.Patience{
+		First: w.Timeout(),
+		Most:  writeWithin,
+		Tries: triesAtOnce,
+	})
 	switch {
 	case errors.Is(err, store.ErrRefused):
 		return w.refused(ctx, batch, err)
--- a/leader/chain.go
+++ b/leader/chain.go
@@ -57,11 +57,17 @@
 }
 
 const (
-	// tryFirst is how long the first try of a write may take: the platform
-	// needs some 8 ms for it, and the store may be several times slower.
+	// tryFirst is how long the first try of a write is waited for before another
+	// one is sent: the platform needs some 8 ms for it, and the store may be
+	// several times slower.
 	tryFirst = 150 * time.Millisecond
-	// tryMost bounds the tries when the store is slow.
+	// tryMost bounds it when the store is slow.
 	tryMost = 1200 * time.Millisecond
+	// triesAtOnce is how many tries are waited for side by side, and tryWithin for
+	// how long: the slowest store of the known deployments needs less than two
+	// seconds for a write.
+	triesAtOnce = 5
+	tryWithin   = 4 * time.Second
 	// tryPause is between tries that the store refused.
 	tryPause = 40 * time.Millisecond
 	// pauseMost bounds the pause when it goes on refusing.
@@ -74,7 +80,7 @@
 	epoch   spoolsill.Epoch // does not change
 	head    Head
 	version store.Version
-	// usual is a moving average of how long writes take.
+	// usual is a moving average of how long a try takes that is answered.
 	usual time.Duration
 }
 
@@ -139,14 +145,11 @@
 		}, puts...),
 		Deletes: deletes,
 	}
-	begun := time.Now()
-	limit := max(tryFirst, 4*c.usual)
 	delay := tryPause
 	for {
-		r, err := c.try(ctx, t, min(limit, tryMost))
+		r, err := c.try(ctx, t)
 		switch {
 		case err == nil:
-			c.usual += (time.Since(begun) - c.usual) / 8
 			return c.settle(h, v, r)
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -154,7 +157,7 @@
 			pause.For(ctx, delay)
 			delay = min(2*delay, pauseMost)
 		case errors.Is(err, context.DeadlineExceeded):
-			limit *= 2
+			// It has been waited for long enough.
 		default:
 			// The connection broke: the store may come back at any moment.
 			pause.For(ctx, tryPause)
@@ -162,10 +165,28 @@
 	}
 }
 
-func (c *Chain) try(ctx context.Context, t store.Transaction, limit time.Duration) (store.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func (c *Chain) try(ctx context.Context, t store.Transaction) (store.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryWithin)
 	defer cancel()
-	return c.store.Commit(ctx, t)
+	r, took, err := store.CommitPatiently(ctx, c.store, t, store.Patience{
+		First: min(max(tryFirst, 4*c.usual), tryMost),
+		Most:  tryMost,
+		Tries: triesAtOnce,
+	})
+	if err == nil {
+		c.learn(took)
+	}
+	return r, err
+}
+
+// learn takes in how long a try took that was answered. A store that has become
+// slow is believed at once: more tries than needed make it slower.
+func (c *Chain) learn(took time.Duration) {
+	weight := time.Duration(8)
+	if took > c.usual {
+		weight = 2
+	}
+	c.usual += (took - c.usual) / weight
 }
 
 // settle takes in the fate of a write. A head that reads as ours was written
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -18,11 +18,11 @@
 	awayAfter = 700 * time.Millisecond
 	// tryEvery is how often a store that is away is tried by a client's call.
 	tryEvery = 250 * time.Millisecond
-	// writeLeast and writeMost bound how long one write may take. The store
-	// needs some 10 ms for one, half a second when it is slow, and clients
-	// wait three seconds in all.
+	// writeLeast and writeMost bound how long a write is waited for before it is
+	// sent again. The store needs some 10 ms for one, more than a second when it
+	// is slow, and clients wait three seconds in all.
 	writeLeast = 350 * time.Millisecond
-	writeMost  = 1500 * time.Millisecond
+	writeMost  = 1200 * time.Millisecond
 	// writeFactor times its usual time, a write has most likely been lost.
 	writeFactor = 4
 )
@@ -44,9 +44,13 @@
 func (h *storeHealth) took(d time.Duration, answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.usual += (d - h.usual) / 4
+	weight := time.Duration(4)
+	if answered && d > h.usual {
+		weight = 2 // a store that has become slow is believed at once
+	}
+	h.usual += (d - h.usual) / weight
 	if answered {
-		h.answered += (d - h.answered) / 4
+		h.answered += (d - h.answered) / weight
 	}
 }
 
@@ -138,6 +142,9 @@
 func (s *watchedStore) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
 	begun := time.Now()
 	r, err := s.Store.Commit(ctx, t)
+	if errors.Is(err, context.Canceled) {
+		return r, err // another try was answered, which says nothing of this one
+	}
 	if err == nil || errors.Is(err, store.ErrUnknown) {
 		s.health.took(time.Since(begun), err == nil)
 	}
--- a/store/list_test.go
+++ b/store/list_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/store"
 )
 
@@ -86,7 +87,7 @@
 			defer close(done)
 			f.Run(ctx)
 		}()
-		time.Sleep(20 * time.Millisecond)
+		pause.For(ctx, 20*time.Millisecond)
 		inner.Put(store.Put{
 			Key: store.Key{
 				Table:     table,
@@ -95,7 +96,7 @@
 			},
 			Value: []byte("x"),
 		})
-		time.Sleep(10 * time.Second)
+		pause.For(ctx, 10*time.Second)
 		cancel()
 		<-done
 		qt.Assert(t, listings, qt.Equals, 1)
--- /dev/null
+++ b/store/patience_test.go
@@ -0,0 +1,103 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+func put(name string) store.Transaction {
+	k := store.Key{
+		Table:     table,
+		Partition: "cell",
+		Name:      name,
+	}
+	return store.Transaction{
+		Conditions: []store.Condition{
+			{
+				Key: k,
+			},
+		},
+		Puts: []store.Put{
+			{
+				Key:   k,
+				Value: []byte("x"),
+			},
+		},
+	}
+}
+
+var patience = store.Patience{
+	First: 150 * time.Millisecond,
+	Most:  time.Second,
+	Tries: 4,
+}
+
+// The first try of a store that is slow is not given up: its answer is taken, and
+// the store's next transactions do not wait behind more tries than were sent.
+func TestPatienceWithASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := cellfake.NewStore()
+		s.Slow(800 * time.Millisecond)
+		begun := time.Now()
+		r, took, err := store.CommitPatiently(t.Context(), s, put("a"), patience)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Applied, qt.IsTrue)
+		qt.Assert(t, took, qt.Equals, time.Since(begun))
+		qt.Assert(t, took < time.Second, qt.IsTrue)
+		synctest.Wait()
+	})
+}
+
+// Of a store that loses an answer the next try tells, by its conditions, what the
+// first one did; and how long that try took says nothing about the first.
+func TestPatienceWithALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := cellfake.NewStore()
+		tries := 0
+		s.SetFault(func(store.Transaction) cellfake.StoreFault {
+			tries++
+			if tries == 1 {
+				return cellfake.StoreLose
+			}
+			return cellfake.StoreWell
+		})
+		r, took, err := store.CommitPatiently(t.Context(), s, put("a"), patience)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Applied, qt.IsFalse)
+		qt.Assert(t, string(r.Current[0].Value), qt.Equals, "x")
+		qt.Assert(t, took < 50*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// A refusal is certain only if every try was refused.
+func TestPatienceTellsWhatIsCertain(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults []cellfake.StoreFault
+		want   error
+	}{
+		"refused":            {[]cellfake.StoreFault{cellfake.StoreRefuse}, store.ErrRefused},
+		"broken":             {[]cellfake.StoreFault{cellfake.StoreBreak}, store.ErrUnknown},
+		"lost, then refused": {[]cellfake.StoreFault{cellfake.StoreLose, cellfake.StoreRefuse, cellfake.StoreRefuse, cellfake.StoreRefuse}, store.ErrUnknown},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := cellfake.NewStore()
+			tries := 0
+			s.SetFault(func(store.Transaction) cellfake.StoreFault {
+				tries++
+				return test.faults[tries-1]
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			_, _, err := store.CommitPatiently(ctx, s, put("a"), patience)
+			qt.Assert(t, err, qt.ErrorIs, test.want, qt.Commentf("%s", name))
+			qt.Assert(t, tries, qt.Equals, len(test.faults), qt.Commentf("%s", name))
+		})
+	}
+}
