sched: an order whose ticket ran out while it was recorded gets a new one

Change: when the row is written, an order whose ticket does not hold any more waits, with its room, for a question that renews it, and leaves with the new ticket; a gang as a whole. Without one the run is dropped and placed anew. Orders leave with the newest ticket that there is.

Shown: sched/overdue_test.go, where both orders left with the old ticket before.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -412,6 +412,9 @@
 	for _, o := range l.state.Stops() {
 		l.sendStop(ctx, o)
 	}
+	for _, o := range l.state.Starts() {
+		l.sendStart(o)
+	}
 	for _, o := range l.state.Advices() {
 		l.advising.add(o)
 	}
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -50,9 +50,15 @@
 	until time.Time
 }
 
-// valid reports whether the ticket for a worker can be used now.
+// valid reports whether the ticket for a worker can be used for a start that is
+// decided now.
 func (a *advice) valid(id spoolsill.WorkerID, now time.Time) bool {
-	return a.tickets[id].until.Sub(now) > ticketMargin
+	return a.validFor(id, now, ticketMargin)
+}
+
+// validFor reports whether the ticket for a worker holds for longer than margin.
+func (a *advice) validFor(id spoolsill.WorkerID, now time.Time, margin time.Duration) bool {
+	return a.tickets[id].until.Sub(now) > margin
 }
 
 func (a *advice) expire(id spoolsill.WorkerID) {
@@ -178,6 +184,7 @@
 	if a.Order.Purpose == Learn {
 		return
 	}
+	s.sendOverdue(g, a)
 	if a.Lost {
 		s.dropPlan(g)
 		return
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -109,29 +109,49 @@
 // now: those that nothing has overtaken meanwhile.
 func (s *State) Written(now time.Time, b Batch) []StartOrder {
 	s.now = now
-	var out []StartOrder
+	var out, overdue []StartOrder
 	for _, o := range b.Starts {
-		w := s.workers[o.Worker]
-		if w == nil {
-			continue
-		}
-		r := w.runs[o.Run]
-		if r == nil || r.phase != phaseRecorded {
+		r := s.recorded(o)
+		if r == nil {
 			continue
 		}
 		if !s.mayLeave(r) {
 			s.lose(r, "overtaken before the order left")
 			continue
 		}
-		r.phase = phaseSent
-		r.begun = now
-		// A start renews the lease as well.
-		s.LeaseAsked(o.Worker, LeaseEnd(now, s.config.StartLease))
-		out = append(out, o)
+		if s.ticketIsOver(r) {
+			overdue = append(overdue, o)
+			continue
+		}
+		out = append(out, s.leave(o, r))
 	}
+	s.renewOverdue(overdue)
 	return out
 }
 
+// recorded returns the run of an order that has not left, or nil.
+func (s *State) recorded(o StartOrder) *run {
+	w := s.workers[o.Worker]
+	if w == nil {
+		return nil
+	}
+	r := w.runs[o.Run]
+	if r == nil || r.phase != phaseRecorded {
+		return nil
+	}
+	return r
+}
+
+// leave takes in that an order leaves now, with the newest ticket that there is.
+func (s *State) leave(o StartOrder, r *run) StartOrder {
+	r.phase = phaseSent
+	r.begun = s.now
+	// A start renews the lease as well.
+	s.LeaseAsked(o.Worker, LeaseEnd(s.now, s.config.StartLease))
+	o.Ticket = r.task.stage.advice.tickets[o.Worker].text
+	return o
+}
+
 // mayLeave reports whether an order that is recorded still makes sense.
 func (s *State) mayLeave(r *run) bool {
 	g := r.task.stage
--- /dev/null
+++ b/sched/overdue_test.go
@@ -0,0 +1,93 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// slowly writes the next batch in a store that needs longer for it than tickets
+// hold, and returns the orders that leave.
+func (x *cell) slowly() []sched.StartOrder {
+	x.now = x.now.Add(10 * time.Millisecond)
+	x.state.Decide(x.now)
+	b, any, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(any, qt.IsTrue)
+	x.now = x.now.Add(1600 * time.Millisecond)
+	return x.state.Written(x.now, b)
+}
+
+// An order whose ticket ran out while it was recorded would be turned away: it
+// leaves with a new one.
+func TestOrderWaitsForATicketThatRanOut(t *testing.T) {
+	for name, step := range map[string]sched.Step{
+		"tasks": tasks(2, 1),
+		"gang":  gang(2, 1),
+	} {
+		x := newCell(t)
+		x.worker("w")
+		x.state.AddJob(x.now, job("j", "advised", step), sched.Progress{})
+		x.step()
+		x.advise(x.question(), "w")
+		x.c.Assert(x.slowly(), qt.HasLen, 0, qt.Commentf("%s", name))
+		q := x.question()
+		x.c.Assert(q.Purpose, qt.Equals, sched.Renew)
+		x.c.Assert(q.Workers, qt.DeepEquals, []spoolsill.WorkerID{"w"})
+		x.c.Assert(x.state.Starts(), qt.HasLen, 0)
+		x.renew("w")
+		x.advise(q, "w")
+		o := x.state.Starts()
+		x.c.Assert(taskNames(o), qt.DeepEquals, []string{"j.0.0.0#1", "j.0.0.1#1"})
+		x.c.Assert(o[0].Ticket, qt.Equals, "ticket-w")
+		x.take(o)
+		x.c.Assert(x.state.Starts(), qt.HasLen, 0)
+		x.c.Assert(x.state.CheckRoom(), qt.IsNil)
+	}
+}
+
+// Without an answer, or a ticket in it, nothing leaves; the room is free again and
+// the tasks are placed anew under a higher number. So are those of a gang, as a
+// whole.
+func TestOrderWithoutATicketIsDropped(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		x := newCell(t)
+		x.worker("w")
+		x.state.AddJob(x.now, job("j", "advised", gang(2, 4)), sched.Progress{})
+		x.step()
+		x.advise(x.question(), "w")
+		x.c.Assert(x.slowly(), qt.HasLen, 0)
+		x.state.Advised(x.now, sched.Advice{
+			Order:    x.question(),
+			Received: x.now,
+			Lost:     lost,
+		})
+		x.c.Assert(x.state.Starts(), qt.HasLen, 0)
+		x.c.Assert(x.state.CheckRoom(), qt.IsNil)
+		x.renew("w")
+		x.step()
+		x.advise(x.question(), "w")
+		x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#2", "j.0.0.1#2"})
+	}
+}
+
+// What is cancelled while its order waits for a ticket never starts.
+func TestCancelledOrderDoesNotLeave(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 1)), sched.Progress{})
+	x.step()
+	x.advise(x.question(), "w")
+	x.c.Assert(x.slowly(), qt.HasLen, 0)
+	q := x.question()
+	x.state.CancelJob(x.now, "j")
+	x.advise(q, "w")
+	x.c.Assert(x.state.Starts(), qt.HasLen, 0)
+	x.c.Assert(x.state.CheckRoom(), qt.IsNil)
+	s, _ := x.state.Job("j")
+	x.c.Assert(s.State, qt.Equals, sched.Cancelled)
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -47,6 +47,7 @@
 	dirty   []*job
 	acks    map[spoolsill.WorkerID]uint64
 	stops   []StopOrder
+	starts  []StartOrder // that waited for a ticket after they were recorded
 	advices []AdviceOrder
 	asking  int // questions to the advisor that are not answered
 	warming int // of them, those that keep tickets valid
@@ -109,6 +110,9 @@
 	retryAt time.Time
 	advice  advice
 	planned []*run // room taken while a ticket is renewed
+	// overdue are orders that are recorded and wait for a ticket: theirs ran out
+	// while a slow store recorded them.
+	overdue []StartOrder
 	// gathered are the workers that a gang keeps while it waits for room.
 	gathered []*worker
 }
