node: a leader that answers is left alone while answers of the store get lost

With 0.35 of the answers lost the leader needs up to 1.05 s to learn that a write lasts, its row stays as it is meanwhile, and half a second was enough to take over; the next leader loses as many answers and has to load all jobs besides.

Change: the row must stay as it is for 1.3 s if the leader answers and leads, and this host's own writes lose answers as well, or one is overdue. A leader that is cut from the store while others reach it is replaced as soon as before.

--- a/node/elect.go
+++ b/node/elect.go
@@ -37,6 +37,11 @@
 	// when the store has just become slow: its first four tries are given up too
 	// early and are done in turn.
 	lapseReads = 5
+	// lapseLosing takes the place of lapse when the leader does answer, and says
+	// that it leads, but has not written for a while, and answers of the store to
+	// this host get lost as well: with three lost in a row the leader needs 1.05 s
+	// to learn that a write lasts, and whoever takes over loses as many.
+	lapseLosing = 1300 * time.Millisecond
 	// lapseGone is the same when the leader's process is gone: its port
 	// refuses connections, or it says that it does not lead. A host that has
 	// just taken over needs a moment to know it.
@@ -231,6 +236,8 @@
 type greetResult struct {
 	well bool
 	gone bool
+	// answers tells that the leader answers and leads, well or not.
+	answers bool
 }
 
 // well begins a call when none is under way, and reports whether the latest
@@ -260,8 +267,9 @@
 func (n *Node) greetResult(ctx context.Context, h leader.Head) greetResult {
 	r, err := n.greetLeader(ctx, h)
 	return greetResult{
-		well: err == nil && r.leads(h),
-		gone: refused(err) || err == nil && !r.Leads,
+		well:    err == nil && r.leads(h),
+		gone:    refused(err) || err == nil && !r.Leads,
+		answers: err == nil && r.Leads && r.Epoch == h.Epoch,
 	}
 }
 
@@ -275,7 +283,11 @@
 		// host.
 		return lapseGone
 	}
-	return lapse + max(lapseWrites*n.health.usualWrite(), lapseReads*read)
+	least := lapse
+	if g.last.answers && n.health.losing(time.Now()) {
+		least = lapseLosing
+	}
+	return least + max(lapseWrites*n.health.usualWrite(), lapseReads*read)
 }
 
 // lead tries to take over and leads until it is deposed or ctx ends.
--- a/node/elect_test.go
+++ b/node/elect_test.go
@@ -105,8 +105,41 @@
 	})
 }
 
-// A planned stop answers what comes in on open connections, and hands the
-// leadership over in a moment.
+// A store that loses three answers in four lets the leader's row change once a
+// second. The leader answers all the while, and the other hosts see the losses as
+// well: nobody takes over.
+func TestLostAnswersKeepTheLeader(t *testing.T) {
+	run(t, 5, 3, func(x *cell) {
+		before, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		var mu sync.Mutex
+		writes := map[string]int{} // by partition
+		x.store.SetFault(func(t store.Transaction) cellfake.StoreFault {
+			mu.Lock()
+			defer mu.Unlock()
+			p := t.Puts[0].Key.Partition
+			writes[p]++
+			if writes[p]%4 == 0 {
+				return cellfake.StoreWell
+			}
+			return cellfake.StoreLose
+		})
+		var clients sync.WaitGroup
+		for i := range 5 {
+			clients.Go(func() {
+				for k := range 8 {
+					x.callBy(x.newClient(), i, http.MethodPost, "/q/"+jobID(8*i+k), body)
+				}
+			})
+		}
+		clients.Wait()
+		x.store.SetFault(nil)
+		after, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Assert(after.Epoch, qt.Equals, before.Epoch)
+	})
+}
+
 // Hosts that all find that nobody leads must not fill the partition of the row
 // with their tries.
 func TestManyHostsDoNotTakeOverAtOnce(t *testing.T) {
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -23,6 +23,10 @@
 	// is slow, and clients wait three seconds in all.
 	writeLeast = 350 * time.Millisecond
 	writeMost  = 1200 * time.Millisecond
+	// losingBy is how much longer writes are waited for on average than answered
+	// ones take, while answers get lost: one that is lost adds a quarter of
+	// writeLeast at least, and a few good ones take it away again.
+	losingBy = 30 * time.Millisecond
 	// writeFactor times its usual time, a write has most likely been lost.
 	writeFactor = 4
 )
@@ -38,6 +42,27 @@
 	// vain, answered of how long those take that are answered.
 	usual    time.Duration
 	answered time.Duration
+	// pending has when the writes were sent that are not answered yet.
+	pending map[uint64]time.Time
+	writes  uint64
+}
+
+// sent takes in that a write is sent, and returns its number for ended.
+func (h *storeHealth) sent(now time.Time) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pending == nil {
+		h.pending = map[uint64]time.Time{}
+	}
+	h.writes++
+	h.pending[h.writes] = now
+	return h.writes
+}
+
+func (h *storeHealth) ended(write uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.pending, write)
 }
 
 // took takes in how long a write took, or how long it was waited for in vain.
@@ -61,6 +86,19 @@
 	return h.answered
 }
 
+// losing reports whether answers to writes have been lost lately, or one is
+// overdue.
+func (h *storeHealth) losing(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, at := range h.pending {
+		if now.Sub(at) > writeLeast {
+			return true
+		}
+	}
+	return h.usual-h.answered > losingBy
+}
+
 // writeTimeout returns how long a write may take.
 func (h *storeHealth) writeTimeout() time.Duration {
 	h.mu.Lock()
@@ -141,7 +179,9 @@
 // Commit implements [store.Store].
 func (s *watchedStore) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
 	begun := time.Now()
+	write := s.health.sent(begun)
 	r, err := s.Store.Commit(ctx, t)
+	s.health.ended(write)
 	if errors.Is(err, context.Canceled) {
 		return r, err // another try was answered, which says nothing of this one
 	}
