--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,7 +40,8 @@
 	Drain    drainCommand    `cmd:"" help:"Move all work off a worker, or keep new requests from a runner."`
 	Status   statusCommand   `cmd:"" help:"List jobs with the states of their tasks."`
 	Explain  explainCommand  `cmd:"" help:"Say why a job, task or request is where it is."`
-	Story    storyCommand    `cmd:"" help:"Tell the story of a job, task, worker or host from saved logs."`
+	Story    storyCommand    `cmd:"" help:"Tell the story of a request, job, task, worker or host from saved logs."`
+	Picture  pictureCommand  `cmd:"" help:"Draw a span of time from saved logs."`
 	Workers  workersCommand  `cmd:"" help:"List workers."`
 	HostList hostsCommand    `cmd:"" name:"hosts" help:"List entry hosts."`
 	Config   configCommand   `cmd:"" help:"Read and change the configuration of the cell."`
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -12,6 +12,7 @@
 	"github.com/spoolsill/spoolsill/api"
 	"github.com/spoolsill/spoolsill/config"
 	"github.com/spoolsill/spoolsill/jobfile"
+	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/settings"
 )
 
@@ -131,6 +132,8 @@
 	Host     spoolsill.HostID `help:"Which host of the settings files is meant, in place of host.id."`
 	Job      []string         `help:"Job files." type:"existingfile"`
 	Config   []string         `help:"Configuration files." type:"existingfile"`
+	Platform []string         `help:"Settings files that the users' platform writes for a host." type:"existingfile"`
+	Deploy   []string         `help:"Deploy files of the users' platform." type:"existingfile"`
 }
 
 type checked struct {
@@ -163,8 +166,16 @@
 	for _, f := range c.Config {
 		note(checkConfig(f))
 	}
+	for _, f := range c.Platform {
+		v, err := platform.LoadSettings(f)
+		note(f, fmt.Sprintf("settings of host %s in hall %s", v.Host, v.Hall), err)
+	}
+	for _, f := range c.Deploy {
+		v, err := platform.LoadDeploy(f)
+		note(f, fmt.Sprintf("deploy file with %d roles", len(v.Roles)), err)
+	}
 	if len(out) == 0 {
-		return exitWith(ExitUsage, "name a file with --settings, --job or --config")
+		return exitWith(ExitUsage, "name a file with --settings, --job, --config, --platform or --deploy")
 	}
 	return s.reportChecked(out)
 }
--- a/internal/cli/story.go
+++ b/internal/cli/story.go
@@ -1,26 +1,24 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
+	"github.com/spoolsill/spoolsill/logchart"
 	"github.com/spoolsill/spoolsill/logstory"
 )
 
 type storyCommand struct {
-	ID   string   `arg:"" help:"A job, a task, a worker or a host."`
+	ID   string   `arg:"" help:"A request, a job, a task, a worker or a host."`
 	Logs []string `help:"Saved logs of the hosts, in any order." required:"" type:"existingfile" placeholder:"FILE"`
 }
 
 // Run implements the command.
 func (c *storyCommand) Run(s *session) error {
-	var all []logstory.Line
-	for _, name := range c.Logs {
-		lines, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
+	all, err := readLogs(c.Logs)
+	if err != nil {
+		return err
 	}
 	story := logstory.Story(all, c.ID)
 	if len(story) == 0 {
@@ -29,6 +27,37 @@
 	return logstory.Write(s.env.Out, story)
 }
 
+type pictureCommand struct {
+	Logs []string `help:"Saved logs of the hosts, in any order." required:"" type:"existingfile" placeholder:"FILE"`
+	Out  string   `help:"Where the picture (SVG) is written." required:"" placeholder:"FILE"`
+}
+
+// Run implements the command.
+func (c *pictureCommand) Run(_ *session) error {
+	all, err := readLogs(c.Logs)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(c.Out)
+	if err != nil {
+		return err
+	}
+	s := logchart.Of(all)
+	return errors.Join(s.WriteSVG(f), f.Close())
+}
+
+func readLogs(names []string) ([]logstory.Line, error) {
+	var all []logstory.Line
+	for _, name := range names {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
 func readLog(name string) ([]logstory.Line, error) {
 	f, err := os.Open(name)
 	if err != nil {
--- /dev/null
+++ b/logchart/draw.go
@@ -0,0 +1,103 @@
+package logchart
+
+import (
+	"image/color"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// The size of a picture, and of the space between its panels.
+const (
+	width  = 25 * vg.Centimeter
+	height = 30 * vg.Centimeter
+	gap    = 4 * vg.Millimeter
+)
+
+// A curve is a named series in a panel.
+type curve struct {
+	name   string
+	points []Point
+	color  color.Color
+}
+
+var (
+	blue  = color.RGBA{R: 31, G: 119, B: 180, A: 255}
+	red   = color.RGBA{R: 214, G: 39, B: 40, A: 255}
+	green = color.RGBA{R: 44, G: 160, B: 44, A: 255}
+	grey  = color.RGBA{R: 150, G: 150, B: 150, A: 255}
+)
+
+// WriteSVG draws a series as panels one below the other.
+func (s *Series) WriteSVG(w io.Writer) error {
+	panels := []struct {
+		title  string
+		curves []curve
+	}{
+		{"calls a second", []curve{{"accepted", s.Accepted, blue}, {"refused", s.Refused, red}}},
+		{"tasks a second", []curve{{"started", s.Started, blue}, {"ended", s.Ended, green}}},
+		{"stages that wait", []curve{{"all", s.Waiting, blue}, {"too late", s.Late, red}}},
+		{"cores in use", []curve{{"used", s.Used, blue}}},
+		{"hosts without the store", []curve{{"hosts", s.Away, red}}},
+	}
+	plots := make([][]*plot.Plot, 0, len(panels))
+	for _, p := range panels {
+		x, err := s.panel(p.title, p.curves)
+		if err != nil {
+			return err
+		}
+		plots = append(plots, []*plot.Plot{x})
+	}
+	c := vgsvg.New(width, height)
+	t := draw.Tiles{
+		Rows: len(plots),
+		Cols: 1,
+		PadY: gap,
+	}
+	for i, row := range plot.Align(plots, t, draw.New(c)) {
+		plots[i][0].Draw(row[0])
+	}
+	_, err := c.WriteTo(w)
+	return err
+}
+
+func (s *Series) panel(title string, curves []curve) (*plot.Plot, error) {
+	p := plot.New()
+	p.Y.Label.Text = title
+	p.X.Label.Text = "seconds"
+	p.Legend.Top = true
+	most := 1.0
+	for _, c := range curves {
+		xys := make(plotter.XYs, len(c.points))
+		for i, at := range c.points {
+			xys[i].X = at.Second
+			xys[i].Y = at.Value
+			most = max(most, at.Value)
+		}
+		if len(xys) == 0 {
+			continue
+		}
+		l, err := plotter.NewLine(xys)
+		if err != nil {
+			return nil, err
+		}
+		l.Color = c.color
+		p.Add(l)
+		p.Legend.Add(c.name, l)
+	}
+	for _, at := range s.Leads {
+		l, err := plotter.NewLine(plotter.XYs{{X: at}, {X: at, Y: most}})
+		if err != nil {
+			return nil, err
+		}
+		l.Color = grey
+		l.Dashes = []vg.Length{vg.Points(2)}
+		p.Add(l)
+	}
+	p.Y.Min = 0
+	return p, nil
+}
