--- /dev/null
+++ b/telemetry/bench_test.go
@@ -0,0 +1,43 @@
+package telemetry_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/telemetry"
+)
+
+// BenchmarkNote measures what the metrics of one decision cost.
+func BenchmarkNote(b *testing.B) {
+	m := telemetry.New()
+	n := sched.Note{
+		Kind:   sched.NoteEnded,
+		Reason: "done",
+		Age:    time.Second,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Note(n)
+	}
+}
+
+// BenchmarkScrape measures one answer to whoever collects the metrics.
+func BenchmarkScrape(b *testing.B) {
+	m := telemetry.New()
+	for _, outcome := range []string{"200", "404", "502", "504"} {
+		m.Call("post", outcome, time.Millisecond)
+		m.Wrote(outcome, time.Millisecond)
+		m.Asked(outcome, time.Millisecond)
+	}
+	h := m.Handler()
+	b.ReportAllocs()
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		_, _ = io.Copy(io.Discard, w.Body)
+	}
+}
