--- /dev/null
+++ b/place/fate_test.go
@@ -0,0 +1,145 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/place"
+)
+
+// TestBadWorkerIsQuarantined gives many jobs to a hall in which one worker
+// fails everything at once, so that it always looks free.
+func TestBadWorkerIsQuarantined(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprintf("quarantine off=%t", off), func(t *testing.T) {
+			c := qt.New(t)
+			s := newHall(place.Config{
+				NoQuarantine: off,
+				Tries:        10,
+			}, 10)
+			failed := 0
+			now := start
+			for i := range 40 {
+				add(c, s, now, job(fmt.Sprintf("job%d", i), 10, 4))
+				for _, r := range decide(c, s, now, place.TaskPlaced) {
+					if r.Worker == "w0" {
+						failed++
+						end(s, now, r, place.Failed)
+						continue
+					}
+					run(s, now, []place.Record{r})
+					end(s, now, r, place.Exited)
+				}
+				now = now.Add(100 * time.Millisecond)
+			}
+			if off {
+				c.Assert(failed > 20, qt.IsTrue, qt.Commentf("%d", failed))
+				return
+			}
+			c.Assert(failed <= 4, qt.IsTrue, qt.Commentf("%d", failed))
+		})
+	}
+}
+
+func TestBadJobDoesNotCondemnWorkers(t *testing.T) {
+	c := qt.New(t)
+	s := newHall(place.Config{
+		Tries: 20,
+	}, 10)
+	add(c, s, start, job("bad", 40, 1))
+	now := start
+	for range 20 {
+		for _, r := range decide(c, s, now, place.TaskPlaced) {
+			end(s, now, r, place.Failed)
+		}
+		now = now.Add(time.Minute)
+	}
+	for _, w := range s.Workers() {
+		c.Assert(w.Quarantined.After(now), qt.IsFalse, qt.Commentf("%s", w.ID))
+	}
+}
+
+func TestFailedTaskAvoidsWhereItFailedAndHasABudget(t *testing.T) {
+	c := qt.New(t)
+	s := newHall(place.Config{}, 8)
+	add(c, s, start, job("job", 1, 1))
+	seen := map[spoolsill.WorkerID]bool{}
+	now := start
+	for range 10 {
+		for _, r := range decide(c, s, now, place.TaskPlaced) {
+			c.Assert(seen[r.Worker], qt.IsFalse)
+			seen[r.Worker] = true
+			end(s, now, r, place.Failed)
+		}
+		now = now.Add(time.Minute)
+	}
+	c.Assert(seen, qt.HasLen, place.DefaultTries)
+	_, tasks, _ := s.Job("job")
+	c.Assert(tasks[0].State, qt.Equals, spoolsill.TaskFailed)
+}
+
+func TestUnrepeatableTaskOfALostWorkerIsNotStartedAgain(t *testing.T) {
+	c := qt.New(t)
+	s := newHall(place.Config{}, 2)
+	j := job("once", 1, 1)
+	j.Unrepeatable = true
+	add(c, s, start, j)
+	r := decide(c, s, start, place.TaskPlaced)[0]
+	run(s, start, []place.Record{r})
+	end(s, start, r, place.Lost)
+	c.Assert(decide(c, s, start.Add(time.Hour), place.TaskPlaced), qt.HasLen, 0)
+	_, tasks, _ := s.Job("once")
+	c.Assert(tasks[0].State, qt.Equals, spoolsill.TaskLost)
+}
+
+func TestCancelWaveStopsWhatRunsAndDropsWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	s := newHall(place.Config{}, 4)
+	var ids []spoolsill.JobID
+	for i := range 500 {
+		j := job(fmt.Sprintf("j%d", i), 4, 4)
+		add(c, s, start, j)
+		ids = append(ids, j.ID)
+	}
+	run(s, start, decide(c, s, start, place.TaskPlaced))
+	records := s.Cancel(start, ids)
+	c.Assert(s.Check(), qt.IsNil)
+	stops := 0
+	for _, r := range records {
+		if r.Kind == place.TaskStopping {
+			stops++
+			end(s, start, r, place.Stopped)
+		}
+	}
+	c.Assert(stops, qt.Equals, 8)
+	c.Assert(decide(c, s, start, place.TaskPlaced), qt.HasLen, 0)
+	c.Assert(s.Free(), qt.Equals, s.Total())
+}
+
+func TestOversizeTaskIsThrottledThenCheckpointedThenStopped(t *testing.T) {
+	c := qt.New(t)
+	s := newHall(place.Config{}, 1)
+	add(c, s, start, job("greedy", 1, 1))
+	r := decide(c, s, start, place.TaskPlaced)[0]
+	run(s, start, []place.Record{r})
+	used := spoolsill.Resources{
+		Processors: 4 * spoolsill.Core,
+	}
+	var got []place.Measure
+	for range 6 {
+		m, _ := s.Use(start, r.Task, used)
+		got = append(got, m)
+	}
+	c.Assert(got, qt.DeepEquals, []place.Measure{
+		place.MeasureThrottle,
+		place.MeasureThrottle,
+		place.MeasureCheckpoint,
+		place.MeasureCheckpoint,
+		place.MeasureCheckpoint,
+		place.MeasureStop,
+	})
+}
