store: a listing that went on does not claim what came meanwhile

A listing that goes on after a refused call keeps pages that were read earlier, but told its follower that all that was written before its latest try is known. A job accepted in between would have been told as not there (410) by a leader that had not heard of it: its Settle waits for just that.

Change: it tells the time of its first call.

Shown: store.TestCrowdedListingDoesNotClaimWhatCameMeanwhile fails without it.

--- a/node/elect.go
+++ b/node/elect.go
@@ -34,8 +34,8 @@
 	lapse       = 500 * time.Millisecond
 	lapseWrites = 4
 	// lapseReads times as long as a read takes, a leader may need for a write
-	// when the store has just become slow: its first four tries are given up too
-	// early and are done in turn.
+	// when the store has just become slow: the tries that it sends too early are
+	// done in turn, and its next write waits behind them.
 	lapseReads = 5
 	// lapseLosing takes the place of lapse when the leader does answer, and says
 	// that it leads, but has not written for a while, and answers of the store to
--- a/node/peers.go
+++ b/node/peers.go
@@ -27,9 +27,13 @@
 	methodTell    = "tell"
 )
 
-// hostSilent is how long ago a host may have greeted the leader to be asked
-// for advice.
-const hostSilent = 900 * time.Millisecond
+// hostSilent is how long ago a host may have greeted the leader to be asked for
+// advice; at least silentGreets of its greetings, which are further apart where
+// there are many hosts.
+const (
+	hostSilent   = 900 * time.Millisecond
+	silentGreets = 3
+)
 
 type greetRequest struct {
 	Address string
@@ -226,7 +230,8 @@
 
 // Hosts implements [leader.Advisor].
 func (n *Node) Hosts() []spoolsill.HostID {
-	return append(n.hosts.since(time.Now().Add(-hostSilent)), n.settings.Host)
+	silent := max(hostSilent, silentGreets*n.spaced(greetEvery))
+	return append(n.hosts.since(time.Now().Add(-silent)), n.settings.Host)
 }
 
 // Ask implements [leader.Advisor].
--- a/store/follow.go
+++ b/store/follow.go
@@ -56,6 +56,7 @@
 			at, err = f.step(ctx, at, w)
 		} else {
 			at, err = f.list(ctx, list)
+			sent = list.began // what came since then is for the feed to tell
 			if err == nil {
 				list = nil
 			}
--- a/store/list.go
+++ b/store/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -61,6 +62,7 @@
 	// misses no change, also of partitions that are made meanwhile.
 	version Version
 	begun   bool
+	began   time.Time // when the first call was sent
 	parts   map[string]*Listing
 }
 
@@ -74,6 +76,9 @@
 
 // readAll returns all rows of the table, and the version to go on from.
 func (t *tableListing) readAll(ctx context.Context) ([]Row, Version, error) {
+	if t.began.IsZero() {
+		t.began = time.Now()
+	}
 	if !t.begun {
 		p, err := t.store.List(ctx, t.table, "", "", 1)
 		if err != nil {
--- a/store/list_test.go
+++ b/store/list_test.go
@@ -106,6 +106,67 @@
 	})
 }
 
+// What a listing that had to go on says it has heard is no more than what its first
+// pages show: a row that came between two calls is told of by the feed only.
+func TestCrowdedListingDoesNotClaimWhatCameMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		var mu sync.Mutex
+		written := map[string]time.Time{}
+		seen := map[string]bool{}
+		var missed []string
+		f := store.Follower{
+			Store: &crowdedStore{
+				Store:   inner,
+				refuses: 5,
+			},
+			Table: table,
+			Wait:  time.Second,
+			Listed: func(rows []store.Row) {
+				for _, r := range rows {
+					seen[r.Key.Name] = true
+				}
+			},
+			Changed: func(r store.Row) { seen[r.Key.Name] = true },
+			Heard: func(sent time.Time) {
+				mu.Lock()
+				defer mu.Unlock()
+				for name, at := range written {
+					if at.Before(sent) && !seen[name] {
+						missed = append(missed, name)
+					}
+				}
+			},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		for i := range 100 {
+			name := fmt.Sprintf("new%d", i)
+			inner.Put(store.Put{
+				Key: store.Key{
+					Table:     table,
+					Partition: fmt.Sprintf("host%d", i%partitions),
+					Name:      name,
+				},
+			})
+			mu.Lock()
+			written[name] = time.Now()
+			mu.Unlock()
+			pause.For(ctx, 7*time.Millisecond)
+		}
+		pause.For(ctx, 5*time.Second)
+		cancel()
+		<-done
+		qt.Assert(t, missed, qt.HasLen, 0)
+		qt.Assert(t, seen, qt.HasLen, partitions*rowsEach+100)
+	})
+}
+
 // A listing that failed goes on where it was.
 func TestListingGoesOnAfterAFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
