--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -63,10 +63,9 @@
 func TestLostAnswersAreNotLostJobs(t *testing.T) {
 	for _, f := range []cellfake.StoreFault{cellfake.StoreLose, cellfake.StoreLate} {
 		with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
-			calls := 0
+			var calls atomic.Int32
 			s.SetFault(func(store.Transaction) cellfake.StoreFault {
-				calls++
-				if calls == 1 {
+				if calls.Add(1) == 1 {
 					return f
 				}
 				return cellfake.StoreWell
@@ -84,9 +83,9 @@
 // Jobs that come while a write is under way share the next one.
 func TestJobsShareWrites(t *testing.T) {
 	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
-		writes := 0
+		var writes atomic.Int32
 		s.SetFault(func(store.Transaction) cellfake.StoreFault {
-			writes++
+			writes.Add(1)
 			return cellfake.StoreWell
 		})
 		var g sync.WaitGroup
@@ -98,7 +97,7 @@
 			})
 		}
 		g.Wait()
-		c.Assert(writes <= 5, qt.IsTrue, qt.Commentf("%d writes", writes))
+		c.Assert(writes.Load() <= 5, qt.IsTrue, qt.Commentf("%d writes", writes.Load()))
 	})
 }
 
--- a/store/patience_test.go
+++ b/store/patience_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,10 +61,9 @@
 func TestPatienceWithALostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := cellfake.NewStore()
-		tries := 0
+		var tries atomic.Int32
 		s.SetFault(func(store.Transaction) cellfake.StoreFault {
-			tries++
-			if tries == 1 {
+			if tries.Add(1) == 1 {
 				return cellfake.StoreLose
 			}
 			return cellfake.StoreWell
@@ -88,16 +88,15 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := cellfake.NewStore()
-			tries := 0
+			var tries atomic.Int32
 			s.SetFault(func(store.Transaction) cellfake.StoreFault {
-				tries++
-				return test.faults[tries-1]
+				return test.faults[tries.Add(1)-1]
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
 			_, _, err := store.CommitPatiently(ctx, s, put("a"), patience)
 			qt.Assert(t, err, qt.ErrorIs, test.want, qt.Commentf("%s", name))
-			qt.Assert(t, tries, qt.Equals, len(test.faults), qt.Commentf("%s", name))
+			qt.Assert(t, int(tries.Load()), qt.Equals, len(test.faults), qt.Commentf("%s", name))
 		})
 	}
 }
