fleet: the take-over test begins once the hall has settled

The test makes the platform silent as soon as a holder is there. If the other host's own write to the lease's row is under way just then, it promises nothing, since that write may yet take the lease (package lease, Promise), and nobody holds the lease until the platform is back. The test is about what comes after.

Change: the test waits for one lease before it makes the platform silent.

--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -133,6 +133,10 @@
 	former, ok := f.Holder(hall)
 	qt.Assert(t, ok, qt.IsTrue)
 	other := 1 - former
+	// At the start both hosts may ask for the lease. One whose write is under way
+	// when the platform falls silent promises nothing, since the write may yet take
+	// the lease: then nobody would hold it.
+	pause.For(ctx, hallLease)
 
 	cell.Platform.Fault.SetDown(true)
 	pause.For(ctx, 2*hallLease)
