--- a/logchart/draw.go
+++ b/logchart/draw.go
@@ -32,21 +32,51 @@
 	grey  = color.RGBA{R: 150, G: 150, B: 150, A: 255}
 )
 
+// A panel is a picture's part with its own scale.
+type panel struct {
+	title  string
+	curves []curve
+}
+
+func (s *Series) panels() []panel {
+	return []panel{
+		{
+			title:  "calls a second",
+			curves: []curve{line("accepted", s.Accepted, blue), line("refused", s.Refused, red)},
+		},
+		{
+			title:  "tasks a second",
+			curves: []curve{line("started", s.Started, blue), line("ended", s.Ended, green)},
+		},
+		{
+			title:  "stages that wait",
+			curves: []curve{line("all", s.Waiting, blue), line("too late", s.Late, red)},
+		},
+		{
+			title:  "cores in use",
+			curves: []curve{line("used", s.Used, blue)},
+		},
+		{
+			title:  "hosts without the store",
+			curves: []curve{line("hosts", s.Away, red)},
+		},
+	}
+}
+
+func line(name string, points []Point, c color.Color) curve {
+	return curve{
+		name:   name,
+		points: points,
+		color:  c,
+	}
+}
+
 // WriteSVG draws a series as panels one below the other.
 func (s *Series) WriteSVG(w io.Writer) error {
-	panels := []struct {
-		title  string
-		curves []curve
-	}{
-		{"calls a second", []curve{{"accepted", s.Accepted, blue}, {"refused", s.Refused, red}}},
-		{"tasks a second", []curve{{"started", s.Started, blue}, {"ended", s.Ended, green}}},
-		{"stages that wait", []curve{{"all", s.Waiting, blue}, {"too late", s.Late, red}}},
-		{"cores in use", []curve{{"used", s.Used, blue}}},
-		{"hosts without the store", []curve{{"hosts", s.Away, red}}},
-	}
+	panels := s.panels()
 	plots := make([][]*plot.Plot, 0, len(panels))
 	for _, p := range panels {
-		x, err := s.panel(p.title, p.curves)
+		x, err := s.draw(p)
 		if err != nil {
 			return err
 		}
@@ -65,13 +95,13 @@
 	return err
 }
 
-func (s *Series) panel(title string, curves []curve) (*plot.Plot, error) {
+func (s *Series) draw(x panel) (*plot.Plot, error) {
 	p := plot.New()
-	p.Y.Label.Text = title
+	p.Y.Label.Text = x.title
 	p.X.Label.Text = "seconds"
 	p.Legend.Top = true
 	most := 1.0
-	for _, c := range curves {
+	for _, c := range x.curves {
 		xys := make(plotter.XYs, len(c.points))
 		for i, at := range c.points {
 			xys[i].X = at.Second
--- a/logchart/series.go
+++ b/logchart/series.go
@@ -63,25 +63,32 @@
 		}
 		switch l.Message {
 		case "load of the cell":
-			s.Waiting = append(s.Waiting, Point{at, number(l, "stages_wait")})
-			s.Late = append(s.Late, Point{at, number(l, "stages_late")})
-			s.Used = append(s.Used, Point{at, number(l, "cores_used")})
+			s.Waiting = append(s.Waiting, point(at, number(l, "stages_wait")))
+			s.Late = append(s.Late, point(at, number(l, "stages_late")))
+			s.Used = append(s.Used, point(at, number(l, "cores_used")))
 		case "this host leads":
 			s.Leads = append(s.Leads, at)
 		case "store not reachable", "store reachable", "host started":
 			away[l.Host] = l.Message == "store not reachable"
-			s.Away = append(s.Away, Point{at, countTrue(away)})
+			s.Away = append(s.Away, point(at, countTrue(away)))
 		}
 	}
 	for m, c := range counts {
 		p := counted[m](&s)
 		for second, n := range c {
-			*p = append(*p, Point{float64(second), float64(n)})
+			*p = append(*p, point(float64(second), float64(n)))
 		}
 	}
 	return s
 }
 
+func point(second, value float64) Point {
+	return Point{
+		Second: second,
+		Value:  value,
+	}
+}
+
 func number(l logstory.Line, field string) float64 {
 	n, _ := l.Fields[field].(float64)
 	return n
