sched, leader: a stop is ordered again for as long as its run may be there

Cause: a stop was ordered once, and dropped without a word where the worker had no renewer yet (a new leader, 75 ms after it took over) or after four tries without an answer. Change: a run that is wanted gone is kept on a list; its stop is ordered again when the last order was not taken, went unanswered or had no effect, until the run is out of its worker's account. Every order is reported on, and one that nobody took is a log line and a counter ("task stop not taken"). Of the same kind: an end that a worker lists again is acknowledged again, where the acknowledgement was lost with a renewer. Ruled out: orders for workers whose address is not known yet wait for it, so that a take-over does not log one line a run each 150 ms. Without stopAgain five tests of sched and one of leader fail; "ordered again" is also a property over random losses and a take-over.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -110,6 +110,18 @@
 	return f.starts
 }
 
+// Running returns how many runs go on at all workers.
+func (f *Workers) Running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, w := range f.workers {
+		f.lapse(w)
+		n += len(w.running)
+	}
+	return n
+}
+
 // A progress is how far a run is.
 type progress struct {
 	began time.Time
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -136,7 +136,7 @@
 		until  time.Time
 	}
 	startAnswered struct{ answer sched.StartAnswer }
-	stopAnswered  struct{ order sched.StopOrder }
+	stopAnswered  struct{ answer sched.StopAnswer }
 	adviceTaken   struct{ advice sched.Advice }
 	batchWritten  struct {
 		batch sched.Batch
@@ -387,7 +387,7 @@
 	case startAnswered:
 		l.state.StartAnswered(now, e.answer)
 	case stopAnswered:
-		l.state.StopAnswered(now, e.order)
+		l.state.StopAnswered(now, e.answer)
 	case adviceTaken:
 		l.state.Advised(now, e.advice)
 	case batchWritten:
--- a/leader/order.go
+++ b/leader/order.go
@@ -108,33 +108,56 @@
 	}
 }
 
-// sendStop sends a stop order until it is answered.
+// sendStop sends a stop order until it is answered, for as long as its tries
+// last. Whatever becomes of it is reported.
 func (l *Leader) sendStop(ctx context.Context, o sched.StopOrder) {
 	h := l.renewers[o.Worker]
 	if h == nil {
+		l.state.StopAnswered(time.Now(), sched.StopAnswer{
+			Order:  o,
+			Reason: "the worker is not in touch",
+		})
 		return
 	}
 	l.spawn(func() {
-		for range stopTries {
-			c, cancel := context.WithTimeout(ctx, stopTimeout)
-			r := l.config.Workers.Stop(c, Stop{
-				Target: h.target,
-				Fence:  l.Epoch(),
-				Run:    o.Run,
-			})
-			cancel()
-			h.setClock(r.Clock, time.Now())
-			switch r.Kind {
-			case Taken:
-				l.send(stopAnswered{
-					order: o,
-				})
-				return
-			case NoAnswer, Unreachable, NobodyThere, Unhealthy:
-				pause.For(ctx, orderPause)
-			default:
-				return
-			}
+		a := h.stop(ctx, o)
+		l.send(stopAnswered{
+			answer: a,
+		})
+	})
+}
+
+func (h *renewer) stop(ctx context.Context, o sched.StopOrder) sched.StopAnswer {
+	a := sched.StopAnswer{
+		Order: o,
+	}
+	for try := range stopTries {
+		if try > 0 {
+			pause.For(ctx, orderPause)
+		}
+		r := h.stopOnce(ctx, o)
+		switch r.Kind {
+		case Taken:
+			a.Taken = true
+			return a
+		case NoAnswer, Unreachable, NobodyThere, Unhealthy:
+			a.Reason = r.Kind.String()
+		default:
+			a.Reason = r.Kind.String()
+			return a
 		}
+	}
+	return a
+}
+
+func (h *renewer) stopOnce(ctx context.Context, o sched.StopOrder) Reply {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	r := h.leader.config.Workers.Stop(ctx, Stop{
+		Target: h.target,
+		Fence:  h.leader.Epoch(),
+		Run:    o.Run,
 	})
+	h.setClock(r.Clock, time.Now())
+	return r
 }
--- /dev/null
+++ b/leader/stop_test.go
@@ -0,0 +1,69 @@
+package leader_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// counter counts notes by kind.
+type counter struct {
+	mu    sync.Mutex
+	notes map[sched.NoteKind]int
+}
+
+func (c *counter) Note(n sched.Note) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.notes == nil {
+		c.notes = map[sched.NoteKind]int{}
+	}
+	c.notes[n.Kind]++
+}
+
+func (c *counter) Asked(string, time.Duration) {}
+func (c *counter) TookOver(time.Duration)      {}
+
+func (c *counter) of(k sched.NoteKind) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.notes[k]
+}
+
+// A job is cancelled while its worker can't be reached and the leader has just
+// died: the next one has to stop it once the worker answers again.
+func TestJobCancelledDuringATakeOverIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		c := &counter{}
+		x.observer = c
+		x.workers.Lease = 30 * time.Second
+		x.workers.Work = func(sched.RunID) (time.Duration, sched.EndKind) { return time.Minute, sched.EndDone }
+		x.lead("a")
+		x.submit(sched.Job{
+			ID:    "j",
+			Queue: "plain",
+			Steps: []sched.Step{step(2, 1)},
+		})
+		pause.For(x.ctx, time.Second)
+		x.c.Assert(x.workers.Running(), qt.Equals, 2)
+		x.kills[0]()
+		x.workers.Cut(x.ids[0], true)
+		x.c.Assert(jobstore.Cancel(x.ctx, x.store, "host", "j"), qt.IsNil)
+		x.lead("b")
+		pause.For(x.ctx, 4*time.Second)
+		x.c.Assert(x.workers.Running(), qt.Equals, 2)
+		x.workers.Cut(x.ids[0], false)
+		pause.For(x.ctx, 3*time.Second)
+		x.c.Assert(x.workers.Running(), qt.Equals, 0)
+		x.c.Assert(c.of(sched.NoteNotStopped), qt.Not(qt.Equals), 0)
+	})
+}
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -63,6 +63,19 @@
 	NoAnswer                     // it may have been carried out, or may be later
 )
 
+var replyKindNames = [...]string{
+	"taken", "rejected", "fenced", "no room", "no ticket", "too late",
+	"run is over", "unhealthy", "other life", "unreachable", "nobody there", "no answer",
+}
+
+// String returns the kind's name.
+func (k ReplyKind) String() string {
+	if int(k) >= len(replyKindNames) {
+		return "unknown"
+	}
+	return replyKindNames[k]
+}
+
 // A Reply is a worker's answer to an order.
 type Reply struct {
 	Kind ReplyKind
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -16,6 +16,7 @@
 	s.expireLeases()
 	s.saveLeaving()
 	s.stopStuck()
+	s.stopAgain()
 	s.openDue()
 	d := decider{
 		State: s,
--- a/sched/event.go
+++ b/sched/event.go
@@ -127,6 +127,15 @@
 	Run    RunID
 }
 
+// A StopAnswer reports on a stop order.
+type StopAnswer struct {
+	Order StopOrder
+	// Taken tells that the worker stops the run, or does not have it.
+	Taken bool
+	// Reason tells why not.
+	Reason string
+}
+
 // An AdviceOrder asks the advisor which workers may run a stage.
 type AdviceOrder struct {
 	Stage    StageID
@@ -222,6 +231,7 @@
 	NoteEnded      NoteKind = "task ended"
 	NoteGone       NoteKind = "run is gone"
 	NoteStop       NoteKind = "task stop ordered"
+	NoteNotStopped NoteKind = "task stop not taken"
 	NoteJobEnded   NoteKind = "job ended"
 	NoteWorker     NoteKind = "worker changed"
 	NoteStray      NoteKind = "unknown run at worker"
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -39,34 +39,6 @@
 	s.touch(r.task.stage.job)
 }
 
-// stop orders a run to be stopped, once.
-func (s *State) stop(r *run, reason string) {
-	if r.stopping {
-		return
-	}
-	r.stopping = true
-	r.stopSent = s.now
-	s.stops = append(s.stops, StopOrder{
-		Worker: r.worker.id,
-		Run:    r.id,
-	})
-	s.note(Note{
-		Kind:   NoteStop,
-		Job:    r.task.stage.job.ID,
-		Run:    r.id,
-		Worker: r.worker.id,
-		Reason: reason,
-		Age:    s.now.Sub(r.begun),
-	})
-}
-
-// Stops returns the stop orders since the last call.
-func (s *State) Stops() []StopOrder {
-	o := s.stops
-	s.stops = nil
-	return o
-}
-
 // lose takes a run that is certainly gone out of its worker's account; its task is open
 // again.
 func (s *State) lose(r *run, reason string) {
@@ -187,18 +159,6 @@
 // again in the same moment; about one round trip and one write.
 const rejectedPause = 50 * time.Millisecond
 
-// StopAnswered takes in that a worker has taken a stop order.
-func (s *State) StopAnswered(now time.Time, o StopOrder) {
-	s.now = now
-	w := s.workers[o.Worker]
-	if w == nil {
-		return
-	}
-	if r := w.runs[o.Run]; r != nil && r.stopped.IsZero() {
-		r.stopped = now
-	}
-}
-
 // Heartbeat takes in a worker's answer to a lease renewal.
 func (s *State) Heartbeat(now time.Time, h Heartbeat) {
 	s.now = now
@@ -288,6 +248,8 @@
 // takeEnd takes in one end of a run.
 func (s *State) takeEnd(w *worker, e End) {
 	if e.Sequence <= w.seen {
+		// The worker still lists it, so it has not heard the acknowledgement.
+		s.acks[w.id] = w.seen
 		return
 	}
 	w.seen = e.Sequence
--- a/sched/state.go
+++ b/sched/state.go
@@ -44,16 +44,18 @@
 	timed  []*stage // stages that wait for their time
 	learnt map[QueueID]*experience
 
-	dirty   []*job
-	acks    map[spoolsill.WorkerID]uint64
-	stops   []StopOrder
-	starts  []StartOrder // that waited for a ticket after they were recorded
-	advices []AdviceOrder
-	asking  int // questions to the advisor that are not answered
-	warming int // of them, those that keep tickets valid
-	askers  int // hosts that can ask it
-	notes   []Note
-	told    []JobStatus
+	dirty []*job
+	acks  map[spoolsill.WorkerID]uint64
+	stops []StopOrder
+	// unwanted are the runs that were ordered to stop and may still be there.
+	unwanted []*run
+	starts   []StartOrder // that waited for a ticket after they were recorded
+	advices  []AdviceOrder
+	asking   int // questions to the advisor that are not answered
+	warming  int // of them, those that keep tickets valid
+	askers   int // hosts that can ask it
+	notes    []Note
+	told     []JobStatus
 	// storeBack is when the store was last back after an outage.
 	storeBack time.Time
 	checked   time.Time // when runs that stand still were last looked for
@@ -157,8 +159,8 @@
 	percent  int
 	moved    time.Time // when percent was last seen to change
 	stopping bool
-	stopped  time.Time // when the stop was answered
-	stopSent time.Time
+	stopped  time.Time // when a stop was first answered
+	stopDue  time.Time // when the next order to stop it is due
 }
 
 // SetQueues takes in the newest configuration. Queues that it lacks are kept
--- /dev/null
+++ b/sched/stop_test.go
@@ -0,0 +1,230 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// cancelRunning has a cell with a worker "w" whose only run is cancelled.
+func cancelRunning(t *testing.T) (*cell, sched.StopOrder) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.state.CancelJob(x.now, "j")
+	stops := x.state.Stops()
+	x.c.Assert(stops, qt.HasLen, 1)
+	return x, stops[0]
+}
+
+func (x *cell) answerStop(o sched.StopOrder, taken bool) {
+	x.state.StopAnswered(x.now, sched.StopAnswer{
+		Order: o,
+		Taken: taken,
+	})
+}
+
+// stopsWithin returns the stop orders of some time in which the worker "w"
+// goes on listing a run.
+func (x *cell) stopsWithin(d time.Duration, r sched.RunID) []sched.StopOrder {
+	x.pass(d, map[spoolsill.WorkerID][]sched.RunID{
+		"w": {r},
+	})
+	return x.state.Stops()
+}
+
+func TestStopThatNobodyTookIsOrderedAgain(t *testing.T) {
+	x, o := cancelRunning(t)
+	x.answerStop(o, false)
+	x.c.Assert(x.stopsWithin(500*time.Millisecond, o.Run), qt.DeepEquals, []sched.StopOrder{o})
+}
+
+func TestStopWithoutEffectIsOrderedAgain(t *testing.T) {
+	x, o := cancelRunning(t)
+	x.answerStop(o, true)
+	x.c.Assert(x.stopsWithin(500*time.Millisecond, o.Run), qt.HasLen, 0)
+	x.c.Assert(x.stopsWithin(500*time.Millisecond, o.Run), qt.DeepEquals, []sched.StopOrder{o})
+}
+
+func TestStopWhoseAnswerNeverComesIsOrderedAgain(t *testing.T) {
+	x, o := cancelRunning(t)
+	x.c.Assert(x.stopsWithin(3*time.Second, o.Run), qt.Not(qt.HasLen), 0)
+}
+
+func TestStopEndsWithTheRun(t *testing.T) {
+	x, o := cancelRunning(t)
+	x.answerStop(o, true)
+	x.pass(5*time.Second, map[spoolsill.WorkerID][]sched.RunID{
+		"w": nil,
+	})
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+}
+
+// A job may be cancelled while nobody leads; the next leader knows its runs
+// from their rows before it knows where the workers are.
+func TestStopWaitsForTheWorkersAddress(t *testing.T) {
+	x := newCell(t)
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), running("w"))
+	x.state.CancelJob(x.now, "j")
+	x.state.Decide(x.now)
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+	x.list("w", false)
+	x.state.Decide(x.now)
+	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
+}
+
+// running is the progress of a job of one task that runs at a worker.
+func running(id spoolsill.WorkerID) sched.Progress {
+	return sched.Progress{
+		State: sched.Running,
+		Stages: []sched.StageProgress{
+			{
+				Tasks: []sched.TaskProgress{
+					{
+						Run:    1,
+						Worker: id,
+					},
+				},
+			},
+		},
+	}
+}
+
+// A worker that lists an end again has not heard that it lasts.
+func TestEndThatIsListedAgainIsAcknowledgedAgain(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.end(o[0], sched.EndDone)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Acks, qt.HasLen, 1)
+	x.ends["w"] = 0
+	x.end(o[0], sched.EndDone)
+	b, _, err = x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Acks, qt.DeepEquals, []sched.Ack{
+		{
+			Worker:   "w",
+			Sequence: 1,
+		},
+	})
+}
+
+// A flakyWorker loses orders and answers for as long as a sequence says so.
+type flakyWorker struct {
+	runs  map[sched.RunID]bool
+	fates []int
+}
+
+// The fates of an order.
+const (
+	fateWell = iota
+	fateLost
+	fateUnanswered
+	fates
+)
+
+func (w *flakyWorker) fate() int {
+	if len(w.fates) == 0 {
+		return fateWell
+	}
+	f := w.fates[0]
+	w.fates = w.fates[1:]
+	return f
+}
+
+func (w *flakyWorker) stop(x *cell, o sched.StopOrder) {
+	f := w.fate()
+	if f != fateLost {
+		delete(w.runs, o.Run)
+	}
+	x.answerStop(o, f == fateWell)
+}
+
+func (w *flakyWorker) beat(x *cell) {
+	if w.fate() != fateWell {
+		return
+	}
+	var rs []sched.RunID
+	for r := range w.runs {
+		rs = append(rs, r)
+	}
+	x.renew("w", rs...)
+}
+
+// Whatever is cancelled is gone within a bound once its worker answers again,
+// whichever orders and answers got lost before and whoever led.
+func TestCancelledRunsAreGoneOnceTheirWorkerAnswers(t *testing.T) {
+	const bound = 3 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		x := newCell(t)
+		x.worker("w")
+		n := rapid.IntRange(1, 4).Draw(rt, "tasks")
+		x.state.AddJob(x.now, job("j", "q", tasks(n, 1)), sched.Progress{})
+		o := x.step()
+		x.take(o)
+		w := &flakyWorker{
+			runs:  map[sched.RunID]bool{},
+			fates: rapid.SliceOfN(rapid.IntRange(0, fates-1), 0, 20).Draw(rt, "fates"),
+		}
+		for _, s := range o {
+			w.runs[s.Run] = true
+		}
+		if rapid.Bool().Draw(rt, "next leader") {
+			x.state = x.newState()
+			x.state.AddJob(x.now, job("j", "q", tasks(n, 1)), progressOf(o))
+			x.state.CancelJob(x.now, "j")
+			x.list("w", false)
+		} else {
+			x.state.CancelJob(x.now, "j")
+		}
+		for len(w.fates) > 0 {
+			x.tick(w)
+		}
+		for end := x.now.Add(bound); x.now.Before(end); {
+			x.tick(w)
+		}
+		if len(w.runs) > 0 {
+			rt.Fatalf("%d runs of a cancelled job are left", len(w.runs))
+		}
+	})
+}
+
+// tick lets a tenth of a second go by at one worker.
+func (x *cell) tick(w *flakyWorker) {
+	x.now = x.now.Add(100 * time.Millisecond)
+	x.state.Decide(x.now)
+	for _, o := range x.state.Stops() {
+		w.stop(x, o)
+	}
+	w.beat(x)
+}
+
+// progressOf is the progress of a job whose starts have left.
+func progressOf(orders []sched.StartOrder) sched.Progress {
+	p := sched.Progress{
+		State: sched.Running,
+		Stages: []sched.StageProgress{
+			{
+				Tasks: make([]sched.TaskProgress, len(orders)),
+			},
+		},
+	}
+	for _, o := range orders {
+		p.Stages[0].Tasks[o.Run.Task.Index] = sched.TaskProgress{
+			Run:    o.Run.Number,
+			Worker: o.Worker,
+		}
+	}
+	return p
+}
