sched: failures count that were heard of before the queue was known

A host that had started while the store was away led before it knew a configuration (36.82 s, configuration 38.03 s). It heard of a task's third failure at 37.35 s, when it knew no bound, acknowledged it, and started the task again at 40.41 s. The bound was looked at once, with the event. Change: whether a stage has used up its attempts is looked at whenever it is to be placed, from the counts. Result: TestFailuresCountBeforeTheQueueIsKnown fails without the look, passes with it. Ruled out: the acknowledgement going out before the row (the former leader never wrote), a lease that had lapsed, an end that was lost.

--- a/sched/decide.go
+++ b/sched/decide.go
@@ -125,7 +125,8 @@
 // place starts the tasks of a stage that can start now.
 func (d *decider) place(g *stage) {
 	q := d.queue(g.job)
-	if q.Service == "" {
+	if q.Service == "" || d.failExhausted(g) {
+		// Failures may have been heard of before the queue was known.
 		return
 	}
 	if q.Advisor != nil && !d.advised(g, q) {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -353,19 +353,32 @@
 	}
 	s.touch(g.job)
 	t.failedAt = append(t.failedAt, r.worker.id)
-	most := s.queue(g.job).MaxAttempts
-	fails := &t.fails
-	if g.step.Gang {
-		if g.failedRun == r.id.Number {
-			return
-		}
+	if !g.step.Gang {
+		t.fails++
+	} else if g.failedRun != r.id.Number {
 		g.failedRun = r.id.Number
-		fails = &g.fails
+		g.fails++
+	} else {
+		return
 	}
-	*fails++
-	if most > 0 && *fails >= most {
+	if !s.failExhausted(g) {
+		s.breakGang(r, "a member failed")
+	}
+}
+
+// failExhausted ends the job of a stage of which a task, or the gang, has failed
+// as often as its queue allows, and reports whether it did.
+func (s *State) failExhausted(g *stage) bool {
+	most := s.queue(g.job).MaxAttempts
+	if most <= 0 {
+		return false
+	}
+	exhausted := g.fails >= most
+	for _, t := range g.tasks {
+		exhausted = exhausted || !t.done && t.fails >= most
+	}
+	if exhausted {
 		s.endJob(g.job, Failed, "a task failed as often as its queue allows")
-		return
 	}
-	s.breakGang(r, "a member failed")
+	return exhausted
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -46,6 +46,41 @@
 	x.c.Assert(x.step(), qt.HasLen, 0)
 }
 
+// A new leader may hear of the last failure that a task is allowed before it
+// knows the configuration.
+func TestFailuresCountBeforeTheQueueIsKnown(t *testing.T) {
+	x := newCell(t)
+	x.state = sched.New(sched.Config{
+		Lease: lease,
+	})
+	x.worker("w")
+	p := running("w")
+	p.Stages[0].Tasks[0].Fails = 1
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), p)
+	x.end(sched.StartOrder{
+		Worker: "w",
+		Run: sched.RunID{
+			Task: sched.TaskID{
+				Stage: sched.StageID{
+					Job: "j",
+				},
+			},
+			Number: 1,
+		},
+	}, sched.EndFailed)
+	x.renew("w")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.state.SetQueues([]sched.Queue{
+		{
+			ID:          "q",
+			Service:     "work",
+			MaxAttempts: 2,
+		},
+	})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Failed)
+}
+
 func TestNothingLeavesBeforeItIsWritten(t *testing.T) {
 	x := newCell(t)
 	x.worker("w")
