node: a host that starts without the store asks other hosts what they know

Cause: a host that started while the store was away had no configuration. Change: such a host asks the hosts that its settings name for the newest configuration and for who leads, until it has one; it lets others take over for three seconds. A host whose reads of the leader's row fail greets a leader that it has heard of. Kept for the callers: a 503 says that the job will never run.

--- a/cmd/spoolsill-host/main.go
+++ b/cmd/spoolsill-host/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 
@@ -102,6 +103,6 @@
 			log.WithError(err).Error("settings can't be reloaded, the former ones stay")
 			continue
 		}
-		log.WithField("changed", s != now).Info("settings read again")
+		log.WithField("changed", !reflect.DeepEqual(s, now)).Info("settings read again")
 	}
 }
--- a/node/elect.go
+++ b/node/elect.go
@@ -144,6 +144,10 @@
 		begun := time.Now()
 		h, v, err := leader.ReadHead(ctx, n.store)
 		if err != nil {
+			// Other hosts may have told who leads.
+			if call.well(ctx, n, n.knownHead()) {
+				return
+			}
 			pause.For(ctx, n.spaced(watchFailed))
 			continue
 		}
@@ -160,7 +164,9 @@
 		if call.well(ctx, n, h) {
 			return
 		}
-		if h.Released || v == 0 || now.Sub(since) >= n.lapseOf(h, &call, read) {
+		waited := now.Sub(since)
+		lapsed := h.Released || v == 0 || waited >= n.lapseOf(h, &call, read)
+		if lapsed && n.mayLead(waited) {
 			pause.For(ctx, n.handicap()+n.turn())
 			if _, current, err := leader.ReadHead(ctx, n.store); err != nil || current != v {
 				continue // another host was first, as far as is known
@@ -347,9 +353,10 @@
 	n.leading = l
 	if l != nil {
 		n.head = leader.Head{
-			Epoch: e,
-			Host:  n.settings.Host,
-			Life:  n.life,
+			Epoch:   e,
+			Host:    n.settings.Host,
+			Address: n.peerAddress(),
+			Life:    n.life,
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -185,6 +185,7 @@
 	g.Go(func() error { return serve(balancer, ready) })
 	g.Go(func() error { return n.peers.Serve(work, peers) })
 	g.Go(func() error { n.followConfig(work); return nil })
+	g.Go(func() error { n.learnFromHosts(work); return nil })
 	g.Go(func() error { n.jobs.Run(work); return nil })
 	g.Go(func() error { n.serveMetrics(work); return nil })
 	electing, stopElecting := context.WithCancel(work)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -161,6 +161,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ip := fmt.Sprintf("10.1.0.%d", i+1)
+	var peers []string
+	for j := range i {
+		peers = append(peers, fmt.Sprintf("10.1.0.%d:7000", j+1))
+	}
 	h := &host{
 		Config: node.Config{
 			Settings: platform.Settings{
@@ -173,6 +177,7 @@
 				ReadyAddress:   ip + ":81",
 				StoreAddress:   storeAddress,
 				AdvisorAddress: adviceAddr,
+				Peers:          peers,
 				Cores:          cmp.Or(x.cores[i], 0.4),
 				Memory:         256 * spoolsill.MiB,
 				MaxRow:         64 << 10,
--- a/node/peers.go
+++ b/node/peers.go
@@ -25,6 +25,7 @@
 	methodSubmit  = "submit"
 	methodCancel  = "cancel"
 	methodTell    = "tell"
+	methodNews    = "news"
 )
 
 // hostSilent is how long ago a host may have greeted the leader to be asked for
@@ -118,6 +119,7 @@
 	peer.Handle(n.peers, methodSubmit, n.submitAsked)
 	peer.Handle(n.peers, methodCancel, n.cancelAsked)
 	peer.Handle(n.peers, methodTell, n.told)
+	peer.Handle(n.peers, methodNews, n.newsAsked)
 }
 
 func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
--- /dev/null
+++ b/node/young_test.go
@@ -0,0 +1,50 @@
+package node_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/platform"
+)
+
+// A host that starts while the store is away learns the configuration from the
+// others: it refuses nobody for good.
+func TestHostThatStartsWithoutTheStoreKnowsTheConfiguration(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		x.network.SetCut(hostName(2), platformPlace.Name, true)
+		x.start(2)
+		pause.For(x.ctx, time.Second)
+		r := x.call(2, http.MethodPost, "/q/"+jobID(1), body)
+		x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
+		x.c.Assert(x.call(2, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusNotFound)
+		pause.For(x.ctx, 3*time.Second)
+		x.c.Assert(x.state(0, jobID(1)), qt.Equals, completed)
+	})
+}
+
+// A host without a configuration could start nothing: it lets a smaller one lead.
+func TestHostWithoutAConfigurationLetsOthersLead(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		old := x.leader()
+		small := 1 - old
+		x.hosts[small].stop()
+		pause.For(x.ctx, 7*time.Second)
+		x.cores = map[int]float64{
+			small: 0.2,
+		}
+		x.start(small)
+		pause.For(x.ctx, time.Second)
+		x.store.SlowLists(platform.OperatorTable, 2*time.Second)
+		x.network.SetCut(hostName(2), hostName(0), true)
+		x.network.SetCut(hostName(2), hostName(1), true)
+		x.start(2)
+		x.network.SetPaused(hostName(old), true)
+		pause.For(x.ctx, 1900*time.Millisecond)
+		x.c.Assert(x.leader(), qt.Equals, small)
+		x.network.SetPaused(hostName(old), false)
+	})
+}
