sched, cellbench: workers are kept for large single tasks, saved work makes room

Only gangs kept workers for themselves. Change: a stage whose task takes a quarter of a worker or more, and is still in time, keeps the worker where room is expected first; where that takes longer than a stop, runs of less urgent queues that save their progress and have time are stopped there, the fewest that make room.

--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -24,6 +24,8 @@
 
 	Store benchStore `cmd:"" help:"What placement asks of the platform's table, on virtual time."`
 
+	Cell benchCell `cmd:"" help:"Steps, gangs, accelerators and advice on a whole cell."`
+
 	Capacity benchCapacity `cmd:"" help:"What each worker, host and start costs, fitted over several sizes."`
 }
 
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -197,13 +197,15 @@
 func (d *decider) placeEach(g *stage, q *Queue) {
 	ws := d.candidates(g, q)
 	var renew []spoolsill.WorkerID
+	waiting := 0
 	for _, t := range g.tasks {
 		if t.done || t.run != nil {
 			continue
 		}
 		w := d.best(t, ws)
 		if w == nil {
-			break
+			waiting++
+			continue
 		}
 		if q.Advisor == nil || g.advice.valid(w.id, d.now) {
 			d.start(t, w)
@@ -217,6 +219,7 @@
 	if len(renew) > 0 {
 		d.ask(g, q, renew, Renew)
 	}
+	d.reserve(g, q, waiting)
 }
 
 // at returns how many runs of g a worker has.
--- /dev/null
+++ b/sched/reserve_test.go
@@ -0,0 +1,115 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// fill has a job of small tasks take all of the worker "w"; they save their
+// progress if that is wanted.
+func (x *cell) fill(queue sched.QueueID, saves bool) []sched.StartOrder {
+	s := tasks(5, 2)
+	s.Estimate = 5 * time.Second
+	s.Checkpoints = saves
+	j := job("small", queue, s)
+	j.Received = x.now
+	x.state.AddJob(x.now, j, sched.Progress{})
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 5)
+	x.take(o)
+	return o
+}
+
+// addLarge adds a job with a task that needs all of a worker.
+func (x *cell) addLarge(queue sched.QueueID) {
+	j := job("large", queue, tasks(1, 10))
+	j.Received = x.now
+	x.state.AddJob(x.now, j, sched.Progress{})
+}
+
+// Room for a large task is never free at once where small ones take each place
+// that comes free: the worker is kept for it.
+func TestWorkerIsKeptForALargeTask(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	running := x.fill("q", false)
+	x.addLarge("q")
+	x.step()
+	later := job("later", "q", tasks(1, 2))
+	later.Received = x.now.Add(time.Second)
+	x.state.AddJob(x.now, later, sched.Progress{})
+	for _, o := range running {
+		x.c.Assert(x.step(), qt.HasLen, 0)
+		x.end(o, sched.EndDone)
+	}
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 1)
+	x.c.Assert(o[0].Run.Task.Stage.Job, qt.Equals, spoolsill.JobID("large"))
+}
+
+func TestSavedWorkIsStoppedForALargeTask(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		queue sched.QueueID // of the small tasks
+		saves bool
+		stops int
+	}{
+		{"less urgent and saved", "patient", true, 5},
+		{"less urgent, not saved", "patient", false, 0},
+		{"as urgent", "q", true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newCell(t)
+			x.state.SetQueues([]sched.Queue{
+				{
+					ID:          "patient",
+					Service:     "work",
+					Priority:    2,
+					MaxAttempts: 2,
+					Stretch:     4,
+					Goal:        time.Second,
+				},
+			})
+			x.worker("w")
+			running := x.fill(c.queue, c.saves)
+			x.addLarge("q")
+			x.step()
+			stops := x.state.Stops()
+			x.c.Assert(stops, qt.HasLen, c.stops)
+			if c.stops == 0 {
+				return
+			}
+			for _, o := range running {
+				x.end(o, sched.EndStopped)
+			}
+			o := x.step()
+			x.c.Assert(o, qt.HasLen, 1)
+			x.c.Assert(o[0].Run.Task.Stage.Job, qt.Equals, spoolsill.JobID("large"))
+		})
+	}
+}
+
+// Work that would not be in time any more if it began again is left alone.
+func TestWorkWithoutTimeIsNotStopped(t *testing.T) {
+	x := newCell(t)
+	x.state.SetQueues([]sched.Queue{
+		{
+			ID:          "tight",
+			Service:     "work",
+			Priority:    2,
+			MaxAttempts: 2,
+			Stretch:     1,
+			Goal:        time.Second,
+		},
+	})
+	x.worker("w")
+	x.fill("tight", true)
+	x.addLarge("q")
+	x.step()
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -131,6 +131,8 @@
 	// failedAt has the workers where it failed: another one tells whether
 	// the task or the worker is to blame.
 	failedAt []spoolsill.WorkerID
+	// preempted is how often a run of it was stopped to make room.
+	preempted int
 }
 
 // A phase tells how far a run has come.
