leader, sched: answers that get lost cost less, silent workers get nothing new

A hall that was cut off went on being given work for 2.2 s, each start of which was then in doubt. Change: how long an answer is waited for follows from how long answers take (60 to 250 ms); heartbeats wait for half a second, a tenth while answers get lost; a worker that left an order without an answer, and answered nothing since, gets nothing new until it does, nor one whose last answer is 0.9 s old.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -91,6 +92,8 @@
 	advising *adviser
 	sweeper  *sweeper
 	losses   losses
+	answers  answers
+	inTouch  atomic.Int64 // workers that are kept in touch with
 	rows     map[spoolsill.JobID][]byte
 
 	version   spoolsill.Version // of the queues
@@ -131,6 +134,7 @@
 	heartbeatTaken struct{ heartbeat sched.Heartbeat }
 	workerReplaced struct{ worker spoolsill.WorkerID }
 	workerRefused  struct{ worker spoolsill.WorkerID }
+	workerSilent   struct{ worker spoolsill.WorkerID }
 	leaseAsked     struct {
 		worker spoolsill.WorkerID
 		until  time.Time
@@ -382,6 +386,8 @@
 		l.state.WorkerDied(now, e.worker)
 	case workerRefused:
 		l.state.WorkerRefused(now, e.worker)
+	case workerSilent:
+		l.state.WorkerSilent(now, e.worker)
 	case leaseAsked:
 		l.state.LeaseAsked(e.worker, e.until)
 	case startAnswered:
--- a/leader/order.go
+++ b/leader/order.go
@@ -12,15 +12,15 @@
 	// startWindow is how long after it is sent a start may still be carried
 	// out: as long as its tries take, and a little.
 	startWindow = 1500 * time.Millisecond
-	// startTimeout is for one try; a worker answers in milliseconds.
-	startTimeout = 250 * time.Millisecond
-	startTries   = 4
+	// startTries is how often a start is sent; each try is waited for twice as
+	// long as the one before, up to answerMost.
+	startTries = 5
 	// stopTimeout and stopTries are the same for stops.
 	stopTimeout = 300 * time.Millisecond
 	stopTries   = 4
-	orderPause  = 50 * time.Millisecond
+	orderPause  = 20 * time.Millisecond
 	// startLease is when the latest try of a start has lost its force.
-	startLease = startTries*(startTimeout+orderPause) + startWindow
+	startLease = startTries*(answerMost+orderPause) + startWindow
 )
 
 // sendStart sends a start order, and again to the letter when it is not
@@ -50,15 +50,19 @@
 		Run:     o.Run,
 		Outcome: sched.StartUnknown,
 	}
+	timeout := h.leader.answers.timeout()
 	for try := range startTries {
 		if try > 0 {
 			pause.For(ctx, orderPause)
+			timeout = min(2*timeout, answerMost)
 		}
-		r, deadline := h.startOnce(ctx, o)
+		begun := time.Now()
+		r, deadline := h.startOnce(ctx, o, timeout)
 		switch r.Kind {
 		case NoAnswer:
 			a.Doubt = true
 			a.Deadline = max(a.Deadline, deadline)
+			h.reportSilence(begun)
 			continue
 		case Unreachable, NobodyThere:
 			continue
@@ -76,10 +80,20 @@
 	return a
 }
 
-func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder) (Reply, sched.ClockMillis) {
+// reportSilence tells that an order has had no answer, unless the worker has
+// answered another one since: then only this answer got lost.
+func (h *renewer) reportSilence(since time.Time) {
+	if _, _, at := h.read(); at.Before(since) {
+		h.leader.send(workerSilent{
+			worker: h.target.Worker,
+		})
+	}
+}
+
+func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder, timeout time.Duration) (Reply, sched.ClockMillis) {
 	now := time.Now()
 	deadline := h.workerTime(now) + sched.ClockMillis(startWindow.Milliseconds())
-	c, cancel := context.WithTimeout(ctx, startTimeout)
+	c, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r := h.leader.config.Workers.Start(c, Start{
 		Target:   h.target,
@@ -87,6 +101,9 @@
 		Deadline: deadline,
 		Order:    o,
 	})
+	if r.Clock > 0 {
+		h.leader.answers.take(time.Since(now))
+	}
 	h.setClock(r.Clock, time.Now())
 	return r, deadline
 }
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -12,16 +12,13 @@
 
 const (
 	// renewWait is how long a worker waits for an end before it answers a
-	// renewal. Workers whose last answer is older than two such waits get
-	// nothing new.
-	renewWait = time.Second
-	// renewSlack is how much longer than asked an answer may take.
-	renewSlack = 600 * time.Millisecond
-	// lossyWait and lossySlack take their places while orders get lost, so
-	// that an end is not heard of a second and a half late. They cost more
-	// calls.
-	lossyWait  = 250 * time.Millisecond
-	lossySlack = 250 * time.Millisecond
+	// renewal: an end whose answer gets lost is heard of so much later, and a
+	// silent worker is noticed. Ends come oftener on a busy worker.
+	renewWait = 500 * time.Millisecond
+	// lossyWait takes its place while orders get lost. It costs more calls:
+	// lossyEach is how far apart those to all workers are on average.
+	lossyWait = 100 * time.Millisecond
+	lossyEach = 700 * time.Microsecond
 	// lossy is from what share of renewals without an answer orders are taken
 	// to get lost; lossRate is the weight of the newest one, so that some
 	// fifty count: a second of a cell of today.
@@ -43,7 +40,7 @@
 	mu      sync.Mutex
 	acked   uint64
 	clock   sched.ClockMillis // of the worker
-	clockAt time.Time         // when it was read, by ours
+	clockAt time.Time         // when it was read, by ours; its latest answer
 	wake    chan struct{}
 }
 
@@ -65,6 +62,7 @@
 			l.startRenewer(ctx, id)
 		}
 	}
+	l.inTouch.Store(int64(len(wanted)))
 	for id, h := range l.renewers {
 		if !wanted[id] {
 			h.cancel()
@@ -134,7 +132,7 @@
 	answers := false
 	for ctx.Err() == nil {
 		acked, _, _ := h.read()
-		wait, slack := h.leader.losses.waits()
+		wait, slack := h.leader.renewWaits()
 		if seen > acked {
 			wait = 0
 		}
@@ -230,15 +228,21 @@
 	l.share += lossRate * (x - l.share)
 }
 
-// waits returns how long workers are to wait for an end, and how much longer
-// an answer may take.
-func (l *losses) waits() (wait, slack time.Duration) {
+// many reports whether orders are taken to get lost.
+func (l *losses) many() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.share > lossy {
-		return lossyWait, lossySlack
+	return l.share > lossy
+}
+
+// renewWaits returns how long workers are to wait for an end, and how much longer
+// an answer may take.
+func (l *Leader) renewWaits() (wait, slack time.Duration) {
+	wait = renewWait
+	if l.losses.many() {
+		wait = max(lossyWait, time.Duration(l.inTouch.Load())*lossyEach)
 	}
-	return renewWait, renewSlack
+	return wait, l.answers.timeout()
 }
 
 // leaseDeadline returns until when the worker may keep what it runs, on its
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -173,6 +173,7 @@
 		s.noteWorker(w, "answers", now.Sub(w.answered))
 	}
 	w.answered = now
+	w.silent = false
 	for _, e := range h.Ended {
 		s.takeEnd(w, e)
 	}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -15,8 +15,9 @@
 	// leaseMargin covers timers that go off late, on both sides.
 	leaseMargin = 250 * time.Millisecond
 	// silentAfter is how old a worker's last answer may be before nothing new
-	// is started there: two heartbeats of a second that waited for an end.
-	silentAfter = 2200 * time.Millisecond
+	// is started there: a heartbeat that waited for an end for half a second,
+	// one answer that got lost, and the next heartbeat.
+	silentAfter = 900 * time.Millisecond
 	// leaseLeft is how much of its lease a worker must have left to be given
 	// something new.
 	leaseLeft = time.Second
@@ -53,7 +54,9 @@
 	// store is taken as listed.
 	lapsed time.Time
 	unwell time.Time // nothing new before
-	ready  bool      // takes something new, as of the pass under way
+	// silent tells that an order had no answer: nothing new until it answers.
+	silent bool
+	ready  bool // takes something new, as of the pass under way
 	health health
 }
 
@@ -175,6 +178,19 @@
 	}
 }
 
+// WorkerSilent takes in that an order to a worker had no answer, and that it has
+// answered nothing since. It gets nothing new until it does: of a hall that is cut
+// off each start would else be in doubt until a lease is over.
+func (s *State) WorkerSilent(now time.Time, id spoolsill.WorkerID) {
+	s.now = now
+	w := s.workers[id]
+	if w == nil || w.silent || w.dead {
+		return
+	}
+	w.silent = true
+	s.noteWorker(w, "an order had no answer", now.Sub(w.answered))
+}
+
 // relistTime is how long after an outage of the store the entries that went with
 // it take to be back, by the platform's word: about two seconds.
 const relistTime = 2 * time.Second
@@ -332,7 +348,7 @@
 // to end all that it runs.
 func (w *worker) takes(now time.Time) bool {
 	return w.present(now) && !w.Draining && !w.dead && w.strays == 0 &&
-		now.Sub(w.answered) < silentAfter && !now.Before(w.unwell) &&
+		now.Sub(w.answered) < silentAfter && !w.silent && !now.Before(w.unwell) &&
 		w.renewed.Sub(now) > leaseLeft
 }
 
