node, leader: a leader that can't write is replaced sooner

The others waited until the latest write was 0.75 s old, and then 0.5 s more from their first look at the row. Change: a leader tells how many of its writes last, so that a row that still is that one counts as unchanged since the leader's word; it tells that the store turns it away, and is then taken over from at once, unless the store is just slow; a host that led itself before its process ended waits for nobody. Two tests fail without their mechanism each time, 4 plays of 4.

--- a/leader/chain.go
+++ b/leader/chain.go
@@ -109,6 +109,12 @@
 	return c.epoch
 }
 
+// Writes returns how many writes of this leadership last. It must not be called
+// while a write is under way.
+func (c *Chain) Writes() uint64 {
+	return c.head.Write
+}
+
 // Write puts and deletes rows, whatever it takes, until ctx ends or another host
 // leads.
 func (c *Chain) Write(ctx context.Context, puts []store.Put, deletes []store.Key) error {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -83,10 +83,10 @@
 	state  *sched.State
 	events chan event
 	calls  sync.WaitGroup
-	// writes ends later than the calls; written counts the write under way.
-	writes  context.Context //nolint:containedctx // like ctx
-	written sync.WaitGroup
-	ctx     context.Context //nolint:containedctx // calls outlive the functions that order them, not the leadership
+	// writeCtx ends later than the calls; written counts the write under way.
+	writeCtx context.Context //nolint:containedctx // like ctx
+	written  sync.WaitGroup
+	ctx      context.Context //nolint:containedctx // calls outlive the functions that order them, not the leadership
 
 	renewers map[spoolsill.WorkerID]*renewer
 	advising *adviser
@@ -109,6 +109,7 @@
 
 	mu       sync.Mutex
 	fresh    time.Time // like lastWrite, for the calls' goroutines
+	writes   uint64    // how many last, as of fresh
 	statuses map[spoolsill.JobID]sched.JobStatus
 	waiting  map[sched.QueueID]int
 	known    bool
@@ -262,9 +263,16 @@
 
 // Fresh returns when the latest write that lasts was begun.
 func (l *Leader) Fresh() time.Time {
+	t, _ := l.Latest()
+	return t
+}
+
+// Latest returns when the latest write that lasts was begun, and how many writes
+// of this leadership last.
+func (l *Leader) Latest() (begun time.Time, writes uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fresh
+	return l.fresh, l.writes
 }
 
 func (l *Leader) send(e event) {
@@ -449,7 +457,7 @@
 func (l *Leader) Lead(ctx context.Context, release time.Duration) error {
 	writes, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	l.writes = writes
+	l.writeCtx = writes
 	err := l.run(ctx)
 	end := time.AfterFunc(release, cancel)
 	defer end.Stop()
--- a/leader/write.go
+++ b/leader/write.go
@@ -25,7 +25,7 @@
 	l.writing = true
 	// The write goes on when the leadership is being given up: its fate must
 	// be known before the row can be written again.
-	ctx = l.writes
+	ctx = l.writeCtx
 	l.written.Add(1)
 	go func() {
 		defer l.written.Done()
@@ -65,6 +65,7 @@
 		l.state.StoreBack(now)
 	}
 	l.lastWrite = e.begun
+	l.countWrites()
 	l.publish(e.begun, e.batch.Statuses)
 	for _, o := range l.state.Written(now, e.batch) {
 		l.sendStart(o)
@@ -78,6 +79,14 @@
 	}
 }
 
+// countWrites takes in how many writes last; none is under way.
+func (l *Leader) countWrites() {
+	n := l.config.Chain.Writes()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writes = n
+}
+
 func (l *Leader) forget(ids []spoolsill.JobID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/elect.go
+++ b/node/elect.go
@@ -51,6 +51,11 @@
 	// lapseWrites of its usual writes more.
 	stale     = 700 * time.Millisecond
 	staleMost = 1500 * time.Millisecond // added when the store is slow
+	// refusedMost is for how long the store may turn the leader's writes away
+	// before another host should lead, quickWrite how long writes take at most
+	// in a store that is not slow: ten times the usual.
+	refusedMost = 200 * time.Millisecond
+	quickWrite  = 100 * time.Millisecond
 	// watchEvery is how often the row is read while the leader is in doubt, in
 	// a cell of up to some seventy hosts.
 	watchEvery = 100 * time.Millisecond
@@ -106,7 +111,13 @@
 
 // leads reports whether an answer shows that the leader of a row is well.
 func (r greetReply) leads(h leader.Head) bool {
-	return r.Leads && r.Epoch == h.Epoch && r.Age < stale+min(lapseWrites*r.UsualWrite, staleMost)
+	return r.Leads && r.Epoch == h.Epoch && !r.turnedAway() && r.Age < stale+min(lapseWrites*r.UsualWrite, staleMost)
+}
+
+// turnedAway reports whether the store turns the leader away, for longer than a
+// moment, and is not just slow: then a write that is one too many is refused.
+func (r greetReply) turnedAway() bool {
+	return r.Refused >= refusedMost && r.UsualWrite < quickWrite
 }
 
 func (n *Node) greetLeader(ctx context.Context, h leader.Head) (greetReply, error) {
@@ -123,6 +134,11 @@
 		n.mu.Lock()
 		n.mostCores = r.MostCores
 		n.hostCount = r.Hosts
+		n.heard = heardWrite{
+			epoch:  r.Epoch,
+			writes: r.Writes,
+			begun:  time.Now().Add(-r.Age),
+		}
 		n.mu.Unlock()
 	}
 	if err == nil && len(r.Config) > 0 {
@@ -131,6 +147,24 @@
 	return r, err
 }
 
+// A heardWrite is a leader's word of its latest write.
+type heardWrite struct {
+	epoch  spoolsill.Epoch
+	writes uint64
+	begun  time.Time
+}
+
+// unchangedSince returns since when a row that is read now has been as it is:
+// since the write that the leader told of, if it is still that one.
+func (n *Node) unchangedSince(h leader.Head, now time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.heard.epoch == h.Epoch && n.heard.writes == h.Write && n.heard.begun.Before(now) {
+		return n.heard.begun
+	}
+	return now
+}
+
 // watch reads the leader's row until the leader is well, or until the row has
 // stayed as it is for so long that this host tries to take over.
 func (n *Node) watch(ctx context.Context) {
@@ -155,7 +189,7 @@
 		read := now.Sub(begun)
 		if first || v != at {
 			at = v
-			since = now
+			since = n.unchangedSince(h, now)
 		}
 		if n.takeHead(h) || first {
 			call = greeting{}
@@ -166,7 +200,11 @@
 		}
 		waited := now.Sub(since)
 		lapsed := h.Released || v == 0 || waited >= n.lapseOf(h, &call, read)
-		if lapsed && n.mayLead(waited) {
+		if lapsed && !n.mayLead(waited) {
+			pause.For(ctx, youngPause)
+			continue
+		}
+		if lapsed {
 			pause.For(ctx, n.handicap()+n.turn())
 			if _, current, err := leader.ReadHead(ctx, n.store); err != nil || current != v {
 				continue // another host was first, as far as is known
@@ -245,6 +283,8 @@
 	gone bool
 	// answers tells that the leader answers and leads, well or not.
 	answers bool
+	// turnedAway tells that it does, and that the store turns it away.
+	turnedAway bool
 }
 
 // well begins a call when none is under way, and reports whether the latest
@@ -277,6 +317,8 @@
 		well:    err == nil && r.leads(h),
 		gone:    refused(err) || err == nil && !r.Leads,
 		answers: err == nil && r.Leads && r.Epoch == h.Epoch,
+
+		turnedAway: err == nil && r.Leads && r.Epoch == h.Epoch && r.turnedAway(),
 	}
 }
 
@@ -285,9 +327,10 @@
 // is cut from it: in a store that is slow, to take over does harm, since each try
 // is one more write that the leader's own wait behind.
 func (n *Node) lapseOf(h leader.Head, g *greeting, read time.Duration) time.Duration {
-	if h.Host == n.settings.Host || g.last.gone {
-		// The leader's process is gone; here it was an earlier life of this
-		// host.
+	if h.Host == n.settings.Host {
+		return 0 // it was an earlier life of this host
+	}
+	if g.last.gone || g.last.turnedAway {
 		return lapseGone
 	}
 	least := lapse
--- a/node/elect_test.go
+++ b/node/elect_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/spoolsill/spoolsill/internal/cellfake"
 	"github.com/spoolsill/spoolsill/internal/pause"
@@ -167,3 +168,51 @@
 		x.c.Assert(tries > 0 && tries < hosts/3, qt.IsTrue, qt.Commentf("%d tries", tries))
 	})
 }
+
+// failWrites has the writes of a leader meet a fault.
+func (x *cell) failWrites(host int, f cellfake.StoreFault) {
+	x.store.SetFault(func(t store.Transaction) cellfake.StoreFault {
+		if writerOf(t) == hostName(host) {
+			return f
+		}
+		return cellfake.StoreWell
+	})
+}
+
+// A leader whose writes get stuck goes on telling the others of its latest one:
+// they count from there.
+func TestLeaderThatCannotWriteIsReplacedAtOnce(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		old := x.leader()
+		x.failWrites(old, cellfake.StoreLate)
+		pause.For(x.ctx, time.Second)
+		x.c.Assert(x.leader(), qt.Not(qt.Equals), old)
+	})
+}
+
+// The store turns the leader away and serves the others: the leader says so, and
+// nobody waits for its row to lapse.
+func TestLeaderThatIsTurnedAwayIsReplacedAtOnce(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		old := x.leader()
+		x.failWrites(old, cellfake.StoreRefuse)
+		// A write each quarter of a second, refused for a fifth of one, and the
+		// next greetings.
+		pause.For(x.ctx, 690*time.Millisecond)
+		x.c.Assert(x.leader(), qt.Not(qt.Equals), old)
+	})
+}
+
+// writerOf returns the host whose leadership a transaction extends.
+func writerOf(t store.Transaction) string {
+	for _, p := range t.Puts {
+		if p.Key != leader.HeadKey {
+			continue
+		}
+		var h leader.Head
+		if err := msgpack.Unmarshal(p.Value, &h); err == nil {
+			return string(h.Host)
+		}
+	}
+	return ""
+}
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,7 @@
 	leading *leader.Leader
 	head    leader.Head // as far as is known
 	lost    bool        // the leader in head does not answer
+	heard   heardWrite  // of a leader
 	// mostCores is that of the largest host, as a leader told.
 	mostCores float64
 	// hostCount is how many hosts there are, as a leader told; 0 if none has.
--- a/node/peers.go
+++ b/node/peers.go
@@ -48,8 +48,12 @@
 	Epoch spoolsill.Epoch
 	// Age is how long ago the leader's latest write was begun.
 	Age time.Duration
+	// Writes is how many writes of the leadership last, the latest one included.
+	Writes uint64
 	// UsualWrite is how long the leader's writes take at present.
 	UsualWrite time.Duration
+	// Refused is for how long the store has turned all writes of the leader away.
+	Refused time.Duration
 	// MostCores is that of the largest host that the leader knows of.
 	MostCores float64
 	// Hosts is how many hosts there are.
@@ -133,8 +137,11 @@
 	if l := n.leaderHere(); l != nil {
 		r.Leads = true
 		r.Epoch = l.Epoch()
-		r.Age = time.Since(l.Fresh())
+		begun, writes := l.Latest()
+		r.Age = time.Since(begun)
+		r.Writes = writes
 		r.UsualWrite = n.health.usualWrite()
+		r.Refused = n.health.refusedFor(time.Now())
 		r.MostCores = max(n.hosts.mostCores(), n.settings.Cores)
 		r.Hosts = n.hosts.count() + 1
 	}
@@ -165,11 +172,12 @@
 }
 
 // leadsAlone reports whether no other host can have taken over from this one:
-// they wait until its row has not changed for longer than this. A leader that
-// was paused or is cut from the store would else tell that a job runs which the
-// next one has completed.
+// they wait until its row has not changed for lapse at least, or until it tells
+// them that the store turns it away. A leader that was paused or is cut from the
+// store would else tell that a job runs which the next one has completed.
 func (n *Node) leadsAlone(l *leader.Leader) bool {
-	return time.Since(l.Fresh()) < lapse+n.health.usualWrite()
+	now := time.Now()
+	return now.Sub(l.Fresh()) < lapse && n.health.refusedFor(now) < refusedMost
 }
 
 func (n *Node) waitingAsked(_ context.Context, _ peer.Caller, q waitingRequest) (waitingReply, error) {
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -45,6 +45,31 @@
 	// pending has when the writes were sent that are not answered yet.
 	pending map[uint64]time.Time
 	writes  uint64
+	// refusing is since when the store has turned all writes away; zero if it
+	// did not do so with the latest one.
+	refusing time.Time
+}
+
+// wrote takes in whether a write that was begun at some time was turned away,
+// with nothing done.
+func (h *storeHealth) wrote(begun time.Time, refused bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !refused {
+		h.refusing = time.Time{}
+	} else if h.refusing.IsZero() {
+		h.refusing = begun
+	}
+}
+
+// refusedFor returns for how long all writes have been turned away.
+func (h *storeHealth) refusedFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.refusing.IsZero() {
+		return 0
+	}
+	return now.Sub(h.refusing)
 }
 
 // sent takes in that a write is sent, and returns its number for ended.
@@ -188,6 +213,7 @@
 	if err == nil || errors.Is(err, store.ErrUnknown) {
 		s.health.took(time.Since(begun), err == nil)
 	}
+	s.health.wrote(begun, errors.Is(err, store.ErrRefused))
 	s.took(err)
 	s.metrics.Wrote(writeOutcome(r, err), time.Since(begun))
 	return r, err
--- a/node/young.go
+++ b/node/young.go
@@ -23,6 +23,8 @@
 	// youngLeads is for how long a host without a configuration lets others
 	// take over: it could start nothing.
 	youngLeads = 3 * time.Second
+	// youngPause is between its looks at whether it may.
+	youngPause = 20 * time.Millisecond
 )
 
 type newsRequest struct{}
