sched: a question to the advisor that got lost is asked again after a pause

Change: a stage whose question got no answer is left alone for 40 ms. TestOrderWithoutATicketIsDropped asked for the question in the same moment; it lets a tenth of a second go by now and checks as much as before.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -27,6 +27,10 @@
 	// takes at most 100.
 	minAsked = 12
 	maxAsked = 100
+	// lostPause is between two questions about a stage of which the first got no
+	// answer: a host that is cut off from the advisor learns that in milliseconds,
+	// and would ask hundreds of times a second.
+	lostPause = 40 * time.Millisecond
 	// askMore is how long a stage waits for room at the workers that it may
 	// use before it asks about others.
 	askMore = 250 * time.Millisecond
@@ -178,7 +182,9 @@
 	case Warm:
 		x.warming = false
 	}
-	if !a.Lost {
+	if a.Lost {
+		g.retryAt = now.Add(lostPause)
+	} else {
 		s.takeTickets(g, a)
 	}
 	if a.Order.Purpose == Learn {
--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -239,3 +239,25 @@
 	x.advise(q, "w")
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1", "j.0.0.1#1"})
 }
+
+// Where the advisor refuses each question at once, asking again must not become a
+// storm.
+func TestLostQuestionsAreAskedAgainAfterAPause(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.SetAskers(2)
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 1)), sched.Progress{})
+	asked := 0
+	for range 100 {
+		x.step()
+		for _, o := range x.state.Advices() {
+			asked++
+			x.state.Advised(x.now, sched.Advice{
+				Order:    o,
+				Received: x.now,
+				Lost:     true,
+			})
+		}
+	}
+	x.c.Assert(asked <= 25, qt.IsTrue, qt.Commentf("%d questions in a second", asked))
+}
--- a/sched/overdue_test.go
+++ b/sched/overdue_test.go
@@ -68,6 +68,7 @@
 		})
 		x.c.Assert(x.state.Starts(), qt.HasLen, 0)
 		x.c.Assert(x.state.CheckRoom(), qt.IsNil)
+		x.now = x.now.Add(100 * time.Millisecond) // a lost question is not asked again at once
 		x.renew("w")
 		x.step()
 		x.advise(x.question(), "w")
