node, sched: the next leader is there sooner and waits for its workers first

Change: a new leader places nothing for 80 ms after the first worker's answer (35 of 35 answered within 60 ms). A greeting without an answer has the row watched after 80 ms instead of 300, the row lapses after 350 ms instead of 500, and is written each 150 ms instead of 250. A question to the advisor is given up 0.3 s after its cost instead of 0.8 s.

--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -21,7 +21,7 @@
 
 const (
 	// askSlack is how much longer than its cost a question may take.
-	askSlack = 800 * time.Millisecond
+	askSlack = 300 * time.Millisecond
 	// longQuestion is from when a question counts as long. shortHosts are
 	// kept from long ones, so that short ones find a host that is free soon.
 	longQuestion = 150 * time.Millisecond
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -28,7 +28,7 @@
 	// keepAlive is how often the leader writes its row when it has nothing
 	// else to write. Others take over when the row does not change for twice
 	// as long.
-	keepAlive = 250 * time.Millisecond
+	keepAlive = 150 * time.Millisecond
 	// writeEvery lets decisions gather for one write.
 	writeEvery = 10 * time.Millisecond
 	// decideEvery bounds how often stages are looked at; so does decideShare:
--- a/node/elect.go
+++ b/node/elect.go
@@ -28,11 +28,14 @@
 	// and one that does not get the processor for so long is of no use as a
 	// leader.
 	greetTimeout = 300 * time.Millisecond
+	// greetSoon is how long the answer of a leader that was well is waited for
+	// before its row is watched besides: some ten times the usual.
+	greetSoon = 80 * time.Millisecond
 	// lapse is how long the leader's row must stay as it is before another
 	// host takes over, when the leader does not answer this host either. The
-	// leader writes the row every quarter of a second; lapseWrites times the
+	// leader writes the row every 0.15 s; lapseWrites times the
 	// usual time of a write is added, which tells when the store is slow.
-	lapse       = 500 * time.Millisecond
+	lapse       = 350 * time.Millisecond
 	lapseWrites = 4
 	// lapseReads times as long as a read takes, a leader may need for a write
 	// when the store has just become slow: the tries that it sends too early are
@@ -103,7 +106,10 @@
 	if h.Host == "" || h.Released || h.Host == n.settings.Host {
 		return false
 	}
-	r, err := n.greetLeader(ctx, h)
+	r, err := n.greetLeader(ctx, h, greetSoon)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return false // it may just be slow, which the watch will tell
+	}
 	ok := err == nil && r.leads(h)
 	n.setLost(!ok)
 	return ok
@@ -120,8 +126,8 @@
 	return r.Refused >= refusedMost && r.UsualWrite < quickWrite
 }
 
-func (n *Node) greetLeader(ctx context.Context, h leader.Head) (greetReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+func (n *Node) greetLeader(ctx context.Context, h leader.Head, timeout time.Duration) (greetReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	n.peers.Learn(h.Host, h.Address)
 	c := n.configs.get()
@@ -312,7 +318,7 @@
 const greetAtOnce = 15 * time.Millisecond
 
 func (n *Node) greetResult(ctx context.Context, h leader.Head) greetResult {
-	r, err := n.greetLeader(ctx, h)
+	r, err := n.greetLeader(ctx, h, greetTimeout)
 	return greetResult{
 		well:    err == nil && r.leads(h),
 		gone:    refused(err) || err == nil && !r.Leads,
--- a/node/elect_test.go
+++ b/node/elect_test.go
@@ -196,7 +196,7 @@
 	run(t, 3, 1, func(x *cell) {
 		old := x.leader()
 		x.failWrites(old, cellfake.StoreRefuse)
-		// A write each quarter of a second, refused for a fifth of one, and the
+		// A write each 0.15 s, refused for a fifth of one, and the
 		// next greetings.
 		pause.For(x.ctx, 690*time.Millisecond)
 		x.c.Assert(x.leader(), qt.Not(qt.Equals), old)
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,9 @@
 	// keepFactor is how many times longer than must be the states of jobs that
 	// ended are kept.
 	keepFactor = 2
+	// settleTime is within which nearly all workers answer a new leader: 35 of 35
+	// within 60 ms. Without it a take-over took 0.65 s longer until work started.
+	settleTime = 80 * time.Millisecond
 	// maxHeader is the longest header that is read, in bytes.
 	maxHeader = 16 << 10
 )
@@ -310,11 +313,12 @@
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
 		Sched: sched.Config{
-			Lease:     b.Lease,
-			KeepEnded: keepFactor * b.StatusKept,
-			StopTime:  b.StopTime,
-			DrainTime: b.DrainTime,
-			FarFactor: b.FarFactor,
+			Lease:      b.Lease,
+			SettleTime: settleTime,
+			KeepEnded:  keepFactor * b.StatusKept,
+			StopTime:   b.StopTime,
+			DrainTime:  b.DrainTime,
+			FarFactor:  b.FarFactor,
 		},
 		Log:      n.log,
 		Observer: n.metrics,
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -18,6 +18,9 @@
 	s.stopStuck()
 	s.stopAgain()
 	s.openDue()
+	if s.now.Sub(s.answeredFirst) < s.config.SettleTime {
+		return
+	}
 	d := decider{
 		State: s,
 		held:  map[*worker]*stage{},
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -169,6 +169,9 @@
 	if w.answered.IsZero() {
 		s.endInheritance(w)
 	}
+	if s.answeredFirst.IsZero() {
+		s.answeredFirst = now
+	}
 	if now.Sub(w.answered) > silentAfter {
 		s.noteWorker(w, "answers", now.Sub(w.answered))
 	}
--- a/sched/silent_test.go
+++ b/sched/silent_test.go
@@ -28,3 +28,29 @@
 	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
 	x.c.Assert(x.step(), qt.HasLen, 0)
 }
+
+// A new leader asks the advisor once most workers have answered, not about the
+// first one alone.
+func TestNewLeaderWaitsForTheWorkers(t *testing.T) {
+	x := newCell(t)
+	x.state = sched.New(sched.Config{
+		Lease:      lease,
+		SettleTime: 80 * time.Millisecond,
+	})
+	x.state.SetQueues([]sched.Queue{
+		{
+			ID:      "advised",
+			Service: "work",
+			Advisor: &sched.Advisor{},
+		},
+	})
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 1)), sched.Progress{})
+	x.worker("w1")
+	x.step()
+	x.c.Assert(x.state.Advices(), qt.HasLen, 0)
+	x.now = x.now.Add(50 * time.Millisecond)
+	x.worker("w2")
+	x.now = x.now.Add(50 * time.Millisecond)
+	x.step()
+	x.c.Assert(x.question().Workers, qt.HasLen, 2)
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -19,6 +19,11 @@
 	// started.
 	TakenOver      time.Time
 	InheritedLease time.Duration
+	// SettleTime is for how long nothing is placed once the first worker has
+	// answered under this leadership, so that the others are known as well. Else
+	// each stage that waits asks the advisor about the first worker alone, and
+	// about the rest only once that has had no room.
+	SettleTime time.Duration
 	// KeepEnded is how long the state of a job that ended is kept.
 	KeepEnded time.Duration
 	// StopTime is how long a worker needs to stop a run.
@@ -59,8 +64,10 @@
 	// storeBack is when the store was last back after an outage.
 	storeBack time.Time
 	checked   time.Time // when runs that stand still were last looked for
-	ended     []endedJob
-	waiting   map[QueueID]int
+	// answeredFirst is when the first worker answered under this leadership.
+	answeredFirst time.Time
+	ended         []endedJob
+	waiting       map[QueueID]int
 }
 
 // New returns a state that knows of nothing.
