soak: lasting jobs, cancelled while the leader is killed

Cause: no run of the soak could find that a stop was ordered only once: its tasks ended within two seconds by themselves. Change: one job in fifty lasts until it is cancelled; a new kind of harm cancels all of them while it kills the leader and lets the answers of four workers get lost; at the end no run of a job whose cancel was acknowledged may go on for longer than six seconds.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -112,12 +112,21 @@
 
 // Running returns how many runs go on at all workers.
 func (f *Workers) Running() int {
+	return f.RunningOf(func(spoolsill.JobID) bool { return true })
+}
+
+// RunningOf returns how many runs go on of the jobs that are chosen.
+func (f *Workers) RunningOf(chosen func(id spoolsill.JobID) bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, w := range f.workers {
 		f.lapse(w)
-		n += len(w.running)
+		for r := range w.running {
+			if chosen(r.Task.Stage.Job) {
+				n++
+			}
+		}
 	}
 	return n
 }
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -105,6 +105,18 @@
 	AfterRev   []int `json:"afterRev,omitempty"`
 	Gang       bool  `json:"gang,omitempty"`
 	Checkpoint bool  `json:"checkpoint,omitempty"`
+	Lasting    bool  `json:"longRunning,omitempty"`
+}
+
+const (
+	// lastingPart is one in how many jobs lasts until it is cancelled.
+	lastingPart = 50
+	// lastingPrefix begins the ids of such jobs.
+	lastingPrefix = "f"
+)
+
+func lasts(id spoolsill.JobID) bool {
+	return strings.HasPrefix(string(id), lastingPrefix)
 }
 
 // newJob returns a job of one or two steps.
@@ -113,13 +125,22 @@
 	h := handedIn{
 		id: spoolsill.JobID(fmt.Sprintf("%08x%08x", c.name, c.made)),
 	}
-	h.path = queues[c.random.IntN(len(queues))] + string(h.id)
 	steps := []step{c.newStep()}
-	if c.random.IntN(3) == 0 {
+	if c.random.IntN(lastingPart) == 0 {
+		h.id = spoolsill.JobID(fmt.Sprintf("%s%07x%08x", lastingPrefix, c.name, c.made))
+		steps = []step{
+			{
+				Count:   1,
+				CPU:     1000,
+				Lasting: true,
+			},
+		}
+	} else if c.random.IntN(3) == 0 {
 		s := c.newStep()
 		s.AfterRev = []int{0}
 		steps = append(steps, s)
 	}
+	h.path = queues[c.random.IntN(len(queues))] + string(h.id)
 	b, err := json.Marshal(map[string]any{
 		"spec":  "work of " + string(h.id),
 		"steps": steps,
@@ -188,7 +209,15 @@
 	if len(c.open) == 0 {
 		return
 	}
-	h := c.open[c.random.IntN(len(c.open))]
+	c.cancelJob(ctx, c.open[c.random.IntN(len(c.open))])
+}
+
+// cancelJob cancels a job and reports whether that was acknowledged.
+func (c *client) cancelJob(ctx context.Context, h handedIn) bool {
 	c.judge.CancelSent(h.id)
-	c.call(ctx, http.MethodDelete, h.path, "")
+	status, _ := c.call(ctx, http.MethodDelete, h.path, "")
+	if status == http.StatusOK {
+		c.judge.Cancelled(h.id)
+	}
+	return status == http.StatusOK || status == http.StatusGone
 }
--- a/internal/soak/harm.go
+++ b/internal/soak/harm.go
@@ -41,6 +41,7 @@
 	{name: "lost-orders", begin: (*run).loseOrders},
 	{name: "late-orders", begin: (*run).delayOrders},
 	{name: "config", begin: (*run).configure},
+	{name: "cancel-at-take-over", begin: (*run).cancelAtTakeOver},
 }
 
 const (
@@ -184,6 +185,39 @@
 	return x.harmProxy("worker "+string(x.workers[i].ID), x.workers[i].proxy)
 }
 
+// cancelAtTakeOver cancels lasting jobs while the leader is killed and answers of
+// some workers get lost: the next leader has to see to it that they end.
+func (x *run) cancelAtTakeOver(ctx context.Context) func() {
+	var addresses []string
+	for _, p := range x.hosts {
+		addresses = append(addresses, p.Settings.ClientAddress)
+	}
+	c := newClient(x.config.Clients+1, x.random.Uint64(), addresses, x.judge)
+	var heals []func()
+	for range cutWorkers {
+		p := x.workers[x.random.IntN(len(x.workers))].proxy
+		p.Set(OneWay)
+		heals = append(heals, func() { p.Set(Pass) })
+	}
+	heals = append(heals, x.killLeader(ctx))
+	for _, id := range x.judge.Lasting() {
+		x.note("cancels %s", id)
+		go c.cancelJob(ctx, handedIn{
+			id:   id,
+			path: queues[0] + string(id),
+		})
+	}
+	return func() {
+		c.http.CloseIdleConnections()
+		for _, heal := range heals {
+			heal()
+		}
+	}
+}
+
+// cutWorkers is how many workers' answers get lost around a take-over.
+const cutWorkers = 4
+
 // removeWorker has a worker's entry go while it lives on, as during an outage of
 // the store, or says that it leaves.
 func (x *run) removeWorker(context.Context) func() {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	tries     int
 	accepted  bool
 	cancelled bool // a cancel was sent
+	over      bool // a cancel was acknowledged
 	missed    bool // it was shown as not known although it was accepted
 	shown     string
 	shownAt   time.Time
@@ -101,6 +103,21 @@
 	j.jobs[id].cancelled = true
 }
 
+// Cancelled takes in that a cancel was acknowledged.
+func (j *Judge) Cancelled(id spoolsill.JobID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[id].over = true
+}
+
+// Over reports whether a job's cancel was acknowledged.
+func (j *Judge) Over(id spoolsill.JobID) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.jobs[id]
+	return r != nil && r.over
+}
+
 // Shown takes in a job's state as a client was told it; "gone" means that
 // there is no such job.
 func (j *Judge) Shown(id spoolsill.JobID, state string) {
@@ -169,6 +186,20 @@
 	}
 }
 
+// Lasting returns the jobs that last, were accepted and not cancelled.
+func (j *Judge) Lasting() []spoolsill.JobID {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var ids []spoolsill.JobID
+	for id, r := range j.jobs {
+		if lasts(id) && r.accepted && !r.cancelled {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Open returns the jobs that were accepted and have not been seen to end.
 func (j *Judge) Open() []spoolsill.JobID {
 	j.mu.Lock()
@@ -191,6 +222,13 @@
 	}
 }
 
+// StillThere breaks a promise: tasks of cancelled jobs run on.
+func (j *Judge) StillThere(runs int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breach("%d runs of cancelled jobs go on", runs)
+}
+
 // WentBack breaks a promise: a host forgot a configuration that it had in force.
 func (j *Judge) WentBack(host string, version, shows int) {
 	j.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -70,6 +70,11 @@
 	taskTime   = 100 * time.Millisecond
 	taskSpread = 1900 * time.Millisecond
 	failing    = 0.03
+	// lastingTime is longer than any run of the soak; goneTime is how long after
+	// its cancelling was acknowledged a task may go on once all is well: the
+	// platform allows some four seconds.
+	lastingTime = time.Hour
+	goneTime    = 6 * time.Second
 	// The ports of a host; each host has an address of its own.
 	clientPort = 7700
 	readyPort  = 7701
@@ -185,6 +190,10 @@
 
 // work tells how long a run takes and how it ends.
 func (x *run) work(r sched.RunID) (time.Duration, sched.EndKind) {
+	if lasts(r.Task.Stage.Job) {
+		x.judge.Started(r, lastingTime, sched.EndDone)
+		return lastingTime, sched.EndDone
+	}
 	d := taskTime + rand.N(taskSpread)
 	k := sched.EndDone
 	if rand.Float64() < failing {
@@ -344,10 +353,32 @@
 	for _, p := range x.hosts {
 		x.restart(p)
 	}
-	x.settle(ctx, newClient(len(clients), x.config.Seed, addresses, x.judge))
+	c := newClient(len(clients), x.config.Seed, addresses, x.judge)
+	x.endLasting(ctx, c)
+	x.settle(ctx, c)
 	return ctx.Err()
 }
 
+// endLasting cancels the jobs that would last, and sees to it that their tasks are
+// gone, and those of jobs that were cancelled before.
+func (x *run) endLasting(ctx context.Context, c *client) {
+	for _, id := range x.judge.Open() {
+		h := handedIn{
+			id:   id,
+			path: queues[0] + string(id),
+		}
+		for lasts(id) && !c.cancelJob(ctx, h) && wait(ctx, settleStep) {
+			continue
+		}
+	}
+	for end := time.Now().Add(goneTime); time.Now().Before(end); {
+		if x.fakes.RunningOf(x.judge.Over) == 0 || !wait(ctx, settleStep) {
+			return
+		}
+	}
+	x.judge.StillThere(x.fakes.RunningOf(x.judge.Over))
+}
+
 // settle asks for the jobs that were accepted until all have ended.
 func (x *run) settle(ctx context.Context, c *client) {
 	defer c.http.CloseIdleConnections()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,7 @@
 var seeds = []uint64{
 	4,   // kills all hosts, the leader and single ones
 	102, // a leader that was paused told that a completed job still ran
+	905, // a stop was ordered once, and not again where nobody took it
 }
 
 // TestPromisesHoldWhileHostsAreHarmed runs real processes; its verdict does not
