logloss, sched: why jobs were not in time, counted from logs

The objective is the one that the host expected from learnt run times: of short work, whose guesses are off by half, it calls more late than its client does.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,6 +41,7 @@
 	Status   statusCommand   `cmd:"" help:"List jobs with the states of their tasks."`
 	Explain  explainCommand  `cmd:"" help:"Say why a job, task or request is where it is."`
 	Story    storyCommand    `cmd:"" help:"Tell the story of a request, job, task, worker or host from saved logs."`
+	Losses   lossesCommand   `cmd:"" help:"Count from saved logs why jobs were not in time."`
 	Picture  pictureCommand  `cmd:"" help:"Draw a span of time from saved logs."`
 	Workers  workersCommand  `cmd:"" help:"List workers."`
 	HostList hostsCommand    `cmd:"" name:"hosts" help:"List entry hosts."`
--- /dev/null
+++ b/internal/cli/losses.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spoolsill/spoolsill/logloss"
+)
+
+type lossesCommand struct {
+	Logs []string `help:"Saved logs of the hosts, in any order." required:"" type:"existingfile" placeholder:"FILE"`
+}
+
+// Run implements the command.
+func (c *lossesCommand) Run(s *session) error {
+	lines, err := readLogs(c.Logs)
+	if err != nil {
+		return err
+	}
+	queues := logloss.Of(lines)
+	return s.print(queues, func(w io.Writer) {
+		t := newTable(w, "queue", "jobs", "in time", "others", "what became of them", "why")
+		for _, q := range queues {
+			t.row(q.Name, fmt.Sprint(q.Jobs), fmt.Sprint(q.InTime), "", "", "")
+			for _, x := range q.Causes {
+				t.row("", "", "", fmt.Sprint(x.Jobs), string(x.Fate), string(x.Reason))
+			}
+		}
+		t.flush()
+	})
+}
--- a/leader/log.go
+++ b/leader/log.go
@@ -50,6 +50,13 @@
 		if n.Worker != "" {
 			f["worker"] = string(n.Worker)
 		}
+		if a := n.Account; a != nil {
+			f["objective_ms"] = a.Objective.Milliseconds()
+			f["waited_advice_ms"] = a.Advice.Milliseconds()
+			f["waited_room_ms"] = a.Room.Milliseconds()
+			f["runs_failed"] = a.Failed
+			f["runs_lost"] = a.Lost
+		}
 		l.config.Log.WithFields(f).Info(string(n.Kind))
 	}
 }
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -73,6 +73,22 @@
 	return s
 }
 
+// Text returns a field that is a text; empty when there is none.
+func (l *Line) Text(key string) string {
+	return text(l.Fields, key)
+}
+
+// Number returns a field that is a number; 0 when there is none.
+func (l *Line) Number(key string) float64 {
+	x, _ := l.Fields[key].(float64)
+	return x
+}
+
+// Millis returns a field that counts milliseconds.
+func (l *Line) Millis(key string) time.Duration {
+	return time.Duration(l.Number(key) * float64(time.Millisecond))
+}
+
 // around are the messages that explain others: who led, and what could be
 // reached.
 var around = []string{
--- /dev/null
+++ b/sched/account_test.go
@@ -0,0 +1,49 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// accountOf returns the account that the end of the job "j" is noted with.
+func (x *cell) accountOf() sched.Account {
+	for _, n := range x.state.Notes() {
+		if n.Kind == sched.NoteJobEnded {
+			return *n.Account
+		}
+	}
+	x.c.Fatal("no job has ended")
+	return sched.Account{}
+}
+
+func TestJobsEndWithAnAccountOfTheirWaits(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("first", "q", tasks(1, 10)), sched.Progress{})
+	first := x.step()
+	x.take(first)
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 10)), sched.Progress{})
+	x.step()
+	for range 10 {
+		x.now = x.now.Add(90 * time.Millisecond)
+		x.step()
+	}
+	x.end(first[0], sched.EndDone)
+	x.state.Notes()
+	again := x.step()
+	x.take(again)
+	x.end(again[0], sched.EndFailed)
+	last := x.step()
+	x.take(last)
+	x.state.Notes()
+	x.end(last[0], sched.EndDone)
+	a := x.accountOf()
+	x.c.Assert(a.Room >= 900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", a))
+	x.c.Assert(a.Advice, qt.Equals, time.Duration(0))
+	x.c.Assert(a.Failed, qt.Equals, 1)
+	x.c.Assert(a.Objective, qt.Not(qt.Equals), time.Duration(0))
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -132,14 +132,15 @@
 		// Failures may have been heard of before the queue was known.
 		return
 	}
-	if q.Advisor != nil && !d.advised(g, q) {
-		return
-	}
-	if g.step.Gang {
+	d.charge(g)
+	switch {
+	case q.Advisor != nil && !d.advised(g, q):
+	case g.step.Gang:
 		d.placeGang(g, q)
-		return
+	default:
+		d.placeEach(g, q)
 	}
-	d.placeEach(g, q)
+	d.await(g, q)
 }
 
 // advised asks the advisor where nothing is known yet, and about more workers
--- a/sched/event.go
+++ b/sched/event.go
@@ -247,4 +247,19 @@
 	Reason string
 	// Age is how old the input was that decided.
 	Age time.Duration
+	// Account is that of a job that ended, else nil.
+	Account *Account
+}
+
+// An Account tells what a job's time went to, for logs.
+type Account struct {
+	// Objective is the time within which it should have ended.
+	Objective time.Duration
+	// Advice and Room are for how long its stages waited for the advisor and
+	// for room at a worker, added up.
+	Advice time.Duration
+	Room   time.Duration
+	// Failed counts its runs that failed, Lost those whose worker was lost.
+	Failed int
+	Lost   int
 }
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -226,6 +226,8 @@
 		Job:    j.ID,
 		Reason: to.String() + ": " + reason,
 		Age:    s.now.Sub(j.Received),
+
+		Account: s.accountOf(j),
 	})
 }
 
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -356,6 +356,7 @@
 		return
 	}
 	s.touch(g.job)
+	g.job.account.Failed++
 	t.failedAt = append(t.failedAt, r.worker.id)
 	if !g.step.Gang {
 		t.fails++
--- a/sched/state.go
+++ b/sched/state.go
@@ -98,6 +98,7 @@
 	chainsAt time.Time
 	starts   []StartOrder // leave once the job's row is written
 	counted  bool         // in State.waiting
+	account  Account
 }
 
 // A stage is one step in one round of a job.
@@ -115,6 +116,9 @@
 	// openedAt is when its turn had come.
 	openedAt time.Time
 	tier     tier // as of the pass under way
+	// waits is what it has waited for since it was last looked at.
+	waits    waitKind
+	lookedAt time.Time
 	// retryAt keeps a stage whose start was rejected from being tried at once.
 	retryAt time.Time
 	advice  advice
