node: a leader that told of being turned away tells no states until it writes

Cause: found by reading. A leader that told another host that the store turns it away may be taken over from 0.15 s after its latest write; it took itself to be alone again as soon as any write of its host succeeded. Change: it notes the write that was its latest when it told, and tells states from memory only once a later one lasts.

--- a/internal/bench/cellbench/cell.go
+++ b/internal/bench/cellbench/cell.go
@@ -58,7 +58,6 @@
 	runs     map[sched.RunID]*run
 	ends     []sched.End
 	sequence uint64
-	acked    uint64
 }
 
 // A run is a task at a worker. Of a gang it waits until all are there.
--- a/node/elect.go
+++ b/node/elect.go
@@ -140,11 +140,11 @@
 		n.mu.Lock()
 		n.mostCores = r.MostCores
 		n.hostCount = r.Hosts
-		n.heard = heardWrite{
+		n.heard = ledWrite{
 			epoch:  r.Epoch,
 			writes: r.Writes,
-			begun:  time.Now().Add(-r.Age),
 		}
+		n.heardBegun = time.Now().Add(-r.Age)
 		n.mu.Unlock()
 	}
 	if err == nil && len(r.Config) > 0 {
@@ -153,11 +153,11 @@
 	return r, err
 }
 
-// A heardWrite is a leader's word of its latest write.
-type heardWrite struct {
+// A ledWrite names the latest write of a leadership that lasts: the one with so
+// many of them.
+type ledWrite struct {
 	epoch  spoolsill.Epoch
 	writes uint64
-	begun  time.Time
 }
 
 // unchangedSince returns since when a row that is read now has been as it is:
@@ -165,8 +165,12 @@
 func (n *Node) unchangedSince(h leader.Head, now time.Time) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.heard.epoch == h.Epoch && n.heard.writes == h.Write && n.heard.begun.Before(now) {
-		return n.heard.begun
+	row := ledWrite{
+		epoch:  h.Epoch,
+		writes: h.Write,
+	}
+	if n.heard == row && n.heardBegun.Before(now) {
+		return n.heardBegun
 	}
 	return now
 }
--- a/node/node.go
+++ b/node/node.go
@@ -96,7 +96,12 @@
 	leading *leader.Leader
 	head    leader.Head // as far as is known
 	lost    bool        // the leader in head does not answer
-	heard   heardWrite  // of a leader
+	// heard is the latest write that a leader told of, begun at heardBegun.
+	heard      ledWrite
+	heardBegun time.Time
+	// yielded is the latest write of this host's leadership when it told that
+	// the store turns it away.
+	yielded ledWrite
 	// mostCores is that of the largest host, as a leader told.
 	mostCores float64
 	// hostCount is how many hosts there are, as a leader told; 0 if none has.
--- a/node/peers.go
+++ b/node/peers.go
@@ -142,6 +142,7 @@
 		r.Writes = writes
 		r.UsualWrite = n.health.usualWrite()
 		r.Refused = n.health.refusedFor(time.Now())
+		n.noteYield(r)
 		r.MostCores = max(n.hosts.mostCores(), n.settings.Cores)
 		r.Hosts = n.hosts.count() + 1
 	}
@@ -171,13 +172,33 @@
 	}, nil
 }
 
+// noteYield takes in that this host has told another one that the store turns it
+// away. From then on others may take over, until its next write lasts.
+func (n *Node) noteYield(r greetReply) {
+	if !r.turnedAway() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.yielded = ledWrite{
+		epoch:  r.Epoch,
+		writes: r.Writes,
+	}
+}
+
 // leadsAlone reports whether no other host can have taken over from this one:
 // they wait until its row has not changed for lapse at least, or until it tells
 // them that the store turns it away. A leader that was paused or is cut from the
 // store would else tell that a job runs which the next one has completed.
 func (n *Node) leadsAlone(l *leader.Leader) bool {
-	now := time.Now()
-	return now.Sub(l.Fresh()) < lapse && n.health.refusedFor(now) < refusedMost
+	begun, writes := l.Latest()
+	w := ledWrite{
+		epoch:  l.Epoch(),
+		writes: writes,
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(begun) < lapse && n.yielded != w
 }
 
 func (n *Node) waitingAsked(_ context.Context, _ peer.Caller, q waitingRequest) (waitingReply, error) {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -358,13 +358,14 @@
 	s.touch(g.job)
 	g.job.account.Failed++
 	t.failedAt = append(t.failedAt, r.worker.id)
-	if !g.step.Gang {
+	switch {
+	case !g.step.Gang:
 		t.fails++
-	} else if g.failedRun != r.id.Number {
+	case g.failedRun == r.id.Number:
+		return // another member's failure of this run was counted
+	default:
 		g.failedRun = r.id.Number
 		g.fails++
-	} else {
-		return
 	}
 	if !s.failExhausted(g) {
 		s.breakGang(r, "a member failed")
