--- /dev/null
+++ b/node/greeting.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/peer"
+)
+
+// leads reports whether an answer shows that the leader of a row is well.
+func (r greetReply) leads(h leader.Head) bool {
+	return r.Leads && r.Epoch == h.Epoch && !r.turnedAway() && r.Age < stale+min(lapseWrites*r.UsualWrite, staleMost)
+}
+
+// turnedAway reports whether the store turns the leader away, for longer than a
+// moment, and is not just slow: then a write that is one too many is refused.
+func (r greetReply) turnedAway() bool {
+	return r.Refused >= refusedMost && r.UsualWrite < quickWrite
+}
+
+func (n *Node) greetLeader(ctx context.Context, h leader.Head, timeout time.Duration) (greetReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	n.peers.Learn(h.Host, h.Address)
+	c := n.configs.get()
+	r, err := peer.Call[greetReply](ctx, n.peers, h.Host, methodGreet, greetRequest{
+		Address: n.peerAddress(),
+		Version: c.version,
+		Cores:   n.settings.Cores,
+	})
+	if err == nil && r.Leads {
+		n.mu.Lock()
+		n.mostCores = r.MostCores
+		n.hostCount = r.Hosts
+		n.heard = ledWrite{
+			epoch:  r.Epoch,
+			writes: r.Writes,
+		}
+		n.heardBegun = time.Now().Add(-r.Age)
+		n.mu.Unlock()
+	}
+	if err == nil && len(r.Config) > 0 {
+		n.takeConfig(r.Config, "leader")
+	}
+	return r, err
+}
+
+// A ledWrite names the latest write of a leadership that lasts: the one with so
+// many of them.
+type ledWrite struct {
+	epoch  spoolsill.Epoch
+	writes uint64
+}
+
+// unchangedSince returns since when a row that is read now has been as it is:
+// since the write that the leader told of, if it is still that one.
+func (n *Node) unchangedSince(h leader.Head, now time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	row := ledWrite{
+		epoch:  h.Epoch,
+		writes: h.Write,
+	}
+	if n.heard == row && n.heardBegun.Before(now) {
+		return n.heardBegun
+	}
+	return now
+}
+
+// A greeting calls the leader while its row is being watched; the calls of a
+// leader that is silent must not hold the watch up.
+type greeting struct {
+	result chan greetResult
+	last   greetResult
+}
+
+type greetResult struct {
+	well bool
+	gone bool
+	// answers tells that the leader answers and leads, well or not.
+	answers bool
+	// turnedAway tells that it does, and that the store turns it away.
+	turnedAway bool
+}
+
+// well begins a call when none is under way, and reports whether the latest
+// one found the leader well.
+func (g *greeting) well(ctx context.Context, n *Node, h leader.Head) bool {
+	if h.Host == n.settings.Host || h.Host == "" || h.Released {
+		return false
+	}
+	if g.result == nil {
+		g.result = make(chan greetResult, 1)
+		go func(to chan<- greetResult) { to <- n.greetResult(ctx, h) }(g.result)
+		pause.For(ctx, greetAtOnce)
+	}
+	select {
+	case g.last = <-g.result:
+		g.result = nil
+		n.setLost(!g.last.well)
+	default:
+	}
+	return g.last.well
+}
+
+// greetAtOnce is how long the watch waits for the answer of a leader that is
+// there: some round trips.
+const greetAtOnce = 15 * time.Millisecond
+
+func (n *Node) greetResult(ctx context.Context, h leader.Head) greetResult {
+	r, err := n.greetLeader(ctx, h, greetTimeout)
+	return greetResult{
+		well:    err == nil && r.leads(h),
+		gone:    refused(err) || err == nil && !r.Leads,
+		answers: err == nil && r.Leads && r.Epoch == h.Epoch,
+
+		turnedAway: err == nil && r.Leads && r.Epoch == h.Epoch && r.turnedAway(),
+	}
+}
