--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -9,13 +9,15 @@
 const (
 	// preemptAfter is how long room for a large task must be expected to take
 	// for work to be stopped for it: longer than a stop, its end and the next
-	// start take.
+	// start take. On the fake cell of cellbench, at 0.8 of full load, 0.3 and 0.7
+	// seconds earn 0.835, 1.5 seconds 0.829 of all worth.
 	preemptAfter = 700 * time.Millisecond
 	// preemptSlack is how much time a run that is stopped must have left besides
 	// what it still needs: it starts again once there is room. On the fake cell
 	// of cellbench 1, 3 and 5 seconds differ by 0.002 of all worth.
 	preemptSlack = 3 * time.Second
-	// preemptMost is how often a task is stopped for others.
+	// preemptMost is how often a task is stopped for others; with five in its
+	// place the same is earned.
 	preemptMost = 2
 )
 
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -8,7 +8,9 @@
 
 const (
 	// largeShare is from what share of a worker on a task is large: room for it
-	// is seldom free at once where smaller tasks run, so it is gathered.
+	// is seldom free at once where smaller tasks run, so it is gathered. On the
+	// fake cell of cellbench, with accelerators and full load, 0.801 of all worth
+	// is earned, with 0.5 in its place 0.794.
 	largeShare = 0.25
 	// overrun is how much longer a run is taken to need that has run for longer
 	// than expected.
@@ -16,7 +18,9 @@
 )
 
 // reserve keeps workers for the large tasks of a stage that wait for room: one for
-// each, the ones where it is free first. Stages ranked below may not use them.
+// each, the ones where it is free first. Stages ranked below may not use them. Large
+// tasks earn 0.69 of their worth instead of 0.64 by it, 0.73 together with preempt
+// (cellbench, accelerators, full load, eight seeds).
 func (d *decider) reserve(g *stage, q *Queue, waiting int) {
 	r := d.ready[q.Service]
 	if r == nil || g.tier > tierTimely {
