holder: a renewal that a start has overtaken proves nothing

By its log: the worker was paused from 9.24 to 9.85 s; at 9.72 s the task was placed there, and its start and a renewal that names it were on their way. When the worker woke it answered the renewal first, without the task, then the start; the start's answer was taken in first ("task runs"), the renewal's second ("the worker does not know the task"), and the task was started again at the same worker. Change: a start that was answered is remembered until a renewal sent later has been answered; a renewal sent earlier is no proof that the task is missing.

--- a/holder/driver.go
+++ b/holder/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +30,10 @@
 	// starting has the starts whose outcome is not known, with the end of the
 	// lease that they carried.
 	starting map[agent.Ref]lease.Reading
+	// started has when starts were answered, until a renewal that was sent
+	// later has told of the task: an earlier one may have been answered before
+	// the start and be heard of after it.
+	started map[agent.Ref]lease.Reading
 	// born is when this tenure began to look after the worker. A start that a
 	// former holder sent may arrive for the length of a lease after it.
 	born   lease.Reading
@@ -47,6 +52,7 @@
 		granted:  now,
 		born:     now,
 		starting: map[agent.Ref]lease.Reading{},
+		started:  map[agent.Ref]lease.Reading{},
 		forget:   map[agent.Ref]spoolsill.Sequence{},
 		soon:     make(chan struct{}, 1),
 	}
@@ -110,6 +116,7 @@
 
 // renew extends the leases on the worker and takes in its report.
 func (d *driver) renew() {
+	sent := d.t.h.reading()
 	q, address := d.renewal()
 	if address == "" {
 		d.unlisted()
@@ -126,6 +133,7 @@
 	for _, r := range q.Forget {
 		delete(d.forget, r)
 	}
+	d.forgetStarted(sent)
 	d.take(list, q)
 	d.t.wake()
 }
@@ -209,6 +217,12 @@
 	return now.Mono-d.granted.Mono > wait && now.Wall.Sub(d.granted.Wall) > wait
 }
 
+// forgetStarted drops the starts that were answered before a renewal was sent: its
+// report tells of them. The lock is held.
+func (d *driver) forgetStarted(sent lease.Reading) {
+	maps.DeleteFunc(d.started, func(_ agent.Ref, at lease.Reading) bool { return at.Mono < sent.Mono })
+}
+
 // take takes in the report of the worker. The lock is held.
 func (d *driver) take(list []agent.Status, q agent.Renewal) {
 	there := make(map[agent.Ref]bool, len(list))
@@ -289,7 +303,8 @@
 // missing settles a task that the record places on the worker and that the
 // worker does not know. While its start may still arrive, nothing is known.
 func (d *driver) missing(r agent.Ref) {
-	if d.unsent(r) || d.mayArrive(r) {
+	_, overtaken := d.started[r]
+	if overtaken || d.unsent(r) || d.mayArrive(r) {
 		return
 	}
 	delete(d.starting, r)
@@ -354,6 +369,7 @@
 	switch {
 	case err == nil:
 		delete(d.starting, r)
+		d.started[r] = d.t.h.reading()
 		d.report(r, place.Started)
 	case errors.Is(err, agent.ErrRefused):
 		delete(d.starting, r)
--- a/holder/settle_test.go
+++ b/holder/settle_test.go
@@ -126,6 +126,55 @@
 	t.Fatalf("not over capacity in %d tries", tries)
 }
 
+// startAtPausedWorker has a task placed at a worker that is paused, so that its
+// start and a renewal meet there, and returns the task's events.
+func startAtPausedWorker(t *testing.T) string {
+	c := qt.New(t)
+	cell, err := standin.NewCell(oneWorker())
+	c.Assert(err, qt.IsNil)
+	defer cell.Close()
+	f, err := fleet.New(oneHost(cell, holder.Breaks{}))
+	c.Assert(err, qt.IsNil)
+	defer f.Close()
+	ctx := context.Background()
+	c.Assert(f.WaitReady(ctx), qt.IsNil)
+	client := f.Client()
+	defer client.HTTP.CloseIdleConnections()
+	worker := string(cell.Platform.Members().Workers[0].ID)
+	cell.Network.SetPaused(worker, true)
+	p, err := client.Plan(ctx, api.Intent{
+		Submit: "id = \"late\"\nteam = \"t\"\nkind = \"batch\"\ntasks = 1\nprocessors = \"1\"\nmemory = \"1GiB\"\nruntime = \"1h\"\n",
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(client.Confirm(ctx, p.Hall, p.ID), qt.IsNil)
+	pause.For(ctx, 800*time.Millisecond)
+	cell.Network.SetPaused(worker, false)
+	pause.For(ctx, 3*time.Second)
+	l, err := client.Timeline(ctx, timeline.Filter{
+		Task: "late.0",
+	}, 100)
+	c.Assert(err, qt.IsNil)
+	text := ""
+	for _, e := range l.Events {
+		text += e.Text + "\n"
+	}
+	return text
+}
+
+// A renewal that the worker answered before the start, and that is heard of after
+// it, proves nothing: a task that runs would be started once more. Which of the two
+// comes first is chance, so that there are several tries.
+func TestARenewalThatAStartHasOvertakenProvesNothing(t *testing.T) {
+	const tries = 200
+	for range tries {
+		synctest.Test(t, func(t *testing.T) {
+			text := startAtPausedWorker(t)
+			qt.Assert(t, text, qt.Contains, "task runs")
+			qt.Assert(t, text, qt.Not(qt.Contains), "does not know the task")
+		})
+	}
+}
+
 // TestATaskThatUsesFarMoreThanItDeclaredLeavesItsWorker has the worker report
 // four times the declared processors.
 func TestATaskThatUsesFarMoreThanItDeclaredLeavesItsWorker(t *testing.T) {
