sched: a job whose start is only recorded waits until a worker tells of it

A leader recorded starts at 33.6 s at workers of a hall that had been cut off at 33.5 s, and was stopped as planned at 33.72 s. The next one took the seven jobs for begun, since a run was recorded; at 39.3 s their workers answered that they had none of them, and the jobs were placed again at 44.5 s. Change: a job of which nothing is done, failed or saved is pending for a new leader until a worker lists a run of it or its end. Counting a job as waiting that has begun is allowed, the other way round is not. Result: TestRecordedStartsCountAsWaitingUntilAWorkerTells fails without it in two of four cases. Ruled out: the count's age (the feed was heard), jobs without a queue.

--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -33,6 +33,11 @@
 		s.stopJob(x, "job has ended")
 		return
 	}
+	if !x.surelyBegun() {
+		// A recorded start may never have reached its worker: the job waits
+		// until a worker tells of it.
+		s.setState(x, Pending)
+	}
 	for _, g := range x.stages {
 		s.openIfReady(g)
 	}
@@ -62,6 +67,22 @@
 	}
 }
 
+// surelyBegun reports whether the progress of a job proves that a task of it has
+// begun: one is done, has failed or has saved something.
+func (j *job) surelyBegun() bool {
+	for _, g := range j.stages {
+		if g.fails > 0 || g.done() {
+			return true
+		}
+		for _, t := range g.tasks {
+			if t.done || t.fails > 0 || t.saved != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // makeTasks makes the stage's tasks; they are made late since a timed job may
 // have many rounds.
 func (g *stage) makeTasks() {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -137,9 +137,13 @@
 	}
 	r.phase = phaseConfirmed
 	r.resolved = s.now
-	j := r.task.stage.job
+	s.begins(r.task.stage.job)
+}
+
+// begins takes in that a task of a job has begun. That is not written for its own
+// sake: the recorded start implies it, as far as the store tells.
+func (s *State) begins(j *job) {
 	if j.state == Pending {
-		// Not written for its own sake: the recorded start implies it.
 		s.setState(j, Running)
 		s.told = append(s.told, j.status())
 	}
@@ -272,6 +276,7 @@
 		return
 	}
 	t := r.task
+	s.begins(t.stage.job)
 	if e.Saved != "" {
 		t.saved = e.Saved
 	}
--- /dev/null
+++ b/sched/waiting_test.go
@@ -0,0 +1,59 @@
+package sched_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// A former leader's record of a start does not say that the start arrived: the job
+// waits until a worker tells of it.
+func TestRecordedStartsCountAsWaitingUntilAWorkerTells(t *testing.T) {
+	for name, c := range map[string]struct {
+		hear    func(x *cell, r sched.RunID)
+		waiting int
+		state   sched.JobState
+	}{
+		"nothing heard": {
+			hear:    func(*cell, sched.RunID) {},
+			waiting: 1,
+			state:   sched.Pending,
+		},
+		"it is not there": {
+			hear:    func(x *cell, _ sched.RunID) { x.renew("w") },
+			waiting: 1,
+			state:   sched.Pending,
+		},
+		"it runs": {
+			hear:  func(x *cell, r sched.RunID) { x.renew("w", r) },
+			state: sched.Running,
+		},
+		"it has failed": {
+			hear: func(x *cell, r sched.RunID) {
+				x.end(sched.StartOrder{
+					Worker: "w",
+					Run:    r,
+				}, sched.EndFailed)
+			},
+			state: sched.Running,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t)
+			x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), running("w"))
+			x.list("w", false)
+			c.hear(x, sched.RunID{
+				Task: sched.TaskID{
+					Stage: sched.StageID{
+						Job: "j",
+					},
+				},
+				Number: 1,
+			})
+			x.c.Assert(x.state.Waiting()["q"], qt.Equals, c.waiting)
+			x.c.Assert(x.jobState(), qt.Equals, c.state)
+		})
+	}
+}
