--- a/internal/bench/cellbench/cell.go
+++ b/internal/bench/cellbench/cell.go
@@ -270,8 +270,8 @@
 	x.state.Advised(x.loop.Time(), a)
 }
 
-// good tells by a hash whether a stage may run at a worker. One of the workers
-// in each service always may.
+// good tells by a hash whether a stage may run at a worker. Some stages may run at
+// none.
 func (x *cell) good(s sched.StageID, id spoolsill.WorkerID) bool {
 	a := x.jobs[s.Job]
 	if a == nil {
