platform, node: what tells a silent store from a full link

Cause: the logs could not say which call of a configuration feed was given up, how much of its answer had come, when the feed was last answered, that the table was listed anew, how much hosts send each other, and whether a host knows of a configuration that it has not got. Answers to greetings carry the version. No change of logic. Result: node and platform tests pass.

--- a/node/config.go
+++ b/node/config.go
@@ -27,6 +27,11 @@
 type configs struct {
 	mu  sync.Mutex
 	now knownConfig
+	// told is the newest version that another host has told of.
+	told spoolsill.Version
+	// heard is when the store was asked for the latest answer that is taken in;
+	// zero before the first.
+	heard time.Time
 }
 
 func (c *configs) get() knownConfig {
@@ -46,6 +51,38 @@
 	return true
 }
 
+// hear takes in that all changes before a time are known.
+func (c *configs) hear(sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = sent
+}
+
+// age returns how old what the store told is, at most; 0 before it told
+// anything.
+func (c *configs) age(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heard.IsZero() {
+		return 0
+	}
+	return now.Sub(c.heard)
+}
+
+// hearOf takes in the version that another host has.
+func (c *configs) hearOf(v spoolsill.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = max(c.told, v)
+}
+
+// newest returns the newest version that is known to exist.
+func (c *configs) newest() spoolsill.Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.told, c.now.version)
+}
+
 // tell has a leader take in the queues that are in force.
 func (c *configs) tell(l *leader.Leader) {
 	k := c.get()
@@ -71,7 +108,9 @@
 		Store: n.store,
 		Table: platform.OperatorTable,
 		Wait:  configWait,
+		Heard: n.configs.hear,
 		Listed: func(rows []store.Row) {
+			n.log.WithField("rows", len(rows)).Info("configuration table listed")
 			for _, r := range rows {
 				take(r)
 			}
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -42,6 +42,9 @@
 		n.heardBegun = time.Now().Add(-r.Age)
 		n.mu.Unlock()
 	}
+	if err == nil {
+		n.configs.hearOf(r.Version)
+	}
 	if err == nil && len(r.Config) > 0 {
 		n.takeConfig(r.Config, "leader")
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -367,6 +367,10 @@
 	n.metrics.Gauge("spoolsill.leads", "1 while this host leads the cell", func() int64 { return flag(n.leaderHere() != nil) })
 	n.metrics.Gauge("spoolsill.ready", "1 while the balancer may send connections", func() int64 { return flag(n.ready()) })
 	n.metrics.Gauge("spoolsill.config.version", "version of the configuration in force", func() int64 { return int64(n.configs.get().version) })
+	n.metrics.Gauge("spoolsill.config.newest", "newest version of the configuration that this host has heard of", func() int64 { return int64(n.configs.newest()) })
+	n.metrics.Gauge("spoolsill.config.feed.age.milliseconds", "since the store was asked for its latest answer about the configuration", func() int64 { return n.configs.age(time.Now()).Milliseconds() })
+	n.metrics.Gauge("spoolsill.peer.sent.bytes", "bytes that this host sent to other hosts", func() int64 { sent, _ := n.peers.Traffic(); return int64(sent) })
+	n.metrics.Gauge("spoolsill.peer.received.bytes", "bytes that this host received from other hosts", func() int64 { _, read := n.peers.Traffic(); return int64(read) })
 	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -58,6 +58,8 @@
 	MostCores float64
 	// Hosts is how many hosts there are.
 	Hosts int
+	// Version is that of the replying host's configuration.
+	Version spoolsill.Version
 	// Config is the configuration when it is newer than the caller's.
 	Config []byte
 }
@@ -130,7 +132,9 @@
 	n.peers.Learn(c.Host, q.Address)
 	n.hosts.greeted(c.Host, q.Cores, time.Now())
 	x := n.configs.get()
-	var r greetReply
+	r := greetReply{
+		Version: x.version,
+	}
 	if x.version > q.Version {
 		r.Config = x.raw
 	}
