node: heartbeats tell the version of the configuration, not the document

Cause: the leader's answer to each greeting carried the whole configuration until the host had it. An answer of 0.8 MB takes a link of 10 Mbit/s 0.65 s, the host waits 0.08 s for it and greets again after 0.15 s: none was ever taken in, and together they filled the links of leader and hosts (23 MB a second from the leader, 1,150 KB a second into each host for 45 s), so that reading it from the store did not end either, greetings failed and leaders changed. A host that started without the store asked three hosts for the whole document each 0.2 s and waited 0.3 s. Change: greetings, either way, and news tell version, size and the age of what is known. A leader whose feed hears nothing learns from those that greet it. Ruled out: longer time-outs for greetings, which would keep a leader that is gone for longer; compressed documents, which only move the size at which it fails.

--- a/node/config.go
+++ b/node/config.go
@@ -23,15 +23,47 @@
 	config  *platform.Config
 }
 
-// configs holds the newest configuration. It never goes back.
+// A heldConfig is what a host tells another one about its configuration. It is
+// small, and so part of heartbeats, which the document itself must not be: that
+// takes a link of 10 Mbit/s a second, and a heartbeat is waited for a tenth of one.
+type heldConfig struct {
+	Version spoolsill.Version
+	// Size is that of the document, in bytes.
+	Size int
+	// Heard tells that the store, or a host that it reaches, has told that Version
+	// was the newest one Age ago.
+	Heard bool
+	Age   time.Duration
+}
+
+// An offer is a configuration that another host has.
+type offer struct {
+	host    spoolsill.HostID
+	version spoolsill.Version
+	size    int       // bytes
+	since   time.Time // when a host told of this version first
+}
+
+// configs holds the newest configuration, and what is known about how new it is.
+// It never goes back.
 type configs struct {
 	mu  sync.Mutex
 	now knownConfig
-	// told is the newest version that another host has told of.
-	told spoolsill.Version
-	// heard is when the store was asked for the latest answer that is taken in;
-	// zero before the first.
+	// offer is the newest version that another host has told of.
+	offer offer
+	// heard is as of when all changes are known, from the store or from a host
+	// that it reaches; zero before the first answer.
 	heard time.Time
+	// deaf tells that the latest call of the store's feed failed.
+	deaf bool
+	// offered has a value when a host has told of a newer version.
+	offered chan struct{}
+}
+
+func newConfigs() *configs {
+	return &configs{
+		offered: make(chan struct{}, 1),
+	}
 }
 
 func (c *configs) get() knownConfig {
@@ -52,35 +84,74 @@
 }
 
 // hear takes in that all changes before a time are known.
-func (c *configs) hear(sent time.Time) {
+func (c *configs) hear(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard = sent
+	c.hearLocked(at)
+}
+
+func (c *configs) hearLocked(at time.Time) {
+	if at.After(c.heard) {
+		c.heard = at
+	}
 }
 
-// age returns how old what the store told is, at most; 0 before it told
-// anything.
-func (c *configs) age(now time.Time) time.Duration {
+func (c *configs) setDeaf(deaf bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.heard.IsZero() {
-		return 0
+	c.deaf = deaf
+}
+
+// held returns what to tell other hosts.
+func (c *configs) held(now time.Time) heldConfig {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return heldConfig{
+		Version: c.now.version,
+		Size:    len(c.now.raw),
+		Heard:   !c.heard.IsZero(),
+		Age:     now.Sub(c.heard),
 	}
-	return now.Sub(c.heard)
 }
 
-// hearOf takes in the version that another host has.
-func (c *configs) hearOf(v spoolsill.Version) {
+// toldBy takes in what another host holds.
+func (c *configs) toldBy(h spoolsill.HostID, x heldConfig, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.told = max(c.told, v)
+	if x.Heard && x.Version <= c.now.version {
+		c.hearLocked(now.Add(-x.Age))
+	}
+	if x.Version < c.offer.version || x.Version <= c.now.version {
+		return
+	}
+	since := now
+	if x.Version == c.offer.version {
+		since = c.offer.since
+	}
+	c.offer = offer{
+		host:    h,
+		version: x.Version,
+		size:    x.Size,
+		since:   since,
+	}
+	select {
+	case c.offered <- struct{}{}:
+	default:
+	}
 }
 
 // newest returns the newest version that is known to exist.
 func (c *configs) newest() spoolsill.Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.told, c.now.version)
+	return max(c.offer.version, c.now.version)
+}
+
+// age returns how old what is known is, at most; false before anything is.
+func (c *configs) age(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.heard), !c.heard.IsZero()
 }
 
 // tell has a leader take in the queues that are in force.
@@ -117,6 +188,7 @@
 		},
 		Changed: take,
 		Failed: func(err error) {
+			n.configs.setDeaf(err != nil)
 			if err != nil {
 				n.log.WithError(err).Warn("configuration feed lost")
 				return
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -25,10 +25,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	n.peers.Learn(h.Host, h.Address)
-	c := n.configs.get()
 	r, err := peer.Call[greetReply](ctx, n.peers, h.Host, methodGreet, greetRequest{
 		Address: n.peerAddress(),
-		Version: c.version,
+		Held:    n.configs.held(time.Now()),
 		Cores:   n.settings.Cores,
 	})
 	if err == nil && r.Leads {
@@ -43,10 +42,7 @@
 		n.mu.Unlock()
 	}
 	if err == nil {
-		n.configs.hearOf(r.Version)
-	}
-	if err == nil && len(r.Config) > 0 {
-		n.takeConfig(r.Config, "leader")
+		n.configs.toldBy(h.Host, r.Held, time.Now())
 	}
 	return r, err
 }
--- a/node/largeconfig_test.go
+++ b/node/largeconfig_test.go
@@ -91,3 +91,44 @@
 		x.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("host %d, %s: %v", i, prefix, r))
 	}
 }
+
+// Hosts that the store does not reach have a large configuration from the leader,
+// over small links, and lose neither the leader nor what they had of it when
+// connections break.
+func TestLargeConfigurationReachesHostsWithoutTheStore(t *testing.T) {
+	run(t, 4, 1, func(x *cell) {
+		first := x.leader()
+		for i := range x.hosts {
+			x.network.SetRate(hostName(i), smallLink)
+			x.network.SetCut(hostName(i), platformPlace.Name, i != first)
+		}
+		x.configureMany(2, manyRoutes)
+		for range 10 {
+			pause.For(x.ctx, 400*time.Millisecond)
+			for i := range x.hosts {
+				x.network.SetCut(hostName(i), hostName(first), i != first)
+				x.network.SetCut(hostName(i), hostName(first), false)
+			}
+		}
+		pause.For(x.ctx, 4*time.Second)
+		x.c.Assert(x.leader(), qt.Equals, first)
+		x.servesOnAll(routePrefix(manyRoutes - 1))
+	})
+}
+
+// A leader whose feed hears nothing has the configuration from the other hosts.
+func TestDeafLeaderLearnsTheConfiguration(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		x.store.Deafen(true)
+		deaf := x.leader()
+		x.configure(2, false)
+		// A host that starts lists the table, which works.
+		again := (deaf + 1) % 3
+		x.hosts[again].stop()
+		x.c.Assert(<-x.hosts[again].err, qt.IsNil)
+		x.start(again)
+		pause.For(x.ctx, time.Second)
+		x.c.Assert(x.leader(), qt.Equals, deaf)
+		x.c.Assert(x.call(deaf, http.MethodGet, "/extra/", "").status, qt.Equals, http.StatusNotFound)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/jobstore"
@@ -87,8 +88,9 @@
 	jobs     *jobstore.Writer
 
 	telling *semaphore.Weighted
+	pieces  *rate.Limiter // of the configuration, told to other hosts
 
-	configs configs
+	configs *configs
 	hosts   hostList
 	closing atomic.Bool
 
@@ -131,7 +133,9 @@
 		health:  h,
 		metrics: c.Metrics,
 		port:    c.MetricsPort,
+		configs: newConfigs(),
 		telling: semaphore.NewWeighted(tellingMost),
+		pieces:  newPieceLimiter(s.LinkRate),
 	}
 	if n.listen == nil {
 		n.listen = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
@@ -201,6 +205,7 @@
 	g.Go(func() error { return n.peers.Serve(work, peers) })
 	g.Go(func() error { n.followConfig(work); return nil })
 	g.Go(func() error { n.learnFromHosts(work); return nil })
+	g.Go(func() error { n.fetchConfigs(work); return nil })
 	g.Go(func() error { n.jobs.Run(work); return nil })
 	g.Go(func() error { n.serveMetrics(work); return nil })
 	electing, stopElecting := context.WithCancel(work)
@@ -368,12 +373,21 @@
 	n.metrics.Gauge("spoolsill.ready", "1 while the balancer may send connections", func() int64 { return flag(n.ready()) })
 	n.metrics.Gauge("spoolsill.config.version", "version of the configuration in force", func() int64 { return int64(n.configs.get().version) })
 	n.metrics.Gauge("spoolsill.config.newest", "newest version of the configuration that this host has heard of", func() int64 { return int64(n.configs.newest()) })
-	n.metrics.Gauge("spoolsill.config.feed.age.milliseconds", "since the store was asked for its latest answer about the configuration", func() int64 { return n.configs.age(time.Now()).Milliseconds() })
+	n.metrics.Gauge("spoolsill.config.feed.age.milliseconds", "since the store was asked, by this host or the leader, for its latest answer about the configuration; 0 before it", n.configAge)
 	n.metrics.Gauge("spoolsill.peer.sent.bytes", "bytes that this host sent to other hosts", func() int64 { sent, _ := n.peers.Traffic(); return int64(sent) })
 	n.metrics.Gauge("spoolsill.peer.received.bytes", "bytes that this host received from other hosts", func() int64 { _, read := n.peers.Traffic(); return int64(read) })
 	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
 }
 
+// configAge is how old what is known of the configuration is, in milliseconds.
+func (n *Node) configAge() int64 {
+	age, ok := n.configs.age(time.Now())
+	if !ok {
+		return 0
+	}
+	return age.Milliseconds()
+}
+
 func flag(b bool) int64 {
 	if b {
 		return 1
--- a/node/peers.go
+++ b/node/peers.go
@@ -26,6 +26,7 @@
 	methodCancel  = "cancel"
 	methodTell    = "tell"
 	methodNews    = "news"
+	methodPiece   = "piece"
 )
 
 // hostSilent is how long ago a host may have greeted the leader to be asked for
@@ -38,7 +39,8 @@
 
 type greetRequest struct {
 	Address string
-	Version spoolsill.Version
+	// Held is the configuration that the caller has.
+	Held heldConfig
 	// Cores is the processor time that the caller has each second.
 	Cores float64
 }
@@ -58,10 +60,8 @@
 	MostCores float64
 	// Hosts is how many hosts there are.
 	Hosts int
-	// Version is that of the replying host's configuration.
-	Version spoolsill.Version
-	// Config is the configuration when it is newer than the caller's.
-	Config []byte
+	// Held is the configuration that the replying host has.
+	Held heldConfig
 }
 
 type stateRequest struct {
@@ -126,17 +126,16 @@
 	peer.Handle(n.peers, methodCancel, n.cancelAsked)
 	peer.Handle(n.peers, methodTell, n.told)
 	peer.Handle(n.peers, methodNews, n.newsAsked)
+	peer.Handle(n.peers, methodPiece, n.pieceAsked)
 }
 
 func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
 	n.peers.Learn(c.Host, q.Address)
 	n.hosts.greeted(c.Host, q.Cores, time.Now())
-	x := n.configs.get()
+	now := time.Now()
+	n.configs.toldBy(c.Host, q.Held, now)
 	r := greetReply{
-		Version: x.version,
-	}
-	if x.version > q.Version {
-		r.Config = x.raw
+		Held: n.configs.held(now),
 	}
 	if l := n.leaderHere(); l != nil {
 		r.Leads = true
--- a/node/young.go
+++ b/node/young.go
@@ -31,26 +31,28 @@
 
 // A newsReply tells a host that has just started what others know.
 type newsReply struct {
-	// Config is the newest configuration; empty when none is known.
-	Config []byte
+	// Held is the configuration that the host has; its version is 0 when it has
+	// none.
+	Held heldConfig
 	// Head is who leads.
 	Head leader.Head
 }
 
 func (n *Node) newsAsked(context.Context, peer.Caller, newsRequest) (newsReply, error) {
 	return newsReply{
-		Config: n.configs.get().raw,
-		Head:   n.knownHead(),
+		Held: n.configs.held(time.Now()),
+		Head: n.knownHead(),
 	}, nil
 }
 
-// learnFromHosts asks other hosts for the configuration until one is known: a
-// host that starts while the store is away would else refuse all clients, for
-// good by the platform's rules.
+// learnFromHosts asks other hosts which configuration they have until it is known
+// which one is the newest: a host that starts while the store is away would else
+// refuse all clients, for good by the platform's rules.
 func (n *Node) learnFromHosts(ctx context.Context) {
 	pause.For(ctx, youngAfter)
 	for ctx.Err() == nil {
-		if _, ok := n.Config(); ok {
+		_, known := n.Config()
+		if _, heard := n.configs.age(time.Now()); heard && known {
 			return
 		}
 		n.askForNews(ctx)
@@ -80,9 +82,7 @@
 		n.log.WithError(err).WithField("address", address).Info("host could not be asked for the configuration")
 		return
 	}
-	if len(r.Config) > 0 {
-		n.takeConfig(r.Config, "host")
-	}
+	n.configs.toldBy(h, r.Held, time.Now())
 	if r.Head.Epoch > n.knownHead().Epoch {
 		n.takeHead(r.Head)
 	}
--- a/node/young_test.go
+++ b/node/young_test.go
@@ -48,3 +48,16 @@
 		x.network.SetPaused(hostName(old), false)
 	})
 }
+
+// So it does when the configuration is large and links are small.
+func TestHostThatStartsWithoutTheStoreLearnsALargeConfiguration(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		x.configureMany(2, manyRoutes)
+		pause.For(x.ctx, inForce)
+		x.network.SetRate(hostName(2), smallLink)
+		x.network.SetCut(hostName(2), platformPlace.Name, true)
+		x.start(2)
+		pause.For(x.ctx, inForce)
+		x.c.Assert(x.call(2, http.MethodGet, routePrefix(manyRoutes-1), "").status, qt.Equals, http.StatusOK)
+	})
+}
