platform, node: 404 is told only by a host that surely knows all routes

Cause: a host whose configuration was behind told clients 404 for routes that had been confirmed, and a client that is told so does not ask again. Change: a host counts as current when, within the time in which configurations must be in force, the store or a host that it reaches has told that there is no newer one, and no host has told of one. Result: node.TestHostThatHearsNothingRefusesNoRouteForGood; it fails with 404 without the change. A host that the store does not reach but the leader does goes on telling 404. Left: a route that was dropped is served by a host that is behind until it learns.

--- a/node/config.go
+++ b/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -16,6 +17,10 @@
 // a sign is noticed only after it.
 const configWait = time.Second
 
+// configInForce is within how long a configuration is in force everywhere, where
+// the settings do not say it.
+const configInForce = 2 * time.Second
+
 // knownConfig is a configuration as it was read.
 type knownConfig struct {
 	version spoolsill.Version
@@ -168,6 +173,13 @@
 	return k.config, k.config != nil
 }
 
+// ConfigIsCurrent implements [platform.Jobs].
+func (n *Node) ConfigIsCurrent() bool {
+	age, ok := n.configs.age(time.Now())
+	within := cmp.Or(n.settings.Bounds.ConfigInForce, configInForce)
+	return ok && age <= within && n.configs.newest() == n.configs.get().version
+}
+
 // followConfig keeps up with the operators' configuration.
 func (n *Node) followConfig(ctx context.Context) {
 	take := func(r store.Row) {
--- a/node/young_test.go
+++ b/node/young_test.go
@@ -61,3 +61,24 @@
 		x.c.Assert(x.call(2, http.MethodGet, routePrefix(manyRoutes-1), "").status, qt.Equals, http.StatusOK)
 	})
 }
+
+// A host that can't know whether its configuration is the newest tells nobody for
+// good that there is no such queue.
+func TestHostThatHearsNothingRefusesNoRouteForGood(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		cut := (x.leader() + 1) % 3
+		x.c.Assert(x.call(cut, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusNotFound)
+		x.network.SetCut(hostName(cut), platformPlace.Name, true)
+		pause.For(x.ctx, 3*time.Second)
+		// The leader still tells it.
+		x.c.Assert(x.call(cut, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusNotFound)
+		for i := range x.hosts {
+			x.network.SetCut(hostName(cut), hostName(i), i != cut)
+		}
+		pause.For(x.ctx, 3*time.Second)
+		x.c.Assert(x.call(cut, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusBadGateway)
+		x.network.SetCut(hostName(cut), platformPlace.Name, false)
+		pause.For(x.ctx, 3*time.Second)
+		x.c.Assert(x.call(cut, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusNotFound)
+	})
+}
