--- a/leader/fixture_test.go
+++ b/leader/fixture_test.go
@@ -1,6 +1,7 @@
 package leader_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,6 +32,8 @@
 	ctx     context.Context
 	store   *cellfake.Store
 	workers *cellfake.Workers
+	// orders is what leaders give orders to, if it is not workers.
+	orders  leader.Workers
 	ids     []spoolsill.WorkerID
 	hosts   sync.WaitGroup
 	leaders []*leader.Leader
@@ -106,7 +109,7 @@
 		l := leader.New(leader.Config{
 			Store:   x.store,
 			Chain:   c,
-			Workers: x.workers,
+			Workers: cmp.Or[leader.Workers](x.orders, x.workers),
 			Advisor: &cellfake.Advisor{
 				HostIDs: []spoolsill.HostID{host, "other"},
 				Cut:     x.cutHost,
