sched: stops of runs that no record names are paced

Cause: an order to stop such a run was given with each heartbeat that listed it, 150 in 3 s at a worker that answers each 20 ms, whether or not the one before was answered; each may wait 1.3 s for an answer, and a worker has eight connections, which its renewals and starts share. Change: a worker's account keeps when the next stop of each is due, with the pauses of known runs: the tries of an order, then the time to stop and 0.5 s; 0.15 s after one that was not taken.

--- a/sched/runs.go
+++ b/sched/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"strings"
 	"time"
 )
@@ -185,11 +186,11 @@
 		s.takeEnd(w, e)
 	}
 	listed := make(map[RunID]bool, len(h.Running))
-	w.strays = 0
 	for _, x := range h.Running {
 		listed[x.Run] = true
 		s.seeRunning(w, x)
 	}
+	maps.DeleteFunc(w.strays, func(id RunID, _ time.Time) bool { return !listed[id] })
 	if h.Partial {
 		return
 	}
@@ -221,18 +222,7 @@
 func (s *State) seeRunning(w *worker, x RunningTask) {
 	r := w.runs[x.Run]
 	if r == nil {
-		w.strays++
-		s.stops = append(s.stops, StopOrder{
-			Worker: w.id,
-			Run:    x.Run,
-		})
-		s.note(Note{
-			Kind:   NoteStray,
-			Job:    x.Run.Task.Stage.Job,
-			Run:    x.Run,
-			Worker: w.id,
-			Reason: "no record names it",
-		})
+		s.seeStray(w, x.Run)
 		return
 	}
 	if r.phase != phaseRecorded && r.phase != phasePlanned {
--- a/sched/stop.go
+++ b/sched/stop.go
@@ -34,7 +34,7 @@
 	if r.worker.Address == "" {
 		return
 	}
-	r.stopDue = s.now.Add(stopTries + s.config.StopTime + stopMargin)
+	r.stopDue = s.dueAfterStop()
 	s.stops = append(s.stops, StopOrder{
 		Worker: r.worker.id,
 		Run:    r.id,
@@ -49,6 +49,41 @@
 	})
 }
 
+// dueAfterStop returns when the next order is due of a stop that is ordered now.
+func (s *State) dueAfterStop() time.Time {
+	return s.now.Add(stopTries + s.config.StopTime + stopMargin)
+}
+
+// dueAfterAnswer returns the same of a stop that is answered now.
+func (s *State) dueAfterAnswer(a StopAnswer) time.Time {
+	if !a.Taken {
+		return s.now.Add(stopPause)
+	}
+	return s.now.Add(s.config.StopTime + stopMargin)
+}
+
+// seeStray takes in that a worker has a run that no record names, and orders it to
+// be stopped if that is due. A worker of many short tasks answers fifty times a
+// second and goes on listing a run while it stops it: an order for each answer makes
+// 150 in 3 s, paced they are 5 (TestStopsOfUnknownRunsArePaced).
+func (s *State) seeStray(w *worker, id RunID) {
+	if s.now.Before(w.strays[id]) {
+		return
+	}
+	w.strays[id] = s.dueAfterStop()
+	s.stops = append(s.stops, StopOrder{
+		Worker: w.id,
+		Run:    id,
+	})
+	s.note(Note{
+		Kind:   NoteStray,
+		Job:    id.Task.Stage.Job,
+		Run:    id,
+		Worker: w.id,
+		Reason: "no record names it",
+	})
+}
+
 // stopAgain gives the stop orders again that are due and have had no effect: a
 // worker that was out of reach when its run was cancelled would else run it to
 // its end. Cost: O(runs wanted gone).
@@ -68,12 +103,16 @@
 	if w == nil {
 		return
 	}
+	if _, ok := w.strays[a.Order.Run]; ok {
+		w.strays[a.Order.Run] = s.dueAfterAnswer(a)
+		return
+	}
 	r := w.runs[a.Order.Run]
 	if r == nil {
 		return
 	}
+	r.stopDue = s.dueAfterAnswer(a)
 	if !a.Taken {
-		r.stopDue = now.Add(stopPause)
 		s.note(Note{
 			Kind:   NoteNotStopped,
 			Job:    r.task.stage.job.ID,
@@ -84,7 +123,6 @@
 		})
 		return
 	}
-	r.stopDue = now.Add(s.config.StopTime + stopMargin)
 	if r.stopped.IsZero() {
 		r.stopped = now
 	}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -44,8 +44,9 @@
 	// until when we have asked for it.
 	leased  time.Time
 	renewed time.Time
-	// strays are runs that it has and no record names.
-	strays int
+	// strays are the runs that it has and no record names, by when the next order
+	// to stop them is due.
+	strays map[RunID]time.Time
 	// leaves is when a worker that drains, or is no longer listed, may be gone
 	// at the earliest; unlisted is when its entry went.
 	leaves   time.Time
@@ -70,6 +71,7 @@
 	w = &worker{
 		id:     id,
 		runs:   map[RunID]*run{},
+		strays: map[RunID]time.Time{},
 		leased: s.config.TakenOver.Add(s.config.InheritedLease),
 	}
 	s.workers[id] = w
@@ -349,7 +351,7 @@
 // have been renewed: a worker that answers again after a silence may be about
 // to end all that it runs.
 func (w *worker) takes(now time.Time) bool {
-	return w.present(now) && !w.Draining && !w.dead && w.strays == 0 &&
+	return w.present(now) && !w.Draining && !w.dead && len(w.strays) == 0 &&
 		now.Sub(w.answered) < silentAfter && !w.silent && !now.Before(w.unwell) &&
 		w.renewed.Sub(now) > leaseLeft
 }
