sched: a test that what is left of a done gang is stopped with its job

A late member of a gang whose end another one told is skipped when its job is cancelled; it is stopped when its worker lists it again. The test holds, and fails when seeRunning does not stop the runs of jobs that have ended.

--- a/sched/unasked_test.go
+++ b/sched/unasked_test.go
@@ -380,3 +380,27 @@
 	x.pass(2*time.Second, nil)
 	x.c.Assert(x.state.Workers(), qt.HasLen, 0)
 }
+
+// One member's end stands for its whole gang, whose others are expected to end by
+// themselves. One that goes on is stopped when its job is cancelled.
+func TestMembersLeftOfADoneGangAreStoppedWithTheirJob(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	second := tasks(1, 1)
+	second.After = []int{0}
+	x.state.AddJob(x.now, job("j", "q", gang(2, 1), second), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.end(o[0], sched.EndDone)
+	x.take(x.step())
+	x.state.CancelJob(x.now, "j")
+	x.state.Stops() // of the second step
+	x.now = x.now.Add(lookEvery)
+	x.renew("w", o[1].Run)
+	x.c.Assert(x.state.Stops(), qt.DeepEquals, []sched.StopOrder{
+		{
+			Worker: "w",
+			Run:    o[1].Run,
+		},
+	})
+}
