node: a test of late starts whose starter is removed

Whole hosts on virtual time: a worker that was paused starts a job's tasks as it goes on, the host that ordered it is cut off for good in the same moment, and the job is cancelled at another host while nobody leads.

--- /dev/null
+++ b/node/unasked_test.go
@@ -0,0 +1,48 @@
+package node_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// cancelBound is within which nothing of a cancelled job may be left, on the
+// strictest of the known deployments: 3 s, and 0.2 s for the stop itself.
+const cancelBound = 3200 * time.Millisecond
+
+// A worker is paused while it is told to start a job's tasks, and starts them once
+// it goes on. The host that told it is removed just then, and the job is cancelled at
+// another host while nobody leads.
+func TestLateStartsOfARemovedHostAreStopped(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		x.workers.Work = func(sched.RunID) (time.Duration, sched.EndKind) { return time.Minute, sched.EndDone }
+		old := x.leader()
+		other := (old + 1) % len(x.hosts)
+		pause.For(x.ctx, 2*time.Second)
+		x.network.SetPaused("w0", true)
+		x.c.Assert(x.call(other, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
+		pause.For(x.ctx, 600*time.Millisecond)
+		x.c.Assert(x.workers.Starts(), qt.Equals, 0)
+		x.network.SetPaused("w0", false)
+		pause.For(x.ctx, 2*time.Millisecond)
+		x.network.SetPaused(hostName(old), true)
+		defer x.network.SetPaused(hostName(old), false)
+		x.c.Assert(x.workers.Running(), qt.Equals, 2)
+		r := x.callBy(x.newClient(), other, http.MethodDelete, "/q/"+jobID(1), "")
+		x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
+		cancelled := time.Now()
+		for x.workers.Running() > 0 && time.Since(cancelled) < time.Minute {
+			pause.For(x.ctx, 10*time.Millisecond)
+		}
+		took := time.Since(cancelled)
+		t.Logf("gone after %v", took)
+		x.c.Assert(took <= cancelBound, qt.IsTrue, qt.Commentf("gone after %v", took))
+		x.c.Assert(x.leader(), qt.Not(qt.Equals), old)
+		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
