node: the leader is told of cancels, as it is of jobs

Cause: cancels reached the leader by the feed alone. Change: the host that marked a job tells the leader of the mark, as it tells it of a job that it has kept. Result: node.TestCancelReachesTheLeaderWithoutTheFeed; without the change both tasks still run a second after the cancel.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -122,19 +122,28 @@
 // Cancel marks a job as cancelled, in a host's own partition. The caller knows
 // that there is such a job.
 func Cancel(ctx context.Context, s store.Store, partition string, id spoolsill.JobID) error {
-	k := jobKey(partition, id)
-	k.Name += cancelSuffix
+	r := CancelRow(partition, id)
 	_, err := s.Commit(ctx, store.Transaction{
 		Puts: []store.Put{
 			{
-				Key:   k,
-				Value: []byte{1},
+				Key:   r.Key,
+				Value: r.Value,
 			},
 		},
 	})
 	return err
 }
 
+// CancelRow returns the row that marks a job as cancelled.
+func CancelRow(partition string, id spoolsill.JobID) store.Row {
+	k := jobKey(partition, id)
+	k.Name += cancelSuffix
+	return store.Row{
+		Key:   k,
+		Value: []byte{1},
+	}
+}
+
 // State reads a job's state from the store. It returns false when there is no
 // such job. A job that has begun costs one read, others one for each
 // partition.
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
 )
 
 const (
@@ -68,7 +69,7 @@
 				"outcome": o.String(),
 			}).Info("job accepted")
 			if o == jobstore.Accepted {
-				n.tell(ctx, j)
+				n.tellJob(ctx, j)
 			}
 			return platform.Done, nil
 		case jobstore.Conflict:
@@ -88,14 +89,19 @@
 	return n.notKept(ctx, j, maybe, tries, begun, last)
 }
 
-// tell tells the leader of a job that lasts, without waiting for an answer. What
-// gets lost, the leader learns from the store.
-func (n *Node) tell(ctx context.Context, j sched.Job) {
+// tellJob tells the leader of a job that lasts.
+func (n *Node) tellJob(ctx context.Context, j sched.Job) {
 	row, err := jobstore.Row(n.partition(), j)
 	if err != nil {
 		n.log.WithError(err).WithField("job", string(j.ID)).Error("job can't be told of")
 		return
 	}
+	n.tell(ctx, j.ID, row)
+}
+
+// tell tells the leader of a row of a job that lasts, without waiting for an
+// answer. What gets lost, the leader learns from the store.
+func (n *Node) tell(ctx context.Context, id spoolsill.JobID, row store.Row) {
 	if l := n.leaderHere(); l != nil {
 		l.Tell(row)
 		return
@@ -112,7 +118,7 @@
 			Row: row,
 		})
 		if err != nil {
-			n.log.WithError(err).WithField("job", string(j.ID)).WithField("leader", string(h)).Warn("leader was not told of a job")
+			n.log.WithError(err).WithField("job", string(id)).WithField("leader", string(h)).Warn("leader was not told of a job")
 		}
 	}()
 }
@@ -296,7 +302,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.health.writeTimeout())
 	defer cancel()
-	return true, jobstore.Cancel(ctx, n.store, n.partition(), id)
+	if err := jobstore.Cancel(ctx, n.store, n.partition(), id); err != nil {
+		return true, err
+	}
+	// A feed may hear nothing for seconds, and the tasks would run on meanwhile.
+	n.tell(ctx, id, jobstore.CancelRow(n.partition(), id))
+	return true, nil
 }
 
 // Waiting implements [platform.Jobs].
--- a/node/peers.go
+++ b/node/peers.go
@@ -239,7 +239,7 @@
 		n.log.WithError(err).WithField("job", string(j.ID)).Warn("job handed on by a host was not written")
 	}
 	if o == jobstore.Accepted {
-		n.tell(ctx, j)
+		n.tellJob(ctx, j)
 	}
 	return submitReply{
 		Outcome: o,
--- a/node/unasked_test.go
+++ b/node/unasked_test.go
@@ -46,3 +46,18 @@
 		x.c.Assert(x.workers.Broken(), qt.HasLen, 0)
 	})
 }
+
+// Feeds may hear nothing for a while: the leader is told of cancels all the same.
+func TestCancelReachesTheLeaderWithoutTheFeed(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		x.workers.Work = func(sched.RunID) (time.Duration, sched.EndKind) { return time.Minute, sched.EndDone }
+		other := (x.leader() + 1) % len(x.hosts)
+		x.c.Assert(x.call(other, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
+		pause.For(x.ctx, 2*time.Second)
+		x.c.Assert(x.workers.Running(), qt.Equals, 2)
+		x.store.Deafen(true)
+		x.c.Assert(x.call(other, http.MethodDelete, "/q/"+jobID(1), "").status, qt.Equals, http.StatusOK)
+		pause.For(x.ctx, time.Second)
+		x.c.Assert(x.workers.Running(), qt.Equals, 0)
+	})
+}
