node: tests of configurations between hosts, which fail

Five faults: a configuration that is replaced before it is whole is begun anew and never in force; one that can't be read is fetched over and over without a pause; an offer of a host that is gone hides an older one; a host alone whose store is well says for some milliseconds a second that it may be out of date; a leader of the former version is not told the version that a host has.

--- /dev/null
+++ b/node/configfaults_test.go
@@ -0,0 +1,215 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/peer"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// Hosts that the store does not reach have some newer configuration after a while,
+// though a newer one is written before the former can have come whole.
+func TestConfigurationsInQuickSuccessionReachHostsWithoutTheStore(t *testing.T) {
+	run(t, 4, 1, func(x *cell) {
+		first := x.leader()
+		for i := range x.hosts {
+			x.network.SetRate(hostName(i), smallLink)
+			x.network.SetCut(hostName(i), platformPlace.Name, i != first)
+		}
+		// The first needs some five seconds to all three of them.
+		for i := range 10 {
+			x.configureMany(2+i, manyRoutes+i)
+			pause.For(x.ctx, 3*time.Second)
+		}
+		c := x.newClient()
+		for i := range x.hosts {
+			r := x.callBy(c, i, http.MethodGet, routePrefix(0), "")
+			x.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("host %d: %v", i, r))
+		}
+	})
+}
+
+// A host whose store is well never says that it may be out of date, though no other
+// host tells it so.
+func TestHostThatHearsTheStoreIsCurrent(t *testing.T) {
+	run(t, 1, 1, func(x *cell) {
+		x.network.SetRate(hostName(0), 50_000) // some milliseconds for a call
+		n, bad := 0, 0
+		for begun := time.Now(); time.Since(begun) < 20*time.Second; n++ {
+			if x.call(0, http.MethodGet, "/none/", "").status != http.StatusNotFound {
+				bad++
+			}
+			pause.For(x.ctx, 3*time.Millisecond)
+		}
+		x.c.Check(bad, qt.Equals, 0, qt.Commentf("of %d calls", n))
+	})
+}
+
+type heldByFake struct {
+	Version spoolsill.Version
+	Size    int
+	Heard   bool
+	Age     time.Duration
+}
+
+type greetByFake struct {
+	Address string
+	Held    heldByFake
+	Cores   float64
+}
+
+type pieceToFake struct {
+	Version spoolsill.Version
+	Offset  int
+}
+
+type pieceOfFake struct {
+	Version spoolsill.Version
+	Size    int
+	Offset  int
+	Data    []byte
+}
+
+// An oldGreetRequest has what a host of the former version reads of a greeting:
+// it answers with the whole configuration when it has a newer one than Version.
+type oldGreetRequest struct {
+	Address string
+	Version spoolsill.Version
+	Cores   float64
+}
+
+// A leader of the former version, which serves on while hosts are replaced one
+// after the other, is told that a host has the configuration.
+func TestLeaderOfTheFormerVersionIsToldTheVersion(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		at := standin.Node{
+			Name:  "former",
+			Place: "hall9",
+		}
+		const address = "10.1.0.99:7000"
+		p := peer.NewNode(peer.Config{
+			Host: "former",
+		})
+		told := make(chan spoolsill.Version, 100)
+		peer.Handle(p, "greet", func(_ context.Context, _ peer.Caller, q oldGreetRequest) (struct{ Leads bool }, error) {
+			select {
+			case told <- q.Version:
+			default:
+			}
+			return struct{ Leads bool }{}, nil
+		})
+		l, err := x.network.Listen(at, address)
+		x.c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(x.ctx)
+		defer cancel()
+		x.serving.Go(func() { _ = p.Serve(ctx, l) })
+		head, _, err := leader.ReadHead(ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		head.Host = "former"
+		head.Address = address
+		head.Epoch++
+		head.Write++
+		v, err := msgpack.Marshal(head)
+		x.c.Assert(err, qt.IsNil)
+		x.store.Put(store.Put{
+			Key:   leader.HeadKey,
+			Value: v,
+		})
+		pause.For(x.ctx, time.Second)
+		x.c.Assert(<-told, qt.Equals, spoolsill.Version(1))
+	})
+}
+
+// A host that told of a configuration and is gone keeps nobody from an older one
+// that others have.
+func TestOfferOfAHostThatIsGoneHidesNoOther(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		cut := (x.leader() + 1) % 3
+		p := peer.NewNode(peer.Config{
+			Host: "gone",
+			Dial: func(ctx context.Context, a string) (net.Conn, error) {
+				return x.network.Dialer(standin.Node{
+					Name:  "gone",
+					Place: "hall9",
+				})(ctx, "tcp", a)
+			},
+		})
+		p.Learn("host", x.hosts[cut].Settings.IP+":7000")
+		_, err := peer.Call[struct{}](x.ctx, p, "host", "greet", greetByFake{
+			Address: "10.1.0.99:7000",
+			Held: heldByFake{
+				Version: 99,
+				Size:    1,
+			},
+		})
+		x.c.Assert(err, qt.IsNil)
+		p.Close()
+		x.network.SetCut(hostName(cut), platformPlace.Name, true)
+		x.configureMany(2, 1)
+		pause.For(x.ctx, 10*time.Second)
+		r := x.call(cut, http.MethodGet, routePrefix(0), "")
+		x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
+	})
+}
+
+// A configuration that can't be read is not fetched over and over.
+func TestConfigurationThatCannotBeReadIsFetchedSeldom(t *testing.T) {
+	run(t, 2, 1, func(x *cell) {
+		at := standin.Node{
+			Name:  "fake",
+			Place: "hall9",
+		}
+		const address = "10.1.0.99:7000"
+		d := x.network.Dialer(at)
+		p := peer.NewNode(peer.Config{
+			Host: "fake",
+			Dial: func(ctx context.Context, a string) (net.Conn, error) { return d(ctx, "tcp", a) },
+		})
+		const size = 3 << 15
+		var asked atomic.Int64
+		peer.Handle(p, "piece", func(ctx context.Context, _ peer.Caller, q pieceToFake) (pieceOfFake, error) {
+			asked.Add(1)
+			pause.For(ctx, 10*time.Millisecond)
+			r := pieceOfFake{
+				Version: 99,
+				Size:    size,
+				Data:    make([]byte, 1<<15),
+			}
+			if q.Version == 99 {
+				r.Offset = q.Offset
+			}
+			return r, nil
+		})
+		l, err := x.network.Listen(at, address)
+		x.c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(x.ctx)
+		defer cancel()
+		x.serving.Go(func() { _ = p.Serve(ctx, l) })
+		defer p.Close()
+		to := x.leader()
+		p.Learn("leader", x.hosts[to].Settings.IP+":7000")
+		_, err = peer.Call[struct{}](ctx, p, "leader", "greet", greetByFake{
+			Address: address,
+			Held: heldByFake{
+				Version: 99,
+				Size:    size,
+			},
+		})
+		x.c.Assert(err, qt.IsNil)
+		pause.For(x.ctx, 10*time.Second)
+		// Once a second would be often.
+		x.c.Assert(asked.Load() <= 10*size>>15, qt.IsTrue, qt.Commentf("%d pieces of a document of three in 10 s", asked.Load()))
+	})
+}
