--- a/node/config.go
+++ b/node/config.go
@@ -12,10 +12,11 @@
 	"github.com/spoolsill/spoolsill/store"
 )
 
-// configWait is how long a feed waits for a configuration: half of the two
-// seconds within which one must be in force, since a feed that was cut without
-// a sign is noticed only after it.
-const configWait = time.Second
+// configWait is how long a feed waits for a configuration. What a host knows is as
+// old as two of its calls, at most, and must be less old than the two seconds within
+// which a configuration must be in force, or the host could not say of any route that
+// there is none: with a second it could not for one call in a hundred.
+const configWait = 700 * time.Millisecond
 
 // configInForce is within how long a configuration is in force everywhere, where
 // the settings do not say it.
@@ -28,34 +29,24 @@
 	config  *platform.Config
 }
 
-// A heldConfig is what a host tells another one about its configuration. It is
-// small, and so part of heartbeats, which the document itself must not be: that
-// takes a link of 10 Mbit/s a second, and a heartbeat is waited for a tenth of one.
-type heldConfig struct {
-	Version spoolsill.Version
-	// Size is that of the document, in bytes.
-	Size int
-	// Heard tells that the store, or a host that it reaches, has told that Version
-	// was the newest one Age ago.
-	Heard bool
-	Age   time.Duration
-}
-
-// An offer is a configuration that another host has.
-type offer struct {
-	host    spoolsill.HostID
-	version spoolsill.Version
-	size    int       // bytes
-	since   time.Time // when a host told of this version first
-}
-
 // configs holds the newest configuration, and what is known about how new it is.
 // It never goes back.
 type configs struct {
 	mu  sync.Mutex
 	now knownConfig
-	// offer is the newest version that another host has told of.
+	// asked is when a piece of it was asked for last, former are the earlier ones
+	// that other hosts fetch piece by piece, oldest first.
+	asked  time.Time
+	former []formerConfig
+	// told is the newest version that any host has told of, since toldSince.
+	told      spoolsill.Version
+	toldSince time.Time
+	// offer is where a newer one can be had, if anywhere.
 	offer offer
+	// refused is the newest version that was fetched and can't be read.
+	refused spoolsill.Version
+	// misread tells that what the store told last can't be read.
+	misread bool
 	// heard is as of when all changes are known, from the store or from a host
 	// that it reaches; zero before the first answer.
 	heard time.Time
@@ -78,16 +69,26 @@
 }
 
 // set takes a configuration in and reports whether it is newer.
-func (c *configs) set(k knownConfig) bool {
+func (c *configs) set(k knownConfig, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.misread = false
 	if k.version <= c.now.version {
 		return false
 	}
+	c.keepFormer(now)
 	c.now = k
+	c.asked = time.Time{}
 	return true
 }
 
+// misreads takes in that the store told what can't be read.
+func (c *configs) misreads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.misread = true
+}
+
 // hear takes in that all changes before a time are known.
 func (c *configs) hear(at time.Time) {
 	c.mu.Lock()
@@ -96,7 +97,7 @@
 }
 
 func (c *configs) hearLocked(at time.Time) {
-	if at.After(c.heard) {
+	if !c.misread && at.After(c.heard) {
 		c.heard = at
 	}
 }
@@ -107,49 +108,11 @@
 	c.deaf = deaf
 }
 
-// held returns what to tell other hosts.
-func (c *configs) held(now time.Time) heldConfig {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return heldConfig{
-		Version: c.now.version,
-		Size:    len(c.now.raw),
-		Heard:   !c.heard.IsZero(),
-		Age:     now.Sub(c.heard),
-	}
-}
-
-// toldBy takes in what another host holds.
-func (c *configs) toldBy(h spoolsill.HostID, x heldConfig, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if x.Heard && x.Version <= c.now.version {
-		c.hearLocked(now.Add(-x.Age))
-	}
-	if x.Version < c.offer.version || x.Version <= c.now.version {
-		return
-	}
-	since := now
-	if x.Version == c.offer.version {
-		since = c.offer.since
-	}
-	c.offer = offer{
-		host:    h,
-		version: x.Version,
-		size:    x.Size,
-		since:   since,
-	}
-	select {
-	case c.offered <- struct{}{}:
-	default:
-	}
-}
-
 // newest returns the newest version that is known to exist.
 func (c *configs) newest() spoolsill.Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.offer.version, c.now.version)
+	return max(c.told, c.now.version)
 }
 
 // age returns how old what is known is, at most; false before anything is.
@@ -183,8 +146,8 @@
 // followConfig keeps up with the operators' configuration.
 func (n *Node) followConfig(ctx context.Context) {
 	take := func(r store.Row) {
-		if r.Key.Name == platform.ConfigRow && !r.Deleted {
-			n.takeConfig(r.Value, "store")
+		if r.Key.Name == platform.ConfigRow && !r.Deleted && !n.takeConfig(r.Value, "store") {
+			n.configs.misreads()
 		}
 	}
 	f := store.Follower{
@@ -211,22 +174,24 @@
 	f.Run(ctx)
 }
 
-// takeConfig puts a configuration in force if it is newer.
-func (n *Node) takeConfig(raw []byte, from string) {
+// takeConfig puts a configuration in force if it is newer, and reports whether it
+// can be read.
+func (n *Node) takeConfig(raw []byte, from string) bool {
 	c, err := platform.DecodeConfig(raw)
 	if err != nil {
-		n.log.WithError(err).Error("configuration can't be read")
-		return
+		n.log.WithError(err).WithField("from", from).Error("configuration can't be read")
+		return false
 	}
 	if !n.configs.set(knownConfig{
 		version: c.Version,
 		raw:     raw,
 		config:  &c,
-	}) {
-		return
+	}, time.Now()) {
+		return true
 	}
 	n.log.WithField("version", uint64(c.Version)).WithField("from", from).WithField("queues", len(c.Routes)).Info("configuration in force")
 	if l := n.leaderHere(); l != nil {
 		n.configs.tell(l)
 	}
+	return true
 }
--- a/node/elect_test.go
+++ b/node/elect_test.go
@@ -116,6 +116,9 @@
 		var mu sync.Mutex
 		writes := map[string]int{} // by partition
 		x.store.SetFault(func(t store.Transaction) cellfake.StoreFault {
+			if len(t.Puts) == 0 {
+				return cellfake.StoreLose // of the sweeper, which writes into no row
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			p := t.Puts[0].Key.Partition
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -25,9 +26,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	n.peers.Learn(h.Host, h.Address)
+	sent := time.Now()
 	r, err := peer.Call[greetReply](ctx, n.peers, h.Host, methodGreet, greetRequest{
 		Address: n.peerAddress(),
-		Held:    n.configs.held(time.Now()),
+		Version: math.MaxUint64,
+		Held:    n.configs.held(sent),
 		Cores:   n.settings.Cores,
 	})
 	if err == nil && r.Leads {
@@ -42,7 +45,8 @@
 		n.mu.Unlock()
 	}
 	if err == nil {
-		n.configs.toldBy(h.Host, r.Held, time.Now())
+		n.configs.vouchedBy(r.Held, sent)
+		n.configs.offeredBy(h.Host, r.Held, time.Now())
 	}
 	return r, err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -199,13 +199,16 @@
 		Handler:           http.HandlerFunc(n.serveReady),
 		ReadHeaderTimeout: headerTimeout,
 	}
+	fetcher := &configFetcher{
+		node: n,
+	}
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return serve(front, clients) })
 	g.Go(func() error { return serve(balancer, ready) })
 	g.Go(func() error { return n.peers.Serve(work, peers) })
 	g.Go(func() error { n.followConfig(work); return nil })
 	g.Go(func() error { n.learnFromHosts(work); return nil })
-	g.Go(func() error { n.fetchConfigs(work); return nil })
+	g.Go(func() error { fetcher.run(work); return nil })
 	g.Go(func() error { n.jobs.Run(work); return nil })
 	g.Go(func() error { n.serveMetrics(work); return nil })
 	electing, stopElecting := context.WithCancel(work)
--- a/node/peers.go
+++ b/node/peers.go
@@ -39,6 +39,9 @@
 
 type greetRequest struct {
 	Address string
+	// Version is the highest one there is. Leaders of an earlier release answer
+	// with the whole configuration to whoever has an older one, each time.
+	Version spoolsill.Version
 	// Held is the configuration that the caller has.
 	Held heldConfig
 	// Cores is the processor time that the caller has each second.
@@ -133,7 +136,7 @@
 	n.peers.Learn(c.Host, q.Address)
 	n.hosts.greeted(c.Host, q.Cores, time.Now())
 	now := time.Now()
-	n.configs.toldBy(c.Host, q.Held, now)
+	n.configs.offeredBy(c.Host, q.Held, now)
 	r := greetReply{
 		Held: n.configs.held(now),
 	}
--- a/node/young.go
+++ b/node/young.go
@@ -77,12 +77,14 @@
 func (n *Node) askHostForNews(ctx context.Context, address string) {
 	h := spoolsill.HostID(address) // its name is not known yet
 	n.peers.Learn(h, address)
+	sent := time.Now()
 	r, err := peer.Call[newsReply](ctx, n.peers, h, methodNews, newsRequest{})
 	if err != nil {
 		n.log.WithError(err).WithField("address", address).Info("host could not be asked for the configuration")
 		return
 	}
-	n.configs.toldBy(h, r.Held, time.Now())
+	n.configs.vouchedBy(r.Held, sent)
+	n.configs.offeredBy(h, r.Held, time.Now())
 	if r.Head.Epoch > n.knownHead().Epoch {
 		n.takeHead(r.Head)
 	}
--- a/node/young_test.go
+++ b/node/young_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/store"
 )
 
 // A host that starts while the store is away learns the configuration from the
@@ -57,7 +58,9 @@
 		x.network.SetRate(hostName(2), smallLink)
 		x.network.SetCut(hostName(2), platformPlace.Name, true)
 		x.start(2)
-		pause.For(x.ctx, inForce)
+		// At once, since it knows that the store does not tell it: 0.1 s until it
+		// asks, 0.9 s over the link, of which hosts spend half on telling others.
+		pause.For(x.ctx, 2200*time.Millisecond)
 		x.c.Assert(x.call(2, http.MethodGet, routePrefix(manyRoutes-1), "").status, qt.Equals, http.StatusOK)
 	})
 }
@@ -82,3 +85,34 @@
 		x.c.Assert(x.call(cut, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusNotFound)
 	})
 }
+
+// While the store is away nobody knows whether there is a newer configuration, and
+// hosts that tell each other so know no more.
+func TestNobodyKnowsAllRoutesWhileTheStoreIsAway(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		x.store.TurnAway(true)
+		pause.For(x.ctx, 4*time.Second)
+		for i := range x.hosts {
+			x.c.Check(x.call(i, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusBadGateway)
+		}
+	})
+}
+
+// Nor does a host that can't read what the store tells. It goes on with what it has.
+func TestConfigurationThatCannotBeReadIsNoProof(t *testing.T) {
+	run(t, 1, 1, func(x *cell) {
+		x.store.Put(store.Put{
+			Key: store.Key{
+				Table: platform.OperatorTable,
+				Name:  platform.ConfigRow,
+			},
+			Value: []byte("{"),
+		})
+		pause.For(x.ctx, 3*time.Second)
+		x.c.Assert(x.call(0, http.MethodGet, "/q/", "").status, qt.Equals, http.StatusOK)
+		x.c.Assert(x.call(0, http.MethodGet, "/none/", "").status, qt.Equals, http.StatusBadGateway)
+		x.configure(2, false)
+		pause.For(x.ctx, 3*time.Second)
+		x.c.Assert(x.call(0, http.MethodGet, "/extra/", "").status, qt.Equals, http.StatusNotFound)
+	})
+}
