store: a listing goes on from the least version of its pages

Cause: a listing of a table named the version of its first call, and one of a partition that of its first page. A page that is older than that, as reads are that may be behind the newest state, lacks changes which the feed, going on after the first version, never tells: a row of the kind "acknowledged just before the listing" stayed unknown for as long as the process lived, and Heard claimed that it had been taken in. Change: the version to go on from is the least of all answers; a listing with a page from before its first answer does not claim to have heard anything, the next answer of the feed does. Ruled out: comparing the rows' own versions, which says nothing of rows that a page lacks. Not covered: a list of partitions that is behind, since the store's answer to it names no version.

--- a/store/follow.go
+++ b/store/follow.go
@@ -33,7 +33,8 @@
 	// Changed takes in one changed row. A row may come more than once.
 	Changed func(r Row)
 	// Heard is told of each answer, with the time when the call was sent: what
-	// was written before has been taken in. May be nil.
+	// was written before has been taken in. A listing that has a page from
+	// before its first answer is no such answer. May be nil.
 	Heard func(sent time.Time)
 	// Failed takes in a failed call, and nil when calls work again; may be nil.
 	Failed func(err error)
@@ -47,6 +48,7 @@
 	failing := false
 	for ctx.Err() == nil {
 		sent := time.Now()
+		heard := true
 		var err error
 		if list == nil {
 			w := f.Wait
@@ -57,6 +59,7 @@
 		} else {
 			at, err = f.list(ctx, list)
 			sent = list.began // what came since then is for the feed to tell
+			heard = at >= list.first
 			if err == nil {
 				list = nil
 			}
@@ -64,7 +67,7 @@
 		switch {
 		case err == nil:
 			delay = retryFirst
-			if f.Heard != nil {
+			if heard && f.Heard != nil {
 				f.Heard(sent)
 			}
 			if failing {
--- a/store/list.go
+++ b/store/list.go
@@ -20,15 +20,16 @@
 	Partition string
 
 	rows  []Row
-	first Version // as of which the first page was read
+	least Version // of the pages
 	from  string
 	begun bool
 	done  bool
 }
 
-// ReadAll returns all rows of the partition and the version as of which the
-// first page was read: a feed that goes on from it misses no change. It may be
-// called again after an error, not by several goroutines at once.
+// ReadAll returns all rows of the partition and the least version as of which a
+// page was read: a feed that goes on from it misses no change, also when the
+// store answers a later call with an older state. It may be called again after
+// an error, not by several goroutines at once.
 func (l *Listing) ReadAll(ctx context.Context) ([]Row, Version, error) {
 	for !l.done {
 		p, err := l.Store.List(ctx, l.Table, l.Partition, l.from, 0)
@@ -37,14 +38,15 @@
 		}
 		l.take(p)
 	}
-	return l.rows, l.first, nil
+	return l.rows, l.least, nil
 }
 
 func (l *Listing) take(p Page) {
 	if !l.begun {
 		l.begun = true
-		l.first = p.Version
+		l.least = p.Version
 	}
+	l.least = min(l.least, p.Version)
 	l.rows = append(l.rows, p.Rows...)
 	if !p.More || len(p.Rows) == 0 {
 		l.done = true
@@ -58,12 +60,12 @@
 type tableListing struct {
 	store Store
 	table string
-	// version was read before all rows, so that a feed that goes on from it
-	// misses no change, also of partitions that are made meanwhile.
-	version Version
-	begun   bool
-	began   time.Time // when the first call was sent
-	parts   map[string]*Listing
+	// first was read before all rows, so that a feed that goes on from it
+	// misses no change of partitions that are made meanwhile.
+	first Version
+	begun bool
+	began time.Time // when the first call was sent
+	parts map[string]*Listing
 }
 
 func newTableListing(s Store, table string) *tableListing {
@@ -74,7 +76,9 @@
 	}
 }
 
-// readAll returns all rows of the table, and the version to go on from.
+// readAll returns all rows of the table, and the version to go on from: the
+// least of all answers. When it is before first, a page lacks what the first
+// answer had.
 func (t *tableListing) readAll(ctx context.Context) ([]Row, Version, error) {
 	if t.began.IsZero() {
 		t.began = time.Now()
@@ -85,13 +89,14 @@
 			return nil, 0, err
 		}
 		t.begun = true
-		t.version = p.Version
+		t.first = p.Version
 	}
 	names, err := t.store.Partitions(ctx, t.table)
 	if err != nil {
 		return nil, 0, err
 	}
 	pages := make([][]Row, len(names))
+	versions := make([]Version, len(names))
 	failed := make([]error, len(names))
 	var g errgroup.Group
 	g.SetLimit(listsAtOnce)
@@ -99,7 +104,7 @@
 		l := t.part(name)
 		g.Go(func() error {
 			// One that fails does not end the others: what they read is kept.
-			pages[i], _, failed[i] = l.ReadAll(ctx)
+			pages[i], versions[i], failed[i] = l.ReadAll(ctx)
 			return nil
 		})
 	}
@@ -107,7 +112,11 @@
 	if err := errors.Join(failed...); err != nil {
 		return nil, 0, err
 	}
-	return slices.Concat(pages...), t.version, nil
+	at := t.first
+	for _, v := range versions {
+		at = min(at, v)
+	}
+	return slices.Concat(pages...), at, nil
 }
 
 func (t *tableListing) part(name string) *Listing {
--- a/store/list_test.go
+++ b/store/list_test.go
@@ -205,3 +205,141 @@
 		qt.Assert(t, failures, qt.Equals, 3)
 	})
 }
+
+// A behindStore answers the first listing of a whole partition with a page that
+// was read earlier, as a store does whose reads may be behind its newest state.
+type behindStore struct {
+	store.Store
+	mu sync.Mutex
+	// old has such pages by partition.
+	old map[string]store.Page
+}
+
+func (s *behindStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	p, err := s.Store.List(ctx, table, partition, from, limit)
+	if err != nil {
+		return p, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.old[partition]; ok {
+		delete(s.old, partition)
+		return old, nil
+	}
+	return p, nil
+}
+
+// A page that is older than the first answer of a listing does not hide what
+// changed between the two: the feed tells of it, and until then nobody is told
+// that it has been heard.
+func TestFollowerTakesAPageThatIsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		old, err := inner.List(ctx, table, "host7", "", 0)
+		qt.Assert(t, err, qt.IsNil)
+		inner.Put(store.Put{
+			Key: store.Key{
+				Table:     table,
+				Partition: "host7",
+				Name:      "came-since",
+			},
+			Value: []byte("x"),
+		})
+		written := time.Now()
+		pause.For(ctx, time.Millisecond)
+		seen := map[string]bool{}
+		early := 0
+		f := store.Follower{
+			Store: &behindStore{
+				Store: inner,
+				old: map[string]store.Page{
+					"host7": old,
+				},
+			},
+			Table: table,
+			Wait:  time.Second,
+			Listed: func(rows []store.Row) {
+				for _, r := range rows {
+					seen[r.Key.Name] = true
+				}
+			},
+			Changed: func(r store.Row) { seen[r.Key.Name] = true },
+			Heard: func(sent time.Time) {
+				if written.Before(sent) && !seen["came-since"] {
+					early++
+				}
+			},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		pause.For(ctx, 10*time.Second)
+		cancel()
+		<-done
+		qt.Check(t, len(seen), qt.Equals, partitions*rowsEach+1)
+		qt.Check(t, early, qt.Equals, 0)
+	})
+}
+
+// A listing names the least version of its pages, since a feed that goes on from
+// it has to tell of what changed after each of them.
+func TestListingNamesTheLeastVersion(t *testing.T) {
+	s := pagesStore{
+		pages: []store.Page{
+			{
+				Rows:    rowsNamed("a", "b"),
+				More:    true,
+				Version: 9,
+			},
+			{
+				Rows:    rowsNamed("c"),
+				More:    true,
+				Version: 7,
+			},
+			{
+				Rows:    rowsNamed("d"),
+				Version: 12,
+			},
+		},
+	}
+	l := store.Listing{
+		Store:     &s,
+		Table:     table,
+		Partition: "cell",
+	}
+	rows, v, err := l.ReadAll(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rows, qt.HasLen, 4)
+	qt.Assert(t, v, qt.Equals, store.Version(7))
+}
+
+// A pagesStore answers listings with its pages, one after the other.
+type pagesStore struct {
+	store.Store
+	pages []store.Page
+}
+
+func (s *pagesStore) List(context.Context, string, string, string, int) (store.Page, error) {
+	p := s.pages[0]
+	s.pages = s.pages[1:]
+	return p, nil
+}
+
+func rowsNamed(names ...string) []store.Row {
+	var rows []store.Row
+	for _, n := range names {
+		rows = append(rows, store.Row{
+			Key: store.Key{
+				Table:     table,
+				Partition: "cell",
+				Name:      n,
+			},
+			Version: 1,
+		})
+	}
+	return rows
+}
