leader: the row goes on changing while the progress is read

Cause: a new leader read the progress of all jobs before its loop began, and wrote its row only after a call of that listing had failed. The others take over when the row has not changed for 350 ms and a little, so a listing that takes longer, as one page of 1 MB does over a line of 10 Mbit/s (0.8 s) or one call whose connection is silent (1.5 s), deposed each leader in turn, the next one began the same listing anew. The bound of the call was our client's, the bound of the belief "it is alive" was shorter. What the leader was told meanwhile lay in its queue, and from 4,096 jobs on whoever told it hung: a peer's handlers, and the feed of the configurations on this host. Change: the listing runs beside the loop, which writes the row every 150 ms as ever and takes in what comes. A job that is told of before the progress is known is left to the listing, since it may have begun already. Ruled out: a shorter limit on a page, which would cut off slow lines for good.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -105,7 +105,10 @@
 	late     time.Duration // a moving average of how late the loop is
 	loadTold time.Time     // when the log last told how full the cell is
 	kept     time.Time     // when the renewers were last compared with the workers
-	loaded   bool
+	// following is set once the progress is read, and the tables are followed;
+	// loaded once all jobs are known.
+	following bool
+	loaded    bool
 
 	mu       sync.Mutex
 	fresh    time.Time // like lastWrite, for the calls' goroutines
@@ -127,6 +130,7 @@
 		version spoolsill.Version
 		queues  []sched.Queue
 	}
+	progressLoaded struct{ rows []store.Row }
 	workersListed  struct{ rows []store.Row }
 	workerChanged  struct{ row store.Row }
 	jobsListed     struct{ rows []store.Row }
@@ -307,12 +311,7 @@
 	l.config.Sched.StartLease = startLease
 	l.config.Sched.InheritedLease = inheritedLease(l.config.Sched.Lease)
 	l.state = sched.New(l.config.Sched)
-	rows, err := l.loadProgress(ctx)
-	if err != nil {
-		return err
-	}
-	l.rows = rows
-	l.follow(ctx)
+	l.spawn(func() { l.loadProgress(ctx) })
 	l.spawn(func() { l.probe(ctx) })
 	return l.loop(ctx)
 }
@@ -374,10 +373,9 @@
 	now := time.Now()
 	switch e := e.(type) {
 	case queuesChanged:
-		if e.version > l.version {
-			l.version = e.version
-			l.state.SetQueues(e.queues)
-		}
+		l.takeQueues(e)
+	case progressLoaded:
+		l.takeProgress(e.rows)
 	case workersListed:
 		l.takeWorkers(now, e.rows)
 	case workerChanged:
@@ -414,6 +412,14 @@
 	return nil
 }
 
+func (l *Leader) takeQueues(e queuesChanged) {
+	if e.version <= l.version {
+		return
+	}
+	l.version = e.version
+	l.state.SetQueues(e.queues)
+}
+
 // act decides, and sends what may be sent.
 func (l *Leader) act(ctx context.Context) error {
 	now := time.Now()
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -285,3 +285,62 @@
 		x.c.Assert(s.State, qt.Equals, sched.Completed)
 	})
 }
+
+// A leader's row goes on changing while the progress of all jobs is read, however
+// long that takes: others would else take over from each leader in turn, and none
+// would ever come to its end. What it is told meanwhile holds nobody up.
+func TestLeaderStaysWhileItLoads(t *testing.T) {
+	const (
+		load      = 3 * time.Second
+		unchanged = 350 * time.Millisecond // after it, others take over
+		told      = 5000
+	)
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		ids := x.submitMixed(6)
+		begunJob := sched.Job{
+			ID:    "begun",
+			Queue: "plain",
+			Steps: []sched.Step{step(1, 1)},
+		}
+		x.submit(begunJob)
+		row, err := jobstore.Row("host", begunJob)
+		x.c.Assert(err, qt.IsNil)
+		ids = append(ids, begunJob.ID)
+		x.store.SlowLists(jobstore.ProgressTable, load)
+		l := x.lead("a")
+		var at store.Version
+		begun := time.Now()
+		changed := begun
+		longest := time.Duration(0)
+		for time.Since(begun) < load {
+			_, v, err := leader.ReadHead(x.ctx, x.store)
+			x.c.Assert(err, qt.IsNil)
+			if v != at {
+				at = v
+				changed = time.Now()
+			}
+			longest = max(longest, time.Since(changed))
+			pause.For(x.ctx, 20*time.Millisecond)
+		}
+		x.c.Check(longest < unchanged, qt.IsTrue, qt.Commentf("the row did not change for %s", longest))
+		x.c.Check(time.Since(l.Fresh()) < unchanged, qt.IsTrue, qt.Commentf("latest write %s ago", time.Since(l.Fresh())))
+		x.store.SlowLists(jobstore.ProgressTable, 0)
+		pause.For(x.ctx, 20*time.Second)
+		x.assertCompleted(l, ids)
+
+		starts := x.workers.Starts()
+		x.store.SlowLists(jobstore.ProgressTable, load)
+		l = x.lead("b")
+		begun = time.Now()
+		for range told {
+			l.Tell(row)
+		}
+		x.c.Check(time.Since(begun) < load/2, qt.IsTrue, qt.Commentf("telling took %s", time.Since(begun)))
+		x.store.SlowLists(jobstore.ProgressTable, 0)
+		pause.For(x.ctx, 5*time.Second)
+		x.assertCompleted(l, ids)
+		x.c.Check(x.workers.Starts(), qt.Equals, starts)
+	})
+}
--- a/leader/load.go
+++ b/leader/load.go
@@ -7,36 +7,47 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
 
 // loadProgress reads the progress of all jobs, until it succeeds. Nobody else
-// writes it meanwhile, or the leadership is over.
-func (l *Leader) loadProgress(ctx context.Context) (map[spoolsill.JobID][]byte, error) {
+// writes it meanwhile, or the leadership is over. The loop goes on beside it and
+// keeps the leader's row changing: others would else take over from each leader
+// that needs longer to read than they wait, and none would come to its end.
+func (l *Leader) loadProgress(ctx context.Context) {
 	list := store.Listing{
 		Store:     l.config.Store,
 		Table:     jobstore.ProgressTable,
 		Partition: jobstore.CellPartition,
 	}
-	for {
+	delay := tryPause
+	for ctx.Err() == nil {
 		rows, _, err := list.ReadAll(ctx)
 		if err == nil {
-			m := make(map[spoolsill.JobID][]byte, len(rows))
-			for _, r := range rows {
-				m[spoolsill.JobID(r.Key.Name)] = r.Value
-			}
-			return m, nil
+			l.send(progressLoaded{
+				rows: rows,
+			})
+			return
 		}
 		l.config.Log.WithError(err).Warn("load progress")
-		// The row must go on changing while the store is slow to list.
-		if err := l.config.Chain.Write(ctx, nil, nil); err != nil {
-			return nil, err
-		}
+		pause.For(ctx, delay)
+		delay = min(2*delay, pauseMost)
 	}
 }
 
+// takeProgress takes in the progress of all jobs, and has the jobs read.
+func (l *Leader) takeProgress(rows []store.Row) {
+	l.rows = make(map[spoolsill.JobID][]byte, len(rows))
+	for _, r := range rows {
+		l.rows[spoolsill.JobID(r.Key.Name)] = r.Value
+	}
+	l.following = true
+	l.follow(l.ctx)
+}
+
 func (l *Leader) takeWorkers(now time.Time, rows []store.Row) {
 	listed := map[spoolsill.WorkerID]bool{}
 	for _, r := range rows {
@@ -107,9 +118,10 @@
 }
 
 // takeJob takes in a row of the jobs table: a job or the mark of a cancelled
-// one.
+// one. Before the progress is read it takes in nothing: a job that has begun
+// would begin anew, and the listing will tell of it.
 func (l *Leader) takeJob(now time.Time, r store.Row) {
-	if r.Deleted {
+	if r.Deleted || !l.following {
 		return
 	}
 	if id, ok := jobstore.Cancelled(r.Key.Name); ok {
