peer: calls and replies end with their caller's wait

Cause: a handler's context lasted as long as its connection, and each reply was encoded at once and then waited for its turn on the connection, however long ago its caller had given up. Over a line that was too slow for the replies they gathered in memory, up to 512 encoded ones a connection, and the line carried only what nobody waited for. A reply that took longer than 5 s in all was cut off and begun anew, a reply longer than a frame ended the connection for all, and a call whose other side took nothing ended after 5 s whatever its caller's limit, in node that of greetings, 80 ms. Change: a call tells how much longer its caller waits, as a duration from its arrival; the handler's context ends then, and a reply whose turn has not come by then is dropped. Replies are encoded when their turn comes. A write is bounded by the time in which nothing of the next 64 KB is taken. A call's deadline bounds its write: the rest of the message follows on its own. A reply that is too long is answered with an error. Node.Handling counts the calls in hand. A message without the new field has no limit, as before; hosts of the former version skip the field. Left: while callers go on asking for replies that the line can't carry in time, others wait up to the writing of one such reply; a caller that is cancelled without a deadline waits for its write, 5 s for each 64 KB.

--- a/peer/doc.go
+++ b/peer/doc.go
@@ -10,6 +10,12 @@
 // [ErrUnreachable] says that the call was never sent, [ErrLost] that it may
 // have been received, and a [*RemoteError] that the other side answered no.
 //
+// A call tells how long its caller waits. The context of its handler ends then,
+// and a reply that is not on its way by then is dropped: what nobody waits for
+// takes neither memory nor the line. A caller's deadline bounds the call whatever
+// the other side does. A connection ends when the other side takes nothing of a
+// message for [DefaultWriteLimit].
+//
 // A frame that is too long, or that is no message, ends its connection and is
 // reported; nothing else is affected.
 package peer
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -35,23 +37,30 @@
 	From        spoolsill.HostID      `msgpack:"f,omitempty"`
 	Incarnation spoolsill.Incarnation `msgpack:"n,omitempty"`
 	Stamp       timeline.Stamp        `msgpack:"s"`
-	Body        msgpack.RawMessage    `msgpack:"b,omitempty"`
-	Code        Code                  `msgpack:"c,omitempty"`
-	Text        string                `msgpack:"t,omitempty"`
+	// Wait is how much longer the caller waits for the reply; 0 means that no
+	// limit is known.
+	Wait time.Duration      `msgpack:"w,omitempty"`
+	Body msgpack.RawMessage `msgpack:"b,omitempty"`
+	Code Code               `msgpack:"c,omitempty"`
+	Text string             `msgpack:"t,omitempty"`
 }
 
-func writeMessage(w io.Writer, m *message) error {
-	body, err := msgpack.Marshal(m)
-	if err != nil {
-		return err
+// encodeMessage returns the frame of a message.
+func encodeMessage(m *message) ([]byte, error) {
+	const besides = 128 // what most messages need besides their body, in bytes
+	b := bytes.NewBuffer(make([]byte, headerLength, headerLength+besides+len(m.Body)))
+	e := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(e)
+	e.Reset(b)
+	if err := e.Encode(m); err != nil {
+		return nil, err
 	}
-	if len(body) > MaxFrame {
-		return fmt.Errorf("%w: %d bytes, at most %d", ErrFrame, len(body), MaxFrame)
+	n := b.Len() - headerLength
+	if n > MaxFrame {
+		return nil, fmt.Errorf("%w: %d bytes, at most %d", ErrFrame, n, MaxFrame)
 	}
-	frame := make([]byte, headerLength, headerLength+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	_, err = w.Write(append(frame, body...))
-	return err
+	binary.BigEndian.PutUint32(b.Bytes(), uint32(n))
+	return b.Bytes(), nil
 }
 
 func readMessage(r io.Reader) (*message, error) {
--- a/peer/gate.go
+++ b/peer/gate.go
@@ -13,10 +13,15 @@
 func (g gate) enter(ctx context.Context) error {
 	select {
 	case g <- struct{}{}:
-		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	// Both may have been possible at once.
+	if err := ctx.Err(); err != nil {
+		g.leave()
+		return err
+	}
+	return nil
 }
 
 func (g gate) leave() {
--- a/peer/link.go
+++ b/peer/link.go
@@ -34,16 +34,18 @@
 		return nil, fmt.Errorf("%w: %s: connection closed", ErrUnreachable, l.host)
 	}
 	defer l.forget(id)
-	err = w.write(ctx, &message{
+	err = w.send(ctx, &message{
 		Kind:   messageCall,
 		ID:     id,
 		Method: method,
 		Body:   body,
-	})
-	if errors.Is(err, errNotWritten) {
+	}, func(err error) { l.rest(w, err) })
+	switch {
+	case errors.Is(err, errNotWritten):
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, l.host, err)
-	}
-	if err != nil {
+	case errors.Is(err, errUnderWay):
+		return nil, fmt.Errorf("%w: %s: %w: %w", ErrLost, l.host, err, context.DeadlineExceeded)
+	case err != nil:
 		l.drop(w)
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, err)
 	}
@@ -58,6 +60,14 @@
 	}
 }
 
+// rest takes in how the writing of a call has ended whose caller has given up.
+func (l *link) rest(w *connWriter, err error) {
+	if err != nil {
+		l.node.report(w.conn, err)
+		l.drop(w)
+	}
+}
+
 // open returns the connection, and opens it first when there is none.
 func (l *link) open(ctx context.Context) (*connWriter, error) {
 	if w := l.current(); w != nil {
@@ -118,7 +128,7 @@
 	for {
 		m, err := readMessage(r)
 		if err != nil {
-			l.node.reportRead(w.conn, err)
+			l.node.report(w.conn, err)
 			l.drop(w)
 			return
 		}
--- a/peer/node.go
+++ b/peer/node.go
@@ -20,8 +20,10 @@
 // Defaults of [Config].
 const (
 	DefaultDialTimeout = time.Second
-	DefaultWriteLimit  = 5 * time.Second
-	DefaultHandlers    = 512
+	// DefaultWriteLimit is for how long the other side may take nothing of what
+	// is written before its connection is given up.
+	DefaultWriteLimit = 5 * time.Second
+	DefaultHandlers   = 512
 )
 
 // A Caller says who made a call.
@@ -55,6 +57,8 @@
 	ids     atomic.Uint64
 	sent    atomic.Uint64
 	read    atomic.Uint64
+	// handling counts the calls that are not answered yet.
+	handling atomic.Int64
 }
 
 type handler func(ctx context.Context, c Caller, body []byte) (any, error)
@@ -116,6 +120,12 @@
 	return n.sent.Load(), n.read.Load()
 }
 
+// Handling returns how many calls are being handled, or have replies that wait to
+// be sent.
+func (n *Node) Handling() int {
+	return int(n.handling.Load())
+}
+
 // Handle registers f for the calls of a method. A method registered again
 // replaces the earlier one.
 func Handle[Q, R any](n *Node, method string, f func(ctx context.Context, c Caller, q Q) (R, error)) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -172,6 +173,19 @@
 // BenchmarkCall measures a small call between two hosts, both sides and loopback
 // included.
 func BenchmarkCall(b *testing.B) {
+	benchmarkCall(b, func(ctx context.Context) (context.Context, context.CancelFunc) {
+		return ctx, func() {}
+	})
+}
+
+// BenchmarkCallWithLimit measures the same for a caller that waits for so long only.
+func BenchmarkCallWithLimit(b *testing.B) {
+	benchmarkCall(b, func(ctx context.Context) (context.Context, context.CancelFunc) {
+		return context.WithTimeout(ctx, 300*time.Millisecond)
+	})
+}
+
+func benchmarkCall(b *testing.B, limit func(context.Context) (context.Context, context.CancelFunc)) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(b, err, qt.IsNil)
 	to := peer.NewNode(peer.Config{
@@ -194,9 +208,11 @@
 	go func() { _ = to.Serve(ctx, l) }()
 	b.ReportAllocs()
 	for b.Loop() {
-		_, err := peer.Call[answer](ctx, from, "b", "double", question{
+		c, done := limit(ctx)
+		_, err := peer.Call[answer](c, from, "b", "double", question{
 			Number: 1,
 		})
+		done()
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -30,7 +31,7 @@
 	for {
 		m, err := readMessage(r)
 		if err != nil {
-			n.reportRead(c, err)
+			n.report(c, err)
 			return
 		}
 		n.config.Clock.Observe(m.Stamp)
@@ -40,22 +41,48 @@
 		select {
 		case slots <- struct{}{}:
 		default:
-			w.reply(ctx, m, nil, &RemoteError{
-				Code: CodeBusy,
-				Text: "too many calls at once",
-			})
+			n.refuse(ctx, w, m)
 			continue
 		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			defer func() { <-slots }()
-			v, err := n.handle(ctx, m)
-			w.reply(ctx, m, v, err)
+			n.answer(ctx, w, m)
 		}()
 	}
 }
 
+// answer handles a call for as long as its caller waits, the wait for other
+// replies to be written included: a line that is too slow for them all would else
+// carry only those that nobody waits for any more, and memory hold the others.
+func (n *Node) answer(ctx context.Context, w *connWriter, m *message) {
+	n.handling.Add(1)
+	defer n.handling.Add(-1)
+	ctx, cancel := within(ctx, m.Wait)
+	defer cancel()
+	v, err := n.handle(ctx, m)
+	w.reply(ctx, m.ID, v, err)
+}
+
+func (n *Node) refuse(ctx context.Context, w *connWriter, m *message) {
+	ctx, cancel := within(ctx, m.Wait)
+	defer cancel()
+	w.reply(ctx, m.ID, nil, &RemoteError{
+		Code: CodeBusy,
+		Text: "too many calls at once",
+	})
+}
+
+// within returns a context that ends after a caller's wait. It is counted from
+// here, so that no clocks are compared; the call's way is added to it.
+func within(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	if wait <= 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, wait)
+}
+
 func (n *Node) handle(ctx context.Context, m *message) (any, error) {
 	f, ok := n.methods.Load(m.Method)
 	if !ok {
@@ -71,15 +98,24 @@
 	return f.(handler)(ctx, c, m.Body)
 }
 
-func (n *Node) reportRead(c net.Conn, err error) {
+// report tells why a connection ended, unless that was to be.
+func (n *Node) report(c net.Conn, err error) {
 	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
 		return
 	}
 	n.config.Report(c.RemoteAddr().String(), err)
 }
 
-// errNotWritten is returned when nothing of a message was written.
-var errNotWritten = errors.New("peer: not written")
+var (
+	// errNotWritten is returned when nothing of a message was written.
+	errNotWritten = errors.New("peer: not written")
+	// errUnderWay is returned when a message is still being written.
+	errUnderWay = errors.New("peer: still being written")
+)
+
+// writePiece is how many bytes are written under one time limit: a line that takes
+// any is left the time that a long message needs.
+const writePiece = 64 << 10
 
 // A connWriter writes whole messages to a connection, one at a time.
 type connWriter struct {
@@ -96,24 +132,81 @@
 	}
 }
 
-func (w *connWriter) write(ctx context.Context, m *message) error {
+// send writes a call. It fails with errNotWritten when nothing was written, and
+// with errUnderWay when the caller's wait ends before the message is written: the
+// rest follows, as long as the other side takes something, and later is told how
+// that ended.
+func (w *connWriter) send(ctx context.Context, m *message, later func(error)) error {
 	if err := w.gate.enter(ctx); err != nil {
 		return fmt.Errorf("%w: %w", errNotWritten, err)
 	}
+	end, limited := ctx.Deadline()
+	if limited {
+		m.Wait = max(time.Until(end), 1)
+	}
+	frame, err := w.encode(m)
+	if err != nil {
+		w.gate.leave()
+		return fmt.Errorf("%w: %w", errNotWritten, err)
+	}
+	rest, err := w.write(frame, end)
+	if limited && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end) {
+		go func() {
+			defer w.gate.leave()
+			_, err := w.write(rest, time.Time{})
+			later(err)
+		}()
+		return errUnderWay
+	}
+	w.gate.leave()
+	return err
+}
+
+// reply answers a call, unless ctx ends before its turn comes. Only then the
+// reply is encoded, so that those that wait take no memory.
+func (w *connWriter) reply(ctx context.Context, id uint64, v any, err error) {
+	if w.gate.enter(ctx) != nil {
+		return
+	}
 	defer w.gate.leave()
+	frame, failed := w.encode(replyMessage(id, v, err))
+	if failed != nil {
+		frame, failed = w.encode(replyMessage(id, nil, failed))
+	}
+	if failed == nil {
+		_, failed = w.write(frame, time.Time{})
+	}
+	if failed != nil {
+		_ = w.conn.Close()
+	}
+}
+
+// encode returns the frame of a message that is written next.
+func (w *connWriter) encode(m *message) ([]byte, error) {
 	w.node.stamp(m)
-	_ = w.conn.SetWriteDeadline(time.Now().Add(DefaultWriteLimit))
-	return writeMessage(&countingWriter{
-		node: w.node,
-		to:   w.conn,
-	}, m)
+	return encodeMessage(m)
 }
 
-func (w *connWriter) reply(ctx context.Context, to *message, v any, err error) {
-	m := replyMessage(to.ID, v, err)
-	if err := w.write(ctx, m); err != nil {
-		_ = w.conn.Close()
+// write writes a frame until end, zero being never, and returns what of it is left
+// when it fails. The gate is held.
+func (w *connWriter) write(frame []byte, end time.Time) ([]byte, error) {
+	to := countingWriter{
+		node: w.node,
+		to:   w.conn,
+	}
+	for len(frame) > 0 {
+		limit := time.Now().Add(DefaultWriteLimit)
+		if !end.IsZero() && end.Before(limit) {
+			limit = end
+		}
+		_ = w.conn.SetWriteDeadline(limit)
+		n, err := to.Write(frame[:min(len(frame), writePiece)])
+		frame = frame[n:]
+		if err != nil {
+			return frame, err
+		}
 	}
+	return nil, nil
 }
 
 func replyMessage(id uint64, v any, err error) *message {
