peer: a connection that has gone silent is given up

Cause: a call without an answer left its connection as it was. When that had gone silent for good, without a reset, behind something that still takes its bytes, all later calls to the host went over it, and none was answered for as long as both processes lived; TCP_USER_TIMEOUT sees only bytes that nobody takes. Each call had its limit, the belief in the connection had none. Change: when calls have been waited for in vain for a second, counted from when the first of them was written, and no byte has come meanwhile, the connection is closed and reported, and the next call opens another one. Any byte counts, so that a long reply over a slow line, or one slow handler beside others, does not end it. Costs: a handler that needs more than a second on a link that is used for nothing else loses its connection when its caller gives up. Ruled out: giving it up after one call in vain (0.3 s), which a paused host or a full line causes as well. Left: the other side of such a connection keeps a goroutine and a socket until the kernel's keep-alive ends it.

--- a/peer/bound_test.go
+++ b/peer/bound_test.go
@@ -197,6 +197,43 @@
 	})
 }
 
+// A connection that goes silent without an end is given up after calls have been
+// waited for in vain for a while, and one that is only slow is not.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	const (
+		every = 150 * time.Millisecond
+		limit = 300 * time.Millisecond
+		// backWithin is peer's limit on silence and the calls around it.
+		backWithin = time.Second + 2*(limit+every)
+	)
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine(0)
+		a, b := overLine(t, l, peer.Config{})
+		peer.Handle(b, "echo", echo)
+		peer.Handle(b, "slow", func(ctx context.Context, _ peer.Caller, q question) (answer, error) {
+			pause.For(context.WithoutCancel(ctx), 5*limit)
+			return answer(q), nil
+		})
+		for range 20 {
+			_, err := callWithin[answer](t, a, limit, "slow", question{})
+			qt.Assert(t, errors.Is(err, peer.ErrLost), qt.IsTrue)
+			_, err = callWithin[answer](t, a, limit, "echo", question{})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Check(t, l.dials(), qt.Equals, 1)
+		l.silence()
+		begun := time.Now()
+		for time.Since(begun) < time.Minute {
+			if _, err := callWithin[answer](t, a, limit, "echo", question{}); err == nil {
+				break
+			}
+			pause.For(t.Context(), every)
+		}
+		qt.Check(t, time.Since(begun) < backWithin, qt.IsTrue, qt.Commentf("answered after %s", time.Since(begun)))
+		qt.Check(t, l.dials(), qt.Equals, 2)
+	})
+}
+
 // formerCall is a call as hosts send it that do not tell how long they wait.
 type formerCall struct {
 	Kind   uint8              `msgpack:"k"`
--- a/peer/link.go
+++ b/peer/link.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/spoolsill/spoolsill"
 )
@@ -19,10 +20,16 @@
 
 	dialing gate // held while a connection is opened
 	mu      sync.Mutex
-	conn    *connWriter
+	conn    *linkConn
 	waiting map[uint64]chan *message
 }
 
+// A linkConn is a connection of a link.
+type linkConn struct {
+	*connWriter
+	silence silence
+}
+
 func (l *link) call(ctx context.Context, method string, body []byte) (*message, error) {
 	w, err := l.open(ctx)
 	if err != nil {
@@ -49,6 +56,7 @@
 		l.drop(w)
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, err)
 	}
+	written := time.Now()
 	select {
 	case m, ok := <-reply:
 		if !ok {
@@ -56,12 +64,16 @@
 		}
 		return m, nil
 	case <-ctx.Done():
+		if w.silence.inVain(written, time.Now()) {
+			l.node.report(w.conn, errSilent)
+			l.drop(w)
+		}
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, ctx.Err())
 	}
 }
 
 // rest takes in how the writing of a call has ended whose caller has given up.
-func (l *link) rest(w *connWriter, err error) {
+func (l *link) rest(w *linkConn, err error) {
 	if err != nil {
 		l.node.report(w.conn, err)
 		l.drop(w)
@@ -69,7 +81,7 @@
 }
 
 // open returns the connection, and opens it first when there is none.
-func (l *link) open(ctx context.Context) (*connWriter, error) {
+func (l *link) open(ctx context.Context) (*linkConn, error) {
 	if w := l.current(); w != nil {
 		return w, nil
 	}
@@ -86,7 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
-	w := newConnWriter(l.node, c)
+	w := &linkConn{
+		connWriter: newConnWriter(l.node, c),
+	}
 	l.mu.Lock()
 	l.conn = w
 	l.waiting = map[uint64]chan *message{}
@@ -95,7 +109,7 @@
 	return w, nil
 }
 
-func (l *link) current() *connWriter {
+func (l *link) current() *linkConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.conn
@@ -103,7 +117,7 @@
 
 // expect returns the channel for the reply to a call, or nil when w is no
 // longer the connection.
-func (l *link) expect(w *connWriter, id uint64) chan *message {
+func (l *link) expect(w *linkConn, id uint64) chan *message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != w {
@@ -120,10 +134,13 @@
 	delete(l.waiting, id)
 }
 
-func (l *link) read(w *connWriter) {
+func (l *link) read(w *linkConn) {
 	r := bufio.NewReader(&countingReader{
 		node: l.node,
-		from: w.conn,
+		from: &listeningReader{
+			from:    w.conn,
+			silence: &w.silence,
+		},
 	})
 	for {
 		m, err := readMessage(r)
@@ -137,7 +154,7 @@
 	}
 }
 
-func (l *link) deliver(w *connWriter, m *message) {
+func (l *link) deliver(w *linkConn, m *message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != w {
@@ -152,7 +169,7 @@
 }
 
 // drop closes w and tells all who wait on it.
-func (l *link) drop(w *connWriter) {
+func (l *link) drop(w *linkConn) {
 	_ = w.conn.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peer/memory_test.go
+++ b/peer/memory_test.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// silence has all connections of now say nothing more, for good.
+func (l *line) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.near {
+		e.silent.Store(true)
+	}
+}
+
 // dials returns how many connections were opened.
 func (l *line) dials() int {
 	l.mu.Lock()
@@ -93,16 +102,22 @@
 // A nearEnd is the calling side's end of a connection.
 type nearEnd struct {
 	net.Conn
-	rate int
+	rate   int
+	silent atomic.Bool
 }
 
-// Read implements [net.Conn].
+// Read implements [net.Conn]. What comes on a silent connection is lost, as on
+// one whose other end is gone behind something that still takes its bytes.
 func (e *nearEnd) Read(b []byte) (int, error) {
-	n, err := e.Conn.Read(b[:min(len(b), readMost)])
-	if e.rate > 0 {
-		pause.For(context.Background(), time.Duration(n)*time.Second/time.Duration(e.rate))
+	for {
+		n, err := e.Conn.Read(b[:min(len(b), readMost)])
+		if e.rate > 0 {
+			pause.For(context.Background(), time.Duration(n)*time.Second/time.Duration(e.rate))
+		}
+		if err != nil || !e.silent.Load() {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 // overLine returns a node that calls and one that answers as host "b".
