store, leader: a feed tells how old what it told is

Cause: a follower reports calls that fail. One whose call does not end reports nothing, and what it told before is believed for as long as the process lives: with a list of partitions that hung, a follower had neither failed nor told anything after 20 s, and nothing showed it. Change: Follower.Age tells how long ago the call was sent that was answered last. The leader's log tells every two seconds of feeds, of jobs and of workers, that are older than 5 s. The calls themselves are bounded by the client of the store. Result: TestFollowerTellsItsAge: at most 2 s while the feed hears, over 18 s after 20 s of hanging with no failure reported. Ruled out: a limit on the whole of a call in the follower, which would cut off long answers over slow lines each time anew.

--- a/leader/fixture_test.go
+++ b/leader/fixture_test.go
@@ -43,6 +43,8 @@
 	asked func(stage sched.StageID)
 	// advice is how much longer than usual the advisor takes.
 	advice time.Duration
+	// logs takes in what leaders log; may be nil.
+	logs logrus.Hook
 }
 
 func newCell(ctx context.Context, t *testing.T, workers int) *cell {
@@ -94,6 +96,9 @@
 func (x *cell) lead(host spoolsill.HostID) *leader.Leader {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	if x.logs != nil {
+		log.AddHook(x.logs)
+	}
 	for {
 		old, v, err := leader.ReadHead(x.ctx, x.store)
 		x.c.Assert(err, qt.IsNil)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -105,9 +105,11 @@
 	late     time.Duration // a moving average of how late the loop is
 	loadTold time.Time     // when the log last told how full the cell is
 	kept     time.Time     // when the renewers were last compared with the workers
-	// following is set once the progress is read, and the tables are followed;
-	// loaded once all jobs are known.
+	// following is set once the progress is read, and the tables are followed by
+	// feeds; loaded once all jobs are known.
 	following bool
+	feeds     []*store.Follower
+	feedsTold time.Time // when the log last told of feeds that are old
 	loaded    bool
 
 	mu       sync.Mutex
@@ -444,6 +446,7 @@
 	}
 	l.logNotes()
 	l.logLoad(now)
+	l.logFeeds(now)
 	return l.write(ctx, now)
 }
 
--- a/leader/load.go
+++ b/leader/load.go
@@ -172,7 +172,7 @@
 }
 
 func (l *Leader) follow(ctx context.Context) {
-	followers := []*store.Follower{
+	l.feeds = []*store.Follower{
 		{
 			Store:   l.config.Store,
 			Table:   jobstore.JobsTable,
@@ -193,7 +193,7 @@
 			Failed:  l.reportFeed("workers"),
 		},
 	}
-	for _, f := range followers {
+	for _, f := range l.feeds {
 		l.spawn(func() { f.Run(ctx) })
 	}
 }
--- a/leader/log.go
+++ b/leader/log.go
@@ -32,6 +32,30 @@
 	}).Info("load of the cell")
 }
 
+// feedOld is how old what a feed told may be before the log says so: two answers
+// in a row that did not come, of a store that is asked each second.
+const feedOld = 5 * time.Second
+
+// logFeeds tells now and then of feeds that have told nothing for long: what is
+// decided rests on what they told, and a feed that hangs reports no failure.
+func (l *Leader) logFeeds(now time.Time) {
+	if now.Sub(l.feedsTold) < loadEvery {
+		return
+	}
+	l.feedsTold = now
+	for _, f := range l.feeds {
+		age := f.Age(now)
+		if age < feedOld {
+			continue
+		}
+		l.config.Log.WithFields(logrus.Fields{
+			"epoch":  uint64(l.Epoch()),
+			"table":  f.Table,
+			"age_ms": age.Milliseconds(),
+		}).Warn("feed is old")
+	}
+}
+
 func (l *Leader) logNotes() {
 	for _, n := range l.state.Notes() {
 		l.config.Observer.Note(n)
--- a/store/follow.go
+++ b/store/follow.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/spoolsill/spoolsill/internal/pause"
@@ -37,11 +38,27 @@
 	// before its first answer is no such answer. May be nil.
 	Heard func(sent time.Time)
 	// Failed takes in a failed call, and nil when calls work again; may be nil.
+	// Of a call that does not end it tells nothing, see Age.
 	Failed func(err error)
+
+	answered atomic.Pointer[time.Time] // when the call was sent that was answered last
+}
+
+// Age returns how old what has been taken in is: how long ago the call was sent
+// that was answered last, or Run was called when none has been. It is safe for
+// concurrent use; before Run it is zero.
+func (f *Follower) Age(now time.Time) time.Duration {
+	at := f.answered.Load()
+	if at == nil {
+		return 0
+	}
+	return now.Sub(*at)
 }
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	begun := time.Now()
+	f.answered.Store(&begun)
 	delay := retryFirst
 	var at Version
 	list := newTableListing(f.Store, f.Table)
@@ -67,6 +84,7 @@
 		switch {
 		case err == nil:
 			delay = retryFirst
+			f.answered.Store(&sent)
 			if heard && f.Heard != nil {
 				f.Heard(sent)
 			}
--- a/store/list_test.go
+++ b/store/list_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -343,3 +344,65 @@
 	}
 	return rows
 }
+
+// A hangingStore answers nothing about partitions while it hangs.
+type hangingStore struct {
+	store.Store
+	hangs atomic.Bool
+}
+
+func (s *hangingStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	if s.hangs.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return s.Store.Partitions(ctx, table)
+}
+
+// The age of a feed grows while it hears nothing, also when no call of it ends and
+// none fails.
+func TestFollowerTellsItsAge(t *testing.T) {
+	const wait = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		s := &hangingStore{
+			Store: inner,
+		}
+		failed := 0
+		f := store.Follower{
+			Store:   s,
+			Table:   table,
+			Wait:    wait,
+			Listed:  func([]store.Row) {},
+			Changed: func(store.Row) {},
+			Failed:  func(error) { failed++ },
+		}
+		qt.Check(t, f.Age(time.Now()), qt.Equals, time.Duration(0))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		for range 100 {
+			pause.For(ctx, 77*time.Millisecond)
+			age := f.Age(time.Now())
+			qt.Check(t, age <= 2*wait, qt.IsTrue, qt.Commentf("age %s of a feed that hears", age))
+		}
+		s.hangs.Store(true)
+		inner.Put(store.Put{
+			Key: store.Key{
+				Table: table,
+				Name:  "forgotten",
+			},
+		})
+		inner.Forget() // so that the table is listed anew
+		pause.For(ctx, 20*time.Second)
+		age := f.Age(time.Now())
+		qt.Check(t, age > 18*time.Second, qt.IsTrue, qt.Commentf("age %s of a feed that hangs", age))
+		qt.Check(t, failed, qt.Equals, 0)
+		cancel()
+		<-done
+	})
+}
