store: a call that follows one without an answer asks for a new connection

Cause: connections that are open may all go silent at once, while new ones work. The client keeps up to eight idle ones and takes them one after the other, so that each of them costs a call: a feed with eight silent ones told nothing for 18.5 s (limit 2 s a call), and a write whose five tries all went over silent ones failed after its 4 s. Change: the second and later tries of CommitPatiently, and a feed's call after one without an answer, carry in their context that they want a new connection; a client asks WantsNewConnection and closes its idle ones. Of a listing only the first call does. A call that was refused is no reason. Ruled out: closing idle connections when a call ends without an answer, alone: the tries of a write do not end while they are overdue.

--- a/store/follow.go
+++ b/store/follow.go
@@ -63,7 +63,12 @@
 	var at Version
 	list := newTableListing(f.Store, f.Table)
 	failing := false
+	silent := false // the latest call had no answer
 	for ctx.Err() == nil {
+		callCtx := ctx
+		if silent {
+			callCtx = withNewConnection(ctx)
+		}
 		sent := time.Now()
 		heard := true
 		var err error
@@ -72,15 +77,16 @@
 			if failing {
 				w = 0 // to learn at once that calls work again
 			}
-			at, err = f.step(ctx, at, w)
+			at, err = f.step(callCtx, at, w)
 		} else {
-			at, err = f.list(ctx, list)
+			at, err = f.list(callCtx, list)
 			sent = list.began // what came since then is for the feed to tell
 			heard = at >= list.first
 			if err == nil {
 				list = nil
 			}
 		}
+		silent = errors.Is(err, ErrUnknown)
 		switch {
 		case err == nil:
 			delay = retryFirst
--- a/store/list.go
+++ b/store/list.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	ctx = withAnyConnection(ctx)
 	pages := make([][]Row, len(names))
 	versions := make([]Version, len(names))
 	failed := make([]error, len(names))
--- a/store/patience.go
+++ b/store/patience.go
@@ -27,7 +27,8 @@
 // CommitPatiently applies a transaction. While the answer is overdue it is sent
 // again, and the earlier tries are still waited for: of a store that is slow the
 // first one is answered first, and to give it up would only make the store do it
-// once more; of a store that loses answers a later one is. The first answer is
+// once more; of a store that loses answers a later one is, which therefore goes
+// over a connection of its own, see [WantsNewConnection]. The first answer is
 // returned, with how long its own try took.
 //
 // The tries are the same transaction, and the store may apply each of them, so
@@ -37,7 +38,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan attempt, max(p.Tries, 1))
-	send := func() {
+	send := func(ctx context.Context) {
 		begun := time.Now()
 		r, err := s.Commit(ctx, t)
 		ended <- attempt{
@@ -46,7 +47,7 @@
 			err:    err,
 		}
 	}
-	go send()
+	go send(ctx)
 	underWay := 1
 	sent := 1
 	wait := p.First
@@ -65,7 +66,7 @@
 			if sent >= p.Tries {
 				continue
 			}
-			go send()
+			go send(withNewConnection(ctx))
 			underWay++
 			sent++
 			wait = min(2*wait, p.Most)
