store: a table is listed anew no sooner than 250 ms after the last time

Cause: a feed whose position the store had forgotten was listed anew at once. The store may forget its history sooner than it says; while it keeps none, or less than a listing takes, each host listed without a pause, and all calls are shared and priced. Change: listings begin at least 250 ms apart. The first one after a feed that worked waits for nothing.

--- a/store/follow.go
+++ b/store/follow.go
@@ -17,6 +17,11 @@
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 250 * time.Millisecond
+	// listEvery is how far apart listings begin at least: one costs a call for
+	// each partition, and a store that keeps no history would be listed without
+	// an end. It adds an eighth to the two seconds in which most changes must be
+	// heard of.
+	listEvery = 250 * time.Millisecond
 )
 
 // A Follower keeps up with a table: it lists its partitions and then takes in
@@ -62,6 +67,7 @@
 	delay := retryFirst
 	var at Version
 	list := newTableListing(f.Store, f.Table)
+	var listed time.Time // when the latest listing began
 	failing := false
 	silent := false // the latest call had no answer
 	for ctx.Err() == nil {
@@ -80,6 +86,7 @@
 			at, err = f.step(callCtx, at, w)
 		} else {
 			at, err = f.list(callCtx, list)
+			listed = list.began
 			sent = list.began // what came since then is for the feed to tell
 			heard = at >= list.first
 			if err == nil {
@@ -99,6 +106,7 @@
 			}
 			failing = false
 		case errors.Is(err, ErrHistoryGone):
+			pause.For(ctx, time.Until(listed.Add(listEvery)))
 			list = newTableListing(f.Store, f.Table)
 		case ctx.Err() == nil:
 			if !failing {
--- a/store/list_test.go
+++ b/store/list_test.go
@@ -406,3 +406,61 @@
 		<-done
 	})
 }
+
+// A forgetfulStore has no history at all.
+type forgetfulStore struct {
+	store.Store
+	lists atomic.Int64
+}
+
+func (s *forgetfulStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, table, partition, from, limit)
+}
+
+func (s *forgetfulStore) Feed(ctx context.Context, _ string, _ store.Version, _ time.Duration) (store.Changes, error) {
+	pause.For(ctx, time.Millisecond)
+	return store.Changes{}, store.ErrHistoryGone
+}
+
+// A store that has forgotten its history whenever it is asked is listed now and
+// then, and not without a pause.
+func TestFollowerOfAStoreWithoutHistory(t *testing.T) {
+	const (
+		lasts    = 10 * time.Second
+		listings = 50 // at most
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		s := &forgetfulStore{
+			Store: inner,
+		}
+		var last time.Time
+		longest := time.Duration(0)
+		f := store.Follower{
+			Store: s,
+			Table: table,
+			Wait:  time.Second,
+			Listed: func([]store.Row) {
+				if !last.IsZero() {
+					longest = max(longest, time.Since(last))
+				}
+				last = time.Now()
+			},
+			Changed: func(store.Row) {},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		pause.For(ctx, lasts)
+		cancel()
+		<-done
+		calls := int(s.lists.Load())
+		qt.Check(t, calls < listings*(partitions+1), qt.IsTrue, qt.Commentf("%d calls", calls))
+		qt.Check(t, longest < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%s between listings", longest))
+	})
+}
