peer: connections that bring nothing are ended

Cause: the answering side read from a connection for as long as its process lived. One whose other end had gone without a sign, or had been given up by a caller over a way that carries nothing any more, kept a socket, a goroutine and what had come of a message, up to 8 MB; the kernel's keep-alive does not see it behind something that still answers for the other end. Change: a connection on which nothing has come for a minute is ended, unless a call on it is being handled; each byte puts the end off. The calling side opens a new one when it has not used its own for 20 s, so that no call is sent over one that is just being ended. Result: TestConnectionThatBringsNothingIsEnded and TestIdleLinkOpensANewConnection fail before and pass after; a message in two pieces 59 s apart and a call that takes three minutes still come through. Ruled out: a limit on a whole message, which cuts off slow lines.

--- a/peer/bound_test.go
+++ b/peer/bound_test.go
@@ -311,3 +311,90 @@
 		_ = far.Close()
 	})
 }
+
+// A connection on which nothing comes is ended by the answering side, also in the
+// middle of a message, unless a call on it is still being handled; one on which
+// something comes is not.
+func TestConnectionThatBringsNothingIsEnded(t *testing.T) {
+	const idle = time.Minute
+	call := frame(t, formerCall{
+		Kind:   1,
+		ID:     1,
+		Method: "wait",
+		Body: encoded(t, question{
+			Number: 5,
+		}),
+	})
+	for name, c := range map[string]struct {
+		pieces [][]byte
+		every  time.Duration
+		lasts  time.Duration
+		answer bool
+	}{
+		"nothing": {
+			lasts: idle,
+		},
+		"half a message": {
+			pieces: [][]byte{call[:9]},
+			lasts:  idle,
+		},
+		"a message in two pieces": {
+			pieces: [][]byte{call[:9], call[9:]},
+			every:  idle - time.Second,
+			lasts:  idle - time.Second,
+			answer: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLine(0)
+				_, b := overLine(t, l, peer.Config{})
+				peer.Handle(b, "wait", func(ctx context.Context, _ peer.Caller, q question) (answer, error) {
+					pause.For(ctx, 3*idle+time.Second)
+					return answer(q), ctx.Err()
+				})
+				x, err := l.dial(t.Context(), "b")
+				qt.Assert(t, err, qt.IsNil)
+				begun := time.Now()
+				for i, p := range c.pieces {
+					if i > 0 {
+						pause.For(t.Context(), c.every)
+					}
+					_, err = x.Write(p)
+					qt.Assert(t, err, qt.IsNil)
+				}
+				if c.answer {
+					var r formerCall
+					readFrame(t, x, &r)
+					qt.Check(t, r.ID, qt.Equals, uint64(1))
+				}
+				// A caller that waits for nothing does not end it itself.
+				qt.Assert(t, x.SetReadDeadline(time.Now().Add(time.Hour)), qt.IsNil)
+				_, err = x.Read(make([]byte, 1))
+				qt.Check(t, errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+				qt.Check(t, time.Since(begun) >= c.lasts, qt.IsTrue)
+				qt.Check(t, time.Since(begun) < 6*idle, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// A link that has been used for nothing opens a new connection, before the other
+// side would end the former one.
+func TestIdleLinkOpensANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine(0)
+		a, b := overLine(t, l, peer.Config{})
+		peer.Handle(b, "echo", echo)
+		for range 20 {
+			_, err := callWithin[answer](t, a, time.Second, "echo", question{})
+			qt.Assert(t, err, qt.IsNil)
+			pause.For(t.Context(), 10*time.Second)
+		}
+		qt.Check(t, l.dials(), qt.Equals, 1)
+		pause.For(t.Context(), 50*time.Second)
+		_, err := callWithin[answer](t, a, time.Second, "echo", question{})
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, l.dials(), qt.Equals, 2)
+	})
+}
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -14,7 +14,8 @@
 // and a reply that is not on its way by then is dropped: what nobody waits for
 // takes neither memory nor the line. A caller's deadline bounds the call whatever
 // the other side does. A connection ends when the other side takes nothing of a
-// message for [DefaultWriteLimit], or answers nothing for a second of calls.
+// message for [DefaultWriteLimit], answers nothing for a second of calls, or brings
+// nothing for a minute.
 //
 // A frame that is too long, or that is no message, ends its connection and is
 // reported; nothing else is affected.
--- a/peer/link.go
+++ b/peer/link.go
@@ -21,6 +21,7 @@
 	dialing gate // held while a connection is opened
 	mu      sync.Mutex
 	conn    *linkConn
+	used    time.Time // when conn was asked for last
 	waiting map[uint64]chan *message
 }
 
@@ -109,9 +110,16 @@
 	return w, nil
 }
 
+// current returns the connection if there is one that the other side surely keeps.
 func (l *link) current() *linkConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	if l.conn != nil && len(l.waiting) == 0 && now.Sub(l.used) >= linkIdle {
+		_ = l.conn.conn.Close()
+		l.conn = nil
+	}
+	l.used = now
 	return l.conn
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,13 +23,19 @@
 	defer wg.Wait()
 	defer cancel()
 	w := newConnWriter(n, c)
+	slots := make(chan struct{}, n.config.Handlers)
 	r := bufio.NewReader(&countingReader{
 		node: n,
-		from: c,
+		from: &idleReader{
+			conn: c,
+			busy: func() bool { return len(slots) > 0 },
+		},
 	})
-	slots := make(chan struct{}, n.config.Handlers)
 	for {
 		m, err := readMessage(r)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
 		if err != nil {
 			n.report(c, err)
 			return
