--- a/peer/link.go
+++ b/peer/link.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/spoolsill/spoolsill"
 )
@@ -19,10 +20,17 @@
 
 	dialing gate // held while a connection is opened
 	mu      sync.Mutex
-	conn    *connWriter
+	conn    *linkConn
+	used    time.Time // when conn was asked for last
 	waiting map[uint64]chan *message
 }
 
+// A linkConn is a connection of a link.
+type linkConn struct {
+	*connWriter
+	silence silence
+}
+
 func (l *link) call(ctx context.Context, method string, body []byte) (*message, error) {
 	w, err := l.open(ctx)
 	if err != nil {
@@ -34,19 +42,22 @@
 		return nil, fmt.Errorf("%w: %s: connection closed", ErrUnreachable, l.host)
 	}
 	defer l.forget(id)
-	err = w.write(ctx, &message{
+	err = w.send(ctx, &message{
 		Kind:   messageCall,
 		ID:     id,
 		Method: method,
 		Body:   body,
-	})
-	if errors.Is(err, errNotWritten) {
+	}, func(err error) { l.rest(w, err) })
+	switch {
+	case errors.Is(err, errNotWritten):
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, l.host, err)
-	}
-	if err != nil {
+	case errors.Is(err, errUnderWay):
+		return nil, fmt.Errorf("%w: %s: %w: %w", ErrLost, l.host, err, context.DeadlineExceeded)
+	case err != nil:
 		l.drop(w)
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, err)
 	}
+	written := time.Now()
 	select {
 	case m, ok := <-reply:
 		if !ok {
@@ -54,12 +65,24 @@
 		}
 		return m, nil
 	case <-ctx.Done():
+		if w.silence.inVain(written, time.Now()) {
+			l.node.report(w.conn, errSilent)
+			l.drop(w)
+		}
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, ctx.Err())
 	}
 }
 
+// rest takes in how the writing of a call has ended whose caller has given up.
+func (l *link) rest(w *linkConn, err error) {
+	if err != nil {
+		l.node.report(w.conn, err)
+		l.drop(w)
+	}
+}
+
 // open returns the connection, and opens it first when there is none.
-func (l *link) open(ctx context.Context) (*connWriter, error) {
+func (l *link) open(ctx context.Context) (*linkConn, error) {
 	if w := l.current(); w != nil {
 		return w, nil
 	}
@@ -76,7 +99,9 @@
 	if err != nil {
 		return nil, err
 	}
-	w := newConnWriter(l.node, c)
+	w := &linkConn{
+		connWriter: newConnWriter(l.node, c),
+	}
 	l.mu.Lock()
 	l.conn = w
 	l.waiting = map[uint64]chan *message{}
@@ -85,15 +110,22 @@
 	return w, nil
 }
 
-func (l *link) current() *connWriter {
+// current returns the connection if there is one that the other side surely keeps.
+func (l *link) current() *linkConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	if l.conn != nil && len(l.waiting) == 0 && now.Sub(l.used) >= linkIdle {
+		_ = l.conn.conn.Close()
+		l.conn = nil
+	}
+	l.used = now
 	return l.conn
 }
 
 // expect returns the channel for the reply to a call, or nil when w is no
 // longer the connection.
-func (l *link) expect(w *connWriter, id uint64) chan *message {
+func (l *link) expect(w *linkConn, id uint64) chan *message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != w {
@@ -110,15 +142,18 @@
 	delete(l.waiting, id)
 }
 
-func (l *link) read(w *connWriter) {
+func (l *link) read(w *linkConn) {
 	r := bufio.NewReader(&countingReader{
 		node: l.node,
-		from: w.conn,
+		from: &listeningReader{
+			from:    w.conn,
+			silence: &w.silence,
+		},
 	})
 	for {
 		m, err := readMessage(r)
 		if err != nil {
-			l.node.reportRead(w.conn, err)
+			l.node.report(w.conn, err)
 			l.drop(w)
 			return
 		}
@@ -127,7 +162,7 @@
 	}
 }
 
-func (l *link) deliver(w *connWriter, m *message) {
+func (l *link) deliver(w *linkConn, m *message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != w {
@@ -142,7 +177,7 @@
 }
 
 // drop closes w and tells all who wait on it.
-func (l *link) drop(w *connWriter) {
+func (l *link) drop(w *linkConn) {
 	_ = w.conn.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/store/list_test.go
+++ b/store/list_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,3 +206,261 @@
 		qt.Assert(t, failures, qt.Equals, 3)
 	})
 }
+
+// A behindStore answers the first listing of a whole partition with a page that
+// was read earlier, as a store does whose reads may be behind its newest state.
+type behindStore struct {
+	store.Store
+	mu sync.Mutex
+	// old has such pages by partition.
+	old map[string]store.Page
+}
+
+func (s *behindStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	p, err := s.Store.List(ctx, table, partition, from, limit)
+	if err != nil {
+		return p, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.old[partition]; ok {
+		delete(s.old, partition)
+		return old, nil
+	}
+	return p, nil
+}
+
+// A page that is older than the first answer of a listing does not hide what
+// changed between the two: the feed tells of it, and until then nobody is told
+// that it has been heard.
+func TestFollowerTakesAPageThatIsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		old, err := inner.List(ctx, table, "host7", "", 0)
+		qt.Assert(t, err, qt.IsNil)
+		inner.Put(store.Put{
+			Key: store.Key{
+				Table:     table,
+				Partition: "host7",
+				Name:      "came-since",
+			},
+			Value: []byte("x"),
+		})
+		written := time.Now()
+		pause.For(ctx, time.Millisecond)
+		seen := map[string]bool{}
+		early := 0
+		f := store.Follower{
+			Store: &behindStore{
+				Store: inner,
+				old: map[string]store.Page{
+					"host7": old,
+				},
+			},
+			Table: table,
+			Wait:  time.Second,
+			Listed: func(rows []store.Row) {
+				for _, r := range rows {
+					seen[r.Key.Name] = true
+				}
+			},
+			Changed: func(r store.Row) { seen[r.Key.Name] = true },
+			Heard: func(sent time.Time) {
+				if written.Before(sent) && !seen["came-since"] {
+					early++
+				}
+			},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		pause.For(ctx, 10*time.Second)
+		cancel()
+		<-done
+		qt.Check(t, len(seen), qt.Equals, partitions*rowsEach+1)
+		qt.Check(t, early, qt.Equals, 0)
+	})
+}
+
+// A listing names the least version of its pages, since a feed that goes on from
+// it has to tell of what changed after each of them.
+func TestListingNamesTheLeastVersion(t *testing.T) {
+	s := pagesStore{
+		pages: []store.Page{
+			{
+				Rows:    rowsNamed("a", "b"),
+				More:    true,
+				Version: 9,
+			},
+			{
+				Rows:    rowsNamed("c"),
+				More:    true,
+				Version: 7,
+			},
+			{
+				Rows:    rowsNamed("d"),
+				Version: 12,
+			},
+		},
+	}
+	l := store.Listing{
+		Store:     &s,
+		Table:     table,
+		Partition: "cell",
+	}
+	rows, v, err := l.ReadAll(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rows, qt.HasLen, 4)
+	qt.Assert(t, v, qt.Equals, store.Version(7))
+}
+
+// A pagesStore answers listings with its pages, one after the other.
+type pagesStore struct {
+	store.Store
+	pages []store.Page
+}
+
+func (s *pagesStore) List(context.Context, string, string, string, int) (store.Page, error) {
+	p := s.pages[0]
+	s.pages = s.pages[1:]
+	return p, nil
+}
+
+func rowsNamed(names ...string) []store.Row {
+	var rows []store.Row
+	for _, n := range names {
+		rows = append(rows, store.Row{
+			Key: store.Key{
+				Table:     table,
+				Partition: "cell",
+				Name:      n,
+			},
+			Version: 1,
+		})
+	}
+	return rows
+}
+
+// A hangingStore answers nothing about partitions while it hangs.
+type hangingStore struct {
+	store.Store
+	hangs atomic.Bool
+}
+
+func (s *hangingStore) Partitions(ctx context.Context, table string) ([]string, error) {
+	if s.hangs.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return s.Store.Partitions(ctx, table)
+}
+
+// The age of a feed grows while it hears nothing, also when no call of it ends and
+// none fails.
+func TestFollowerTellsItsAge(t *testing.T) {
+	const wait = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		s := &hangingStore{
+			Store: inner,
+		}
+		failed := 0
+		f := store.Follower{
+			Store:   s,
+			Table:   table,
+			Wait:    wait,
+			Listed:  func([]store.Row) {},
+			Changed: func(store.Row) {},
+			Failed:  func(error) { failed++ },
+		}
+		qt.Check(t, f.Age(time.Now()), qt.Equals, time.Duration(0))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		for range 100 {
+			pause.For(ctx, 77*time.Millisecond)
+			age := f.Age(time.Now())
+			qt.Check(t, age <= 2*wait, qt.IsTrue, qt.Commentf("age %s of a feed that hears", age))
+		}
+		s.hangs.Store(true)
+		inner.Put(store.Put{
+			Key: store.Key{
+				Table: table,
+				Name:  "forgotten",
+			},
+		})
+		inner.Forget() // so that the table is listed anew
+		pause.For(ctx, 20*time.Second)
+		age := f.Age(time.Now())
+		qt.Check(t, age > 18*time.Second, qt.IsTrue, qt.Commentf("age %s of a feed that hangs", age))
+		qt.Check(t, failed, qt.Equals, 0)
+		cancel()
+		<-done
+	})
+}
+
+// A forgetfulStore has no history at all.
+type forgetfulStore struct {
+	store.Store
+	lists atomic.Int64
+}
+
+func (s *forgetfulStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, table, partition, from, limit)
+}
+
+func (s *forgetfulStore) Feed(ctx context.Context, _ string, _ store.Version, _ time.Duration) (store.Changes, error) {
+	pause.For(ctx, time.Millisecond)
+	return store.Changes{}, store.ErrHistoryGone
+}
+
+// A store that has forgotten its history whenever it is asked is listed now and
+// then, and not without a pause.
+func TestFollowerOfAStoreWithoutHistory(t *testing.T) {
+	const (
+		lasts    = 10 * time.Second
+		listings = 50 // at most
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner := cellfake.NewStore()
+		fill(inner)
+		s := &forgetfulStore{
+			Store: inner,
+		}
+		var last time.Time
+		longest := time.Duration(0)
+		f := store.Follower{
+			Store: s,
+			Table: table,
+			Wait:  time.Second,
+			Listed: func([]store.Row) {
+				if !last.IsZero() {
+					longest = max(longest, time.Since(last))
+				}
+				last = time.Now()
+			},
+			Changed: func(store.Row) {},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		pause.For(ctx, lasts)
+		cancel()
+		<-done
+		calls := int(s.lists.Load())
+		qt.Check(t, calls < listings*(partitions+1), qt.IsTrue, qt.Commentf("%d calls", calls))
+		qt.Check(t, longest < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%s between listings", longest))
+	})
+}
