peer, node: a connection that can't be accepted ends nothing else

Cause: one failed Accept, as with too many open files, ended the peers' server and with it the process. Connections between hosts that ended for a bad frame or for their silence left no trace. Change: Accept is tried again after 50 ms, and the failure reported; hosts log why a connection to another host ended, and have a gauge of calls not answered yet. Result: peer.TestServingGoesOnAfterAFailedAccept.

--- a/node/node.go
+++ b/node/node.go
@@ -147,6 +147,9 @@
 		Host:        s.Host,
 		Incarnation: life,
 		Dial:        peerDial(c.Dial),
+		Report: func(remote string, err error) {
+			log.WithError(err).WithField("address", remote).Info("connection to a host ended")
+		},
 	})
 	n.jobs = jobstore.NewWriter(jobstore.Writer{
 		Store:     n.store,
@@ -379,6 +382,7 @@
 	n.metrics.Gauge("spoolsill.config.feed.age.milliseconds", "since the store was asked, by this host or the leader, for its latest answer about the configuration; 0 before it", n.configAge)
 	n.metrics.Gauge("spoolsill.peer.sent.bytes", "bytes that this host sent to other hosts", func() int64 { sent, _ := n.peers.Traffic(); return int64(sent) })
 	n.metrics.Gauge("spoolsill.peer.received.bytes", "bytes that this host received from other hosts", func() int64 { _, read := n.peers.Traffic(); return int64(read) })
+	n.metrics.Gauge("spoolsill.peer.handling", "calls of other hosts that are not answered yet", func() int64 { return int64(n.peers.Handling()) })
 	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
 }
 
--- a/peer/bound_test.go
+++ b/peer/bound_test.go
@@ -398,3 +398,49 @@
 		qt.Check(t, l.dials(), qt.Equals, 2)
 	})
 }
+
+// A failingListener can't accept for a while, as when too many files are open.
+type failingListener struct {
+	net.Listener
+	fails atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.fails.Add(-1) >= 0 {
+		return nil, errors.New("too many open files")
+	}
+	return l.Listener.Accept()
+}
+
+// A connection that can't be accepted ends nothing else.
+func TestServingGoesOnAfterAFailedAccept(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := &failingListener{
+		Listener: inner,
+	}
+	l.fails.Store(2)
+	var reported atomic.Int64
+	b := peer.NewNode(peer.Config{
+		Host:   "b",
+		Report: func(string, error) { reported.Add(1) },
+	})
+	peer.Handle(b, "echo", echo)
+	served := make(chan error, 1)
+	go func() { served <- b.Serve(ctx, l) }()
+	a := peer.NewNode(peer.Config{
+		Host: "a",
+		Addresses: map[spoolsill.HostID]string{
+			"b": inner.Addr().String(),
+		},
+	})
+	defer a.Close()
+	_, err = peer.Call[answer](ctx, a, "b", "echo", question{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reported.Load(), qt.Equals, int64(2))
+	cancel()
+	qt.Assert(t, <-served, qt.IsNil)
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/timeline"
 )
 
@@ -169,6 +170,10 @@
 	return r, nil
 }
 
+// acceptPause is after a connection that could not be accepted. That passes, as
+// when there are too many open files, and must not end the process.
+const acceptPause = 50 * time.Millisecond
+
 // Serve answers calls that come in on l until ctx ends. It closes l, and
 // returns after all its connections are closed.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
@@ -180,11 +185,13 @@
 	defer stop()
 	for {
 		c, err := l.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return err
+			n.config.Report(l.Addr().String(), err)
+			pause.For(ctx, acceptPause)
+			continue
 		}
 		wg.Add(1)
 		go func() {
