--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/soak"
@@ -22,10 +23,15 @@
 var seeds = []uint64{
 	1,   // reads of a large configuration were cut off on slow links, and begun anew
 	4,   // kills all hosts, the leader and single ones
+	7,   // a leader's answers to a host that had just started filled its slow link
 	102, // a leader that was paused told that a completed job still ran
 	905, // a stop was ordered once, and not again where nobody took it
 }
 
+// seedsAtOnce is how many runs are made side by side: one takes half a processor,
+// and most of its time is waiting.
+const seedsAtOnce = 2
+
 // TestPromisesHoldWhileHostsAreHarmed runs real processes; its verdict does not
 // depend on how fast they are, but for the six seconds within which a host has to
 // take a configuration in.
@@ -36,22 +42,35 @@
 	binary := filepath.Join(t.TempDir(), "spoolsill-host")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/spoolsill/spoolsill/cmd/spoolsill-host").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	var g errgroup.Group
+	g.SetLimit(seedsAtOnce)
 	for _, seed := range seeds {
-		dir, err := os.MkdirTemp("", "soak")
-		qt.Assert(t, err, qt.IsNil)
-		r, err := soak.Run(t.Context(), soak.Config{
-			Binary:   binary,
-			Dir:      dir,
-			Seed:     seed,
-			Duration: 8 * time.Second,
+		g.Go(func() error {
+			checkSeed(t, binary, seed)
+			return nil
 		})
-		t.Logf("seed %d: %s", seed, r)
-		qt.Check(t, err, qt.IsNil)
-		qt.Check(t, r.Broken, qt.HasLen, 0, qt.Commentf("logs are in %s", dir))
-		qt.Check(t, r.Accepted > 0, qt.IsTrue)
-		if !t.Failed() {
-			qt.Check(t, os.RemoveAll(dir), qt.IsNil)
-		}
+	}
+	qt.Assert(t, g.Wait(), qt.IsNil)
+}
+
+// checkSeed makes the run of one seed. Its logs stay when a promise was broken.
+func checkSeed(t *testing.T, binary string, seed uint64) {
+	dir, err := os.MkdirTemp("", "soak")
+	if !qt.Check(t, err, qt.IsNil) {
+		return
+	}
+	r, err := soak.Run(t.Context(), soak.Config{
+		Binary:   binary,
+		Dir:      dir,
+		Seed:     seed,
+		Duration: 8 * time.Second,
+	})
+	t.Logf("seed %d: %s", seed, r)
+	well := qt.Check(t, err, qt.IsNil)
+	well = qt.Check(t, r.Broken, qt.HasLen, 0, qt.Commentf("logs of seed %d are in %s", seed, dir)) && well
+	well = qt.Check(t, r.Accepted > 0, qt.IsTrue) && well
+	if well {
+		qt.Check(t, os.RemoveAll(dir), qt.IsNil)
 	}
 }
 
