soak: which configuration is in force is read from the host's metrics

Cause: the soak took 502 for a sign that a host has a route, since a host whose leader is away answers so. Change: the version in force is read from the host's metrics. A version that goes back within a life is a breach, at whatever step, and so is one that is behind after the bound, whatever its answers are; 404 for a route that was in force, or that must be, stays one. Both checks see more than before.

--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/spoolsill/spoolsill/internal/standin/wire"
@@ -156,14 +159,16 @@
 	c := newClient(0, 0, nil, x.judge)
 	defer c.http.CloseIdleConnections()
 	for _, p := range x.hosts {
-		for x.shows(ctx, c, p, x.newestVersion()) != http.StatusOK && wait(ctx, settleStep) {
-			continue
+		for wait(ctx, settleStep) {
+			if v, ok := inForce(ctx, c, p); ok && v >= x.newestVersion() {
+				break
+			}
 		}
 	}
 }
 
-// watchConfig asks a host again and again for the route of the newest version
-// that this life of it has shown.
+// watchConfig asks a host again and again which configuration is in force, and for
+// the route of the newest version that this life of it has had in force.
 func (x *run) watchConfig(ctx context.Context, p *Process) {
 	c := newClient(0, 0, nil, x.judge)
 	defer c.http.CloseIdleConnections()
@@ -172,39 +177,56 @@
 		if n := p.Lives(); n != life {
 			life, seen = n, 0
 		}
-		next := min(seen+1, x.newestVersion())
-		if x.shows(ctx, c, p, next) == http.StatusOK {
-			seen = next
+		v, ok := inForce(ctx, c, p)
+		if !ok || p.Lives() != life {
 			continue
 		}
-		if seen > 0 && x.shows(ctx, c, p, seen) == http.StatusNotFound && p.Lives() == life {
+		if v < seen {
+			x.judge.WentBack(p.Settings.Host, seen, v)
+		}
+		seen = max(seen, v)
+		if seen > 0 && x.refuses(ctx, c, p, seen) && p.Lives() == life {
 			x.judge.WentBack(p.Settings.Host, seen, seen-1)
 		}
 	}
 }
 
-// watchNewest asks a host again and again for the route of the newest version.
+// watchNewest asks a host again and again whether the newest configuration is in
+// force. Its word is taken, and not its answers to calls: a host that knows that it
+// is behind has callers come back, who are served no better for it.
 func (x *run) watchNewest(ctx context.Context, p *Process) {
 	c := newClient(0, 0, nil, x.judge)
 	defer c.http.CloseIdleConnections()
 	for wait(ctx, settleStep) {
 		newest := x.newestVersion()
 		sent := time.Now()
-		if x.shows(ctx, c, p, newest) == http.StatusNotFound {
+		if v, ok := inForce(ctx, c, p); ok && v < newest || x.refuses(ctx, c, p, newest) {
 			x.judge.Misses(p.Settings.Host, newest, sent)
 		}
 	}
 }
 
-// shows returns 200 when a host has the route of a version, 404 when it has
-// not, and 0 when that is not known.
-func (x *run) shows(ctx context.Context, c *client, p *Process, version int) int {
-	switch status, _ := c.callAt(ctx, p.Settings.ClientAddress, http.MethodGet, versionPath(version), ""); status {
-	case http.StatusNotFound:
-		return status
-	case http.StatusOK, http.StatusBadGateway:
-		return http.StatusOK
-	default:
-		return 0
+// versionMetric is the metric of the configuration in force.
+const versionMetric = "spoolsill_config_version "
+
+// inForce returns the version that a host says is in force, if it answers.
+func inForce(ctx context.Context, c *client, p *Process) (int, bool) {
+	status, body := c.callAt(ctx, net.JoinHostPort(p.Settings.IP, strconv.Itoa(metricsPort)), http.MethodGet, "/metrics", "")
+	if status != http.StatusOK {
+		return 0, false
 	}
+	for line := range strings.Lines(body) {
+		if text, ok := strings.CutPrefix(line, versionMetric); ok {
+			v, err := strconv.Atoi(strings.TrimSpace(text))
+			return v, err == nil
+		}
+	}
+	return 0, false
+}
+
+// refuses reports whether a host tells callers for good that there is no route of
+// a version.
+func (x *run) refuses(ctx context.Context, c *client, p *Process, version int) bool {
+	status, _ := c.callAt(ctx, p.Settings.ClientAddress, http.MethodGet, versionPath(version), "")
+	return status == http.StatusNotFound
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -13,6 +14,9 @@
 	"github.com/spoolsill/spoolsill/internal/standin/wire"
 )
 
+// metricsPort is where each host, at its own address, serves its metrics.
+const metricsPort = 9464
+
 // A Process is one host, over all its lives. It signals only processes that it
 // has started. It is safe for concurrent use.
 type Process struct {
@@ -59,7 +63,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	c := exec.Command(p.binary, "--metrics", "0") //nolint:gosec // the binary under test, named by whoever starts the soak
+	c := exec.Command(p.binary, "--metrics", strconv.Itoa(metricsPort)) //nolint:gosec // the binary under test, named by whoever starts the soak
 	c.Env = append(os.Environ(), "SPOOLSILL_BOOT="+file)
 	c.Stdout = log
 	c.Stderr = log
--- a/internal/soak/touch.go
+++ b/internal/soak/touch.go
@@ -53,8 +53,8 @@
 	return t
 }
 
-// Misses takes in that a host has answered a request, sent at a time, as if there
-// were no route of a version. It breaks a promise, once for each version, when
+// Misses takes in that a host has answered a request, sent at a time, as one that
+// does not have a version in force. It breaks a promise, once for each version, when
 // the host has had configTime to take the version in.
 func (j *Judge) Misses(host string, version int, sent time.Time) {
 	j.mu.Lock()
@@ -68,5 +68,5 @@
 		return
 	}
 	t.missed = version
-	j.breach("host %s has no route of configuration %d, %.1f s after it was acknowledged and %.1f s after the last harm", host, version, sent.Sub(j.configured[version]).Seconds(), sent.Sub(t.healed).Seconds())
+	j.breach("host %s does not have configuration %d in force, %.1f s after it was acknowledged and %.1f s after the last harm", host, version, sent.Sub(j.configured[version]).Seconds(), sent.Sub(t.healed).Seconds())
 }
