node: a leader in doubt is told of jobs too

Cause: a host that took the leader for lost did not tell it of the jobs that it accepted. Change: rows are told to whoever leads as far as is known. The file of the tests about what the leader is told is named for that.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,8 @@
 	7,   // a leader's answers to a host that had just started filled its slow link
 	102, // a leader that was paused told that a completed job still ran
 	905, // a stop was ordered once, and not again where nobody took it
+	// A leader in doubt was not told of a job, and said that there is none.
+	1011,
 }
 
 // seedsAtOnce is how many runs are made side by side: one takes half a processor,
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -106,7 +106,7 @@
 		l.Tell(row)
 		return
 	}
-	h, ok := n.leaderHost()
+	h, ok := n.leaderToTell()
 	if !ok || !n.telling.TryAcquire(1) {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -324,6 +324,16 @@
 	return n.head.Host, true
 }
 
+// leaderToTell returns the host that leads as far as is known, also when it is in
+// doubt: if it leads on, and its feed hears nothing, it knows of a job from nobody
+// else.
+func (n *Node) leaderToTell() (spoolsill.HostID, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.head
+	return h.Host, h.Host != "" && !h.Released && h.Host != n.settings.Host
+}
+
 // newLeader returns a leader for a chain that was just won.
 func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
 	b := n.settings.Bounds
--- a/node/unasked_test.go
+++ b/node/told_test.go
@@ -61,3 +61,27 @@
 		x.c.Assert(x.workers.Running(), qt.Equals, 0)
 	})
 }
+
+// A host that takes the leader for lost tells it of a job all the same: it may lead
+// on, and the first answer of a feed that works again may tell of nothing yet.
+func TestLeaderInDoubtIsToldOfJobs(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		l := x.leader()
+		h := (l + 1) % len(x.hosts)
+		for i := range 10 {
+			x.store.TurnAway(true)
+			x.network.SetCut(hostName(h), hostName(l), true)
+			pause.For(x.ctx, 500*time.Millisecond+time.Duration(i)*23*time.Millisecond)
+			x.store.Deafen(true)
+			x.store.TurnAway(false)
+			x.network.SetCut(hostName(h), hostName(l), false)
+			if x.call(h, http.MethodPost, "/q/"+jobID(i), body).status != http.StatusOK {
+				continue // the host has not found the store back yet
+			}
+			r := x.call(l, http.MethodGet, "/q/"+jobID(i), "")
+			x.c.Check(r.status, qt.Not(qt.Equals), http.StatusGone, qt.Commentf("job %d", i))
+			x.store.Deafen(false)
+			pause.For(x.ctx, 2*time.Second)
+		}
+	})
+}
