--- /dev/null
+++ b/leader/coldread_test.go
@@ -0,0 +1,58 @@
+package leader_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// A job and its cancel are told to a leader that has not read all jobs yet, and the
+// store does not take the leader's write of its end: the job's rows are not deleted
+// before the end lasts, or nobody would know of the job.
+func TestRowsOfAJobThatEndsWhileJobsAreReadAreKeptUntilItsEndLasts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		j := sched.Job{
+			ID:    "j",
+			Queue: "plain",
+			Steps: []sched.Step{step(1, 1)},
+		}
+		x.store.SlowLists(jobstore.JobsTable, time.Second)
+		l := x.lead("a")
+		pause.For(x.ctx, 300*time.Millisecond) // the progress is read, the jobs are not
+		x.submit(j)
+		x.store.SetFault(func(t store.Transaction) cellfake.StoreFault {
+			for _, p := range t.Puts {
+				if p.Key == jobstore.ProgressKey("j") {
+					return cellfake.StoreRefuse
+				}
+			}
+			return cellfake.StoreWell
+		})
+		v, err := jobstore.EncodeJob(j)
+		x.c.Assert(err, qt.IsNil)
+		l.Tell(store.Row{
+			Key: store.Key{
+				Table:     jobstore.JobsTable,
+				Partition: "host",
+				Name:      "j",
+			},
+			Value: v,
+		})
+		x.c.Assert(jobstore.Cancel(x.ctx, x.store, "host", "j"), qt.IsNil)
+		l.Tell(jobstore.CancelRow("host", "j"))
+		pause.For(x.ctx, 6*time.Second)
+		_, known, err := jobstore.State(x.ctx, x.store, "j")
+		x.c.Assert(err, qt.IsNil)
+		x.c.Check(known, qt.IsTrue, qt.Commentf("neither the job nor its end is in the store"))
+	})
+}
--- /dev/null
+++ b/peer/coldread_test.go
@@ -0,0 +1,48 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/peer"
+)
+
+// A call of which nothing was written before its caller gave up was certainly not
+// received, and is not sent later.
+func TestCallOfWhichNothingWasWrittenIsNotSentLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		n := peer.NewNode(peer.Config{
+			Host: "a",
+			Addresses: map[spoolsill.HostID]string{
+				"b": "b",
+			},
+			Dial: func(context.Context, string) (net.Conn, error) { return ours, nil },
+		})
+		defer n.Close()
+		_, err := callWithin[answer](t, n, 100*time.Millisecond, "echo", question{
+			Number: 1,
+		})
+		qt.Check(t, errors.Is(err, peer.ErrUnreachable), qt.IsTrue, qt.Commentf("%v", err))
+		got := make(chan int, 1)
+		go func() {
+			k, _ := theirs.Read(make([]byte, 1<<10))
+			got <- k
+		}()
+		pause.For(t.Context(), time.Second)
+		select {
+		case k := <-got:
+			qt.Check(t, k, qt.Equals, 0, qt.Commentf("bytes sent after the caller gave up"))
+		default:
+		}
+	})
+}
--- /dev/null
+++ b/sched/coldread_test.go
@@ -0,0 +1,23 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+)
+
+// A worker whose entry went is kept in touch with until its lease is over, also when
+// it still answers, and each call renews the lease.
+func TestIdleWorkerWhoseEntryWentIsLeftAfterAWhile(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.UnlistWorker(x.now, "w")
+	for range 120 {
+		x.now = x.now.Add(500 * time.Millisecond)
+		if len(x.state.Workers()) == 0 {
+			return
+		}
+		x.renew("w") // as a renewer does
+		x.step()
+	}
+	x.c.Fatalf("still kept in touch with a minute after its entry went: %v", x.state.Workers())
+}
