--- a/leader/leader.go
+++ b/leader/leader.go
@@ -212,8 +212,9 @@
 func (l *Leader) Settle(ctx context.Context, id spoolsill.JobID) (s sched.JobStatus, known, sure bool) {
 	asked := time.Now()
 	for {
-		s, known = l.Status(id)
+		// In this order: what is heard of in between is known by the second look.
 		heard, next := l.hearing()
+		s, known = l.Status(id)
 		if known || heard.After(asked) {
 			return s, known, true
 		}
--- a/leader/load.go
+++ b/leader/load.go
@@ -32,6 +32,9 @@
 			})
 			return
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		l.config.Log.WithError(err).Warn("load progress")
 		pause.For(ctx, delay)
 		delay = min(2*delay, pauseMost)
@@ -161,11 +164,13 @@
 	}
 }
 
-// endLasts reports whether the end of a job that has ended is in the store:
-// what is loaded comes from there, and what was published was written.
+// endLasts reports whether the end of a job that has ended is in the store: what
+// was read came from there, and what was published was written. A job may also
+// have ended since it was told of, before all jobs are known.
 func (l *Leader) endLasts(id spoolsill.JobID) bool {
 	if !l.loaded {
-		return true
+		p, err := sched.DecodeProgress(l.rows[id])
+		return err == nil && p.State.Final()
 	}
 	s, _ := l.Status(id)
 	return s.State.Final()
--- a/node/config.go
+++ b/node/config.go
@@ -38,7 +38,8 @@
 	// that other hosts fetch piece by piece, oldest first.
 	asked  time.Time
 	former []formerConfig
-	// told is the newest version that any host has told of, since toldSince.
+	// told is the newest version that any host has told of; this host has been
+	// behind since toldSince.
 	told      spoolsill.Version
 	toldSince time.Time
 	// offer is where a newer one can be had, if anywhere.
@@ -72,7 +73,6 @@
 func (c *configs) set(k knownConfig, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.misread = false
 	if k.version <= c.now.version {
 		return false
 	}
@@ -82,11 +82,11 @@
 	return true
 }
 
-// misreads takes in that the store told what can't be read.
-func (c *configs) misreads() {
+// setMisread takes in whether what the store told last can't be read.
+func (c *configs) setMisread(misread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.misread = true
+	c.misread = misread
 }
 
 // hear takes in that all changes before a time are known.
@@ -136,18 +136,24 @@
 	return k.config, k.config != nil
 }
 
+// current reports whether a version is certainly the newest one, as of some time
+// ago at most.
+func (c *configs) current(v spoolsill.Version, now time.Time, within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return v == c.now.version && c.told <= v && !c.heard.IsZero() && now.Sub(c.heard) <= within
+}
+
 // ConfigIsCurrent implements [platform.Jobs].
-func (n *Node) ConfigIsCurrent() bool {
-	age, ok := n.configs.age(time.Now())
-	within := cmp.Or(n.settings.Bounds.ConfigInForce, configInForce)
-	return ok && age <= within && n.configs.newest() == n.configs.get().version
+func (n *Node) ConfigIsCurrent(v spoolsill.Version) bool {
+	return n.configs.current(v, time.Now(), cmp.Or(n.settings.Bounds.ConfigInForce, configInForce))
 }
 
 // followConfig keeps up with the operators' configuration.
 func (n *Node) followConfig(ctx context.Context) {
 	take := func(r store.Row) {
-		if r.Key.Name == platform.ConfigRow && !r.Deleted && !n.takeConfig(r.Value, "store") {
-			n.configs.misreads()
+		if r.Key.Name == platform.ConfigRow && !r.Deleted {
+			n.configs.setMisread(!n.takeConfig(r.Value, "store"))
 		}
 	}
 	f := store.Follower{
--- a/node/fetchconfig.go
+++ b/node/fetchconfig.go
@@ -41,6 +41,7 @@
 func (c *configs) held(now time.Time) heldConfig {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.dropFormer(now)
 	return heldConfig{
 		Version: c.now.version,
 		Size:    len(c.now.raw),
@@ -74,10 +75,10 @@
 	if x.Version <= c.now.version || x.Version <= c.refused {
 		return
 	}
-	if x.Version > c.told {
-		c.told = x.Version
+	if c.told <= c.now.version {
 		c.toldSince = now
 	}
+	c.told = max(c.told, x.Version)
 	if x.Version < c.offer.version {
 		return
 	}
@@ -132,7 +133,7 @@
 
 // take adds a piece, and reports whether it brought the whole nearer.
 func (p *partialConfig) take(r pieceReply) bool {
-	if r.Version != p.version && r.Offset == 0 {
+	if r.Version > p.version && r.Offset == 0 {
 		*p = partialConfig{
 			version: r.Version,
 			size:    r.Size,
@@ -205,6 +206,9 @@
 		f.node.log.WithError(err).WithField("from", string(o.host)).WithField("version", uint64(o.version)).WithField("bytes", len(f.partial.data)).Info("configuration not fetched yet")
 	}
 	f.delay = min(max(2*f.delay, fetchFirst), fetchMost)
+	if f.delay == fetchMost {
+		f.partial = partialConfig{} // nobody has the rest: an older version will do
+	}
 	pause.For(ctx, f.delay/2+rand.N(f.delay))
 }
 
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -115,11 +115,11 @@
 
 func (n *Node) greetResult(ctx context.Context, h leader.Head) greetResult {
 	r, err := n.greetLeader(ctx, h, greetTimeout)
+	answers := err == nil && r.Leads && r.Epoch == h.Epoch
 	return greetResult{
-		well:    err == nil && r.leads(h),
-		gone:    refused(err) || err == nil && !r.Leads,
-		answers: err == nil && r.Leads && r.Epoch == h.Epoch,
-
-		turnedAway: err == nil && r.Leads && r.Epoch == h.Epoch && r.turnedAway(),
+		well:       err == nil && r.leads(h),
+		gone:       refused(err) || err == nil && !r.Leads,
+		answers:    answers,
+		turnedAway: answers && r.turnedAway(),
 	}
 }
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -33,6 +33,10 @@
 	// such job; less than askTimeout. A feed that tells of jobs answers some
 	// fifteen times a second, one that has none to tell of once.
 	settleTimeout = 180 * time.Millisecond
+	// cancelsMost bounds the marks of cancelled jobs that are written at once: of a
+	// store that loses answers each holds a connection for a second, which the
+	// leader's own writes need.
+	cancelsMost = 8
 	// tellingMost bounds the calls that tell the leader of jobs.
 	tellingMost = 128
 	// handOnTimeout is for a job that the leader is to keep.
@@ -302,6 +306,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.health.writeTimeout())
 	defer cancel()
+	if err := n.cancelling.Acquire(ctx, 1); err != nil {
+		return true, err
+	}
+	defer n.cancelling.Release(1)
 	if err := jobstore.Cancel(ctx, n.store, n.partition(), id); err != nil {
 		return true, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -87,8 +87,9 @@
 	port     int // of the metrics
 	jobs     *jobstore.Writer
 
-	telling *semaphore.Weighted
-	pieces  *rate.Limiter // of the configuration, told to other hosts
+	telling    *semaphore.Weighted
+	cancelling *semaphore.Weighted
+	pieces     *rate.Limiter // of the configuration, told to other hosts
 
 	configs *configs
 	hosts   hostList
@@ -128,14 +129,15 @@
 			metrics: c.Metrics,
 			log:     log,
 		},
-		workers: platform.NewWorkers(c.Dial),
-		life:    life,
-		health:  h,
-		metrics: c.Metrics,
-		port:    c.MetricsPort,
-		configs: newConfigs(),
-		telling: semaphore.NewWeighted(tellingMost),
-		pieces:  newPieceLimiter(s.LinkRate),
+		workers:    platform.NewWorkers(c.Dial),
+		life:       life,
+		health:     h,
+		metrics:    c.Metrics,
+		port:       c.MetricsPort,
+		configs:    newConfigs(),
+		telling:    semaphore.NewWeighted(tellingMost),
+		cancelling: semaphore.NewWeighted(cancelsMost),
+		pieces:     newPieceLimiter(s.LinkRate),
 	}
 	if n.listen == nil {
 		n.listen = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
--- a/node/pieces.go
+++ b/node/pieces.go
@@ -19,8 +19,8 @@
 	// pieceShare is how much of its link a host spends on telling others of the
 	// configuration: with 40 that ask a leader, all of it would be gone.
 	pieceShare = 0.5
-	// pieceBurst is how many pieces may go at once.
-	pieceBurst = 4
+	// pieceWait is how long a call for a piece may wait for its turn.
+	pieceWait = 200 * time.Millisecond
 	// smallestLink is that of a host whose settings do not tell it: 2 Mbit/s, in
 	// bytes a second.
 	smallestLink = 250_000
@@ -53,7 +53,7 @@
 	if link <= 0 {
 		link = smallestLink
 	}
-	return rate.NewLimiter(rate.Limit(pieceShare*float64(link)/pieceBytes), pieceBurst)
+	return rate.NewLimiter(rate.Limit(pieceShare*float64(link)/pieceBytes), 1)
 }
 
 var errPieceLater = &peer.RemoteError{
@@ -61,9 +61,11 @@
 	Text: "too many pieces of the configuration are asked for",
 }
 
-func (n *Node) pieceAsked(_ context.Context, _ peer.Caller, q pieceRequest) (pieceReply, error) {
+func (n *Node) pieceAsked(ctx context.Context, _ peer.Caller, q pieceRequest) (pieceReply, error) {
 	k := n.configs.document(q.Version, time.Now())
-	if !n.pieces.Allow() {
+	ctx, cancel := context.WithTimeout(ctx, pieceWait)
+	defer cancel()
+	if n.pieces.Wait(ctx) != nil {
 		return pieceReply{}, errPieceLater
 	}
 	r := pieceReply{
@@ -101,13 +103,13 @@
 }
 
 // keepFormer keeps the configuration that is about to be replaced if hosts fetch
-// it, and drops those that nobody fetches any more, or that take too much memory.
+// it, and drops others so that they do not take too much memory.
 func (c *configs) keepFormer(now time.Time) {
 	c.former = append(c.former, formerConfig{
 		knownConfig: c.now,
 		asked:       c.asked,
 	})
-	c.former = slices.DeleteFunc(c.former, func(f formerConfig) bool { return now.Sub(f.asked) > formerKept })
+	c.dropFormer(now)
 	size := 0
 	for _, f := range c.former {
 		size += len(f.raw)
@@ -117,3 +119,8 @@
 		c.former = slices.Delete(c.former, 0, 1)
 	}
 }
+
+// dropFormer drops the configurations that nobody fetches any more.
+func (c *configs) dropFormer(now time.Time) {
+	c.former = slices.DeleteFunc(c.former, func(f formerConfig) bool { return now.Sub(f.asked) > formerKept })
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -36,6 +36,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, l.host, err)
 	}
+	begun := time.Now()
+	short := waitsBriefly(ctx)
 	id := l.node.ids.Add(1)
 	reply := l.expect(w, id)
 	if reply == nil {
@@ -50,6 +52,9 @@
 	}, func(err error) { l.rest(w, err) })
 	switch {
 	case errors.Is(err, errNotWritten):
+		if short {
+			l.dropSilent(w, begun)
+		}
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, l.host, err)
 	case errors.Is(err, errUnderWay):
 		return nil, fmt.Errorf("%w: %s: %w: %w", ErrLost, l.host, err, context.DeadlineExceeded)
@@ -65,14 +70,23 @@
 		}
 		return m, nil
 	case <-ctx.Done():
-		if w.silence.inVain(written, time.Now()) {
-			l.node.report(w.conn, errSilent)
-			l.drop(w)
+		if short {
+			l.dropSilent(w, written)
 		}
 		return nil, fmt.Errorf("%w: %s: %w", ErrLost, l.host, ctx.Err())
 	}
 }
 
+// dropSilent gives a connection up on which calls have been waited for in vain for
+// long, the latest since some time.
+func (l *link) dropSilent(w *linkConn, since time.Time) {
+	if !w.silence.inVain(since, time.Now()) {
+		return
+	}
+	l.node.report(w.conn, errSilent)
+	l.drop(w)
+}
+
 // rest takes in how the writing of a call has ended whose caller has given up.
 func (l *link) rest(w *linkConn, err error) {
 	if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -139,7 +139,7 @@
 }
 
 // send writes a call. It fails with errNotWritten when nothing was written, and
-// with errUnderWay when the caller's wait ends before the message is written: the
+// with errUnderWay when the caller's wait ends with a part of it written: the
 // rest follows, as long as the other side takes something, and later is told how
 // that ended.
 func (w *connWriter) send(ctx context.Context, m *message, later func(error)) error {
@@ -156,7 +156,12 @@
 		return fmt.Errorf("%w: %w", errNotWritten, err)
 	}
 	rest, err := w.write(frame, end)
-	if limited && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end) {
+	gaveUp := limited && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end)
+	if gaveUp && len(rest) == len(frame) {
+		w.gate.leave()
+		return fmt.Errorf("%w: %w", errNotWritten, err)
+	}
+	if gaveUp {
 		go func() {
 			defer w.gate.leave()
 			_, err := w.write(rest, time.Time{})
--- a/peer/silence.go
+++ b/peer/silence.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync"
@@ -16,6 +17,14 @@
 // errSilent is reported of a connection that is given up for its silence.
 var errSilent = errors.New("peer: connection is silent")
 
+// waitsBriefly reports whether a call is waited for so briefly that it is one that
+// is answered in milliseconds. Of others, that no answer came says nothing: their
+// handlers may still be at work.
+func waitsBriefly(ctx context.Context) bool {
+	end, limited := ctx.Deadline()
+	return limited && time.Until(end) < silentMost
+}
+
 // A silence tells for how long calls on a connection have been waited for in vain,
 // without a byte from the other side. It is safe for concurrent use.
 type silence struct {
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -160,14 +160,13 @@
 }
 
 // Workers returns the ids of the workers that are to be kept in touch with:
-// those that are listed, and those that may have runs, known or not, until their
-// leases are over. A start without an answer may be carried out at a worker whose
-// entry has gone: with a lease of 6 s it went on there for 5.6 s, and for 0.12 s if
-// the worker is looked at (leader's table of runs that start late).
+// those that are listed, and those that may have runs, known or not. A start without
+// an answer may be carried out at a worker whose entry has gone: with a lease of 6 s
+// it went on there for 5.6 s, and for 0.12 s if the worker is looked at.
 func (s *State) Workers() []spoolsill.WorkerID {
 	var ids []spoolsill.WorkerID
 	for _, w := range s.order {
-		if !w.dead && w.Address != "" {
+		if !w.dead && w.Address != "" && (w.present(s.now) || len(w.runs) > 0 || s.now.Sub(w.unlisted) < lateMost) {
 			ids = append(ids, w.id)
 		}
 	}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -21,6 +21,10 @@
 	// leaseLeft is how much of its lease a worker must have left to be given
 	// something new.
 	leaseLeft = time.Second
+	// lateMost is for how long a worker whose entry went is looked at though nothing
+	// is known to run there: orders without an answer are carried out up to 12 s
+	// later, by the platform's word, and the last one may just have been sent.
+	lateMost = 14 * time.Second
 	// unwellFor is how long a worker that turned an order away is left alone.
 	unwellFor = 700 * time.Millisecond
 )
