store, node, leader: functions with one step, counts by what is taken in

Cause: Follower.Run had 57 lines and seven flags, Node.Run 61 lines; a count of waiting jobs was told by when the feed was heard, though the loop may not have taken its rows in yet (by reading). Change: a follower's state and the outcome of a call are types; listening is apart; counts go by what the loop has taken in.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -118,7 +118,6 @@
 	statuses map[spoolsill.JobID]sched.JobStatus
 	waiting  map[sched.QueueID]int
 	known    bool
-	heard    time.Time // when the latest answer of the jobs' feed was asked for
 	// taken is like heard, once the loop has taken the answer's jobs in.
 	taken time.Time
 	hears chan struct{} // closed when taken changes
@@ -243,14 +242,11 @@
 func (l *Leader) Waiting(q sched.QueueID) (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.waiting[q], l.known && time.Since(l.heard) < countAge
+	return l.waiting[q], l.known && time.Since(l.taken) < countAge
 }
 
 // hearJobs takes in that all jobs accepted before a time have been read.
 func (l *Leader) hearJobs(sent time.Time) {
-	l.mu.Lock()
-	l.heard = sent
-	l.mu.Unlock()
 	l.send(jobsHeard{
 		sent: sent,
 	})
--- a/leader/load.go
+++ b/leader/load.go
@@ -179,23 +179,39 @@
 func (l *Leader) follow(ctx context.Context) {
 	l.feeds = []*store.Follower{
 		{
-			Store:   l.config.Store,
-			Table:   jobstore.JobsTable,
-			Wait:    followWait,
-			Listed:  func(rows []store.Row) { l.send(jobsListed{rows: rows}) },
-			Changed: func(r store.Row) { l.send(jobChanged{row: r}) },
-			Pause:   jobsPause,
-			Heard:   l.hearJobs,
-			Failed:  l.reportFeed(jobstore.JobsTable),
+			Store: l.config.Store,
+			Table: jobstore.JobsTable,
+			Wait:  followWait,
+			Listed: func(rows []store.Row) {
+				l.send(jobsListed{
+					rows: rows,
+				})
+			},
+			Changed: func(r store.Row) {
+				l.send(jobChanged{
+					row: r,
+				})
+			},
+			Pause:  jobsPause,
+			Heard:  l.hearJobs,
+			Failed: l.reportFeed(jobstore.JobsTable),
 		},
 		{
-			Store:   l.config.Store,
-			Table:   l.config.WorkersTable,
-			Wait:    followWait,
-			Pause:   workersPause,
-			Listed:  func(rows []store.Row) { l.send(workersListed{rows: rows}) },
-			Changed: func(r store.Row) { l.send(workerChanged{row: r}) },
-			Failed:  l.reportFeed("workers"),
+			Store: l.config.Store,
+			Table: l.config.WorkersTable,
+			Wait:  followWait,
+			Pause: workersPause,
+			Listed: func(rows []store.Row) {
+				l.send(workersListed{
+					rows: rows,
+				})
+			},
+			Changed: func(r store.Row) {
+				l.send(workerChanged{
+					row: r,
+				})
+			},
+			Failed: l.reportFeed("workers"),
 		},
 	}
 	for _, f := range l.feeds {
--- a/node/node.go
+++ b/node/node.go
@@ -183,21 +183,35 @@
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort))
 }
 
+// listeners are where a node is called.
+type listeners struct {
+	clients  net.Listener
+	balancer net.Listener
+	hosts    net.Listener
+}
+
+func (n *Node) listenAll() (listeners, error) {
+	var l listeners
+	var err error
+	if l.clients, err = n.listen(n.settings.ClientAddress); err != nil {
+		return l, eris.Wrap(err, "listen for clients")
+	}
+	if l.balancer, err = n.listen(n.settings.ReadyAddress); err != nil {
+		return l, eris.Wrap(err, "listen for the balancer")
+	}
+	if l.hosts, err = n.listen(n.peerAddress()); err != nil {
+		return l, eris.Wrap(err, "listen for hosts")
+	}
+	return l, nil
+}
+
 // Run serves until ctx ends, and then stops as planned.
 func (n *Node) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	clients, err := n.listen(n.settings.ClientAddress)
-	if err != nil {
-		return eris.Wrap(err, "listen for clients")
-	}
-	ready, err := n.listen(n.settings.ReadyAddress)
-	if err != nil {
-		return eris.Wrap(err, "listen for the balancer")
-	}
-	peers, err := n.listen(n.peerAddress())
+	ls, err := n.listenAll()
 	if err != nil {
-		return eris.Wrap(err, "listen for hosts")
+		return err
 	}
 	front := n.clientServer()
 	balancer := &http.Server{
@@ -208,9 +222,9 @@
 		node: n,
 	}
 	g, work := errgroup.WithContext(work)
-	g.Go(func() error { return serve(front, clients) })
-	g.Go(func() error { return serve(balancer, ready) })
-	g.Go(func() error { return n.peers.Serve(work, peers) })
+	g.Go(func() error { return serve(front, ls.clients) })
+	g.Go(func() error { return serve(balancer, ls.balancer) })
+	g.Go(func() error { return n.peers.Serve(work, ls.hosts) })
 	g.Go(func() error { n.followConfig(work); return nil })
 	g.Go(func() error { n.learnFromHosts(work); return nil })
 	g.Go(func() error { fetcher.run(work); return nil })
--- a/store/follow.go
+++ b/store/follow.go
@@ -60,91 +60,123 @@
 	return now.Sub(*at)
 }
 
+// A pursuit is how far a follower has come.
+type pursuit struct {
+	at      Version       // to go on from
+	listing *tableListing // under way; nil while changes are followed
+	listed  time.Time     // when the latest listing began
+	// failing tells that the latest call failed, silent that it had no answer.
+	failing bool
+	silent  bool
+	delay   time.Duration // after the next call that fails
+}
+
+// An outcome is what a call has brought.
+type outcome struct {
+	// sent is as of when all changes are known, if complete is set.
+	sent     time.Time
+	complete bool
+}
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	begun := time.Now()
 	f.answered.Store(&begun)
-	delay := retryFirst
-	var at Version
-	list := newTableListing(f.Store, f.Table)
-	var listed time.Time // when the latest listing began
-	failing := false
-	silent := false // the latest call had no answer
+	p := &pursuit{
+		listing: newTableListing(f.Store, f.Table),
+		delay:   retryFirst,
+	}
 	for ctx.Err() == nil {
-		callCtx := ctx
-		if silent {
-			callCtx = withNewConnection(ctx)
-		}
-		sent := time.Now()
-		heard := true
-		var err error
-		if list == nil {
-			w := f.Wait
-			if failing {
-				w = 0 // to learn at once that calls work again
-			}
-			at, err = f.step(callCtx, at, w)
-		} else {
-			at, err = f.list(callCtx, list)
-			listed = list.began
-			sent = list.began // what came since then is for the feed to tell
-			heard = at >= list.first
-			if err == nil {
-				list = nil
-			}
-		}
-		silent = errors.Is(err, ErrUnknown)
+		o, err := f.call(ctx, p)
+		p.silent = errors.Is(err, ErrUnknown)
 		switch {
 		case err == nil:
-			delay = retryFirst
-			f.answered.Store(&sent)
-			if heard && f.Heard != nil {
-				f.Heard(sent)
-			}
-			if failing {
-				f.report(nil)
-			}
-			failing = false
+			f.succeed(p, o)
 		case errors.Is(err, ErrHistoryGone):
-			pause.For(ctx, time.Until(listed.Add(listEvery)))
-			list = newTableListing(f.Store, f.Table)
+			pause.For(ctx, time.Until(p.listed.Add(listEvery)))
+			p.listing = newTableListing(f.Store, f.Table)
 		case ctx.Err() == nil:
-			if !failing {
-				f.report(err)
-			}
-			failing = true
-			pause.For(ctx, delay)
-			delay = min(2*delay, retryMost)
+			f.fail(ctx, p, err)
 		}
 	}
 }
 
+// call makes the next call, or goes on with a listing.
+func (f *Follower) call(ctx context.Context, p *pursuit) (outcome, error) {
+	if p.silent {
+		ctx = withNewConnection(ctx)
+	}
+	if p.listing != nil {
+		return f.list(ctx, p)
+	}
+	return f.step(ctx, p)
+}
+
+func (f *Follower) succeed(p *pursuit, o outcome) {
+	f.answered.Store(&o.sent)
+	if o.complete && f.Heard != nil {
+		f.Heard(o.sent)
+	}
+	if p.failing {
+		f.report(nil)
+	}
+	p.failing = false
+	p.delay = retryFirst
+}
+
+func (f *Follower) fail(ctx context.Context, p *pursuit, err error) {
+	if !p.failing {
+		f.report(err)
+	}
+	p.failing = true
+	pause.For(ctx, p.delay)
+	p.delay = min(2*p.delay, retryMost)
+}
+
 func (f *Follower) report(err error) {
 	if f.Failed != nil {
 		f.Failed(err)
 	}
 }
 
-// list reads the whole table, or what of it an earlier call could not.
-func (f *Follower) list(ctx context.Context, t *tableListing) (Version, error) {
+// list reads the whole table, or what of it an earlier call could not. What came
+// since it began is for the feed to tell.
+func (f *Follower) list(ctx context.Context, p *pursuit) (outcome, error) {
+	t := p.listing
 	rows, at, err := t.readAll(ctx)
+	p.listed = t.began
 	if err != nil {
-		return 0, err
+		return outcome{}, err
 	}
 	f.Listed(rows)
-	return at, nil
+	p.at = at
+	p.listing = nil
+	return outcome{
+		sent:     t.began,
+		complete: at >= t.first,
+	}, nil
 }
 
-func (f *Follower) step(ctx context.Context, at Version, wait time.Duration) (Version, error) {
-	c, err := f.Store.Feed(ctx, f.Table, at, wait)
+// step takes in what has changed.
+func (f *Follower) step(ctx context.Context, p *pursuit) (outcome, error) {
+	wait := f.Wait
+	if p.failing {
+		wait = 0 // to learn at once that calls work again
+	}
+	sent := time.Now()
+	c, err := f.Store.Feed(ctx, f.Table, p.at, wait)
 	if err != nil {
-		return at, err
+		return outcome{}, err
 	}
 	for _, r := range c.Rows {
 		f.Changed(r)
 	}
+	p.at = max(c.Version, p.at)
 	if len(c.Rows) > 0 {
 		pause.For(ctx, cmp.Or(f.Pause, DefaultPause))
 	}
-	return max(c.Version, at), nil
+	return outcome{
+		sent:     sent,
+		complete: true,
+	}, nil
 }
