--- a/leader/leader.go
+++ b/leader/leader.go
@@ -118,7 +118,8 @@
 	statuses map[spoolsill.JobID]sched.JobStatus
 	waiting  map[sched.QueueID]int
 	known    bool
-	// taken is like heard, once the loop has taken the answer's jobs in.
+	// taken is when the latest answer of the jobs' feed was asked for whose jobs the
+	// loop has taken in.
 	taken time.Time
 	hears chan struct{} // closed when taken changes
 }
