--- a/node/config.go
+++ b/node/config.go
@@ -12,15 +12,16 @@
 	"github.com/spoolsill/spoolsill/store"
 )
 
-// configWait is how long a feed waits for a configuration. What a host knows is as
-// old as two of its calls, at most, and must be less old than the two seconds within
-// which a configuration must be in force, or the host could not say of any route that
-// there is none: with a second it could not for one call in a hundred.
-const configWait = 700 * time.Millisecond
-
-// configInForce is within how long a configuration is in force everywhere, where
-// the settings do not say it.
-const configInForce = 2 * time.Second
+const (
+	// configInForce is within how long a configuration is in force everywhere, where
+	// the settings do not say it.
+	configInForce = 2 * time.Second
+	// configWait is how long a feed waits for a configuration. What a host knows is
+	// as old as two of its calls, at most, and must be less old than configInForce,
+	// or the host could not say of any route that there is none: with a second it
+	// could not for one call in a hundred.
+	configWait = 700 * time.Millisecond
+)
 
 // knownConfig is a configuration as it was read.
 type knownConfig struct {
@@ -32,11 +33,11 @@
 // configs holds the newest configuration, and what is known about how new it is.
 // It never goes back.
 type configs struct {
-	mu  sync.Mutex
-	now knownConfig
-	// asked is when a piece of it was asked for last, former are the earlier ones
-	// that other hosts fetch piece by piece, oldest first.
-	asked  time.Time
+	mu sync.Mutex
+	// now is the newest configuration; a piece of it was asked for last at asked.
+	now   knownConfig
+	asked time.Time
+	// former are earlier ones that other hosts fetch piece by piece, oldest first.
 	former []formerConfig
 	// told is the newest version that any host has told of; this host has been
 	// behind since toldSince.
