--- a/internal/bench/capacity/run.go
+++ b/internal/bench/capacity/run.go
@@ -67,7 +67,7 @@
 	hosts = []int{1, 2, 3}
 )
 
-// hallWorkers is the size of a hall at letter 1's size: 2,100 by 19.
+// hallWorkers is how many workers a hall has at the size to come: 2,100 by 19.
 const hallWorkers = 110
 
 // Run measures at all sizes. It is called in [bubble.Main].
