--- a/sched/unlisted_test.go
+++ b/sched/unlisted_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A worker whose entry went is kept in touch with until its lease is over, also when
-// it still answers, and each call renews the lease.
+// A worker whose entry went is not looked at for ever because it still answers, though
+// each call renews its lease.
 func TestIdleWorkerWhoseEntryWentIsLeftAfterAWhile(t *testing.T) {
 	x := newCell(t)
 	x.worker("w")
