leader, platform: an answer to a heartbeat that has begun is read to its end

Cause: a heartbeat had a limit of 60 to 250 ms more than its wait for the whole of its answer, which may list 500 ends. Change: the limit is for the beginning of the answer (leader.Renewal.Within); then it must go on, as answers of the store must. Ruled out: one longer limit for the whole answer; it would have to know the length of the answer and the rate of the link, and a silent worker would be noticed so much later.

--- /dev/null
+++ b/leader/flow_test.go
@@ -0,0 +1,48 @@
+package leader_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// Answers of a worker that take long from some moment on, since the link to the leader
+// is full, are read to their end. Given up each time, the end of a task is never heard
+// of, its lease is taken for over, and the task starts elsewhere though it is done.
+func TestHeartbeatsThatFlowAreReadToTheirEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		const other = spoolsill.WorkerID("other")
+		var full atomic.Bool
+		x.workers.Flow = func(w spoolsill.WorkerID) time.Duration {
+			if w == other || !full.Load() {
+				return 0
+			}
+			return 1500 * time.Millisecond
+		}
+		l := x.lead("a")
+		x.submit(sched.Job{
+			ID:    "j",
+			Queue: "plain",
+			Steps: []sched.Step{step(1, 1)},
+		})
+		pause.For(x.ctx, 500*time.Millisecond)
+		x.c.Assert(x.workers.Starts(), qt.Equals, 1)
+		full.Store(true)
+		x.workers.Add(other)
+		x.list(other)
+		pause.For(x.ctx, 12*time.Second)
+		s, _ := l.Status("j")
+		x.c.Check(s.State, qt.Equals, sched.Completed)
+		x.c.Check(x.workers.Starts(), qt.Equals, 1)
+		x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -194,14 +194,13 @@
 	if deadline == 0 {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+slack)
-	defer cancel()
 	b, r := h.leader.config.Workers.Renew(ctx, Renewal{
 		Target:   h.target,
 		Fence:    h.leader.Epoch(),
 		Deadline: deadline,
 		LastSeen: acked,
 		Wait:     wait,
+		Within:   slack,
 	})
 	h.setClock(r.Clock, time.Now())
 	if extend {
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -26,6 +26,11 @@
 	LastSeen uint64
 	// Wait is how long the worker may wait for an end before it answers.
 	Wait time.Duration
+	// Within is how much longer the beginning of the answer is waited for. An
+	// answer that has begun is read to its end for as long as it goes on: a worker
+	// lists up to 500 ends, and many of them at once fill a small link. 0 means that
+	// only the context bounds the call.
+	Within time.Duration
 }
 
 // A Start orders a worker to start a run.
