leader: limits of answers follow how long all of them are under way

Cause: the time that an answer of a worker was waited for followed starts that were answered within 60 to 250 ms; those that took longer were given up and told nothing. Over a link, or with a processor, that is full all answers take longer, so that each was given up with its connection, sent again up to five times, and none heard: congestion became collapse. Change: heartbeats tell the time under way, and wait twice as long after each one that had no answer, up to two seconds; orders wait for four times the usual time, half of startTime at most, so that there is a second try. The tries of a start take as long in all as before, and the same holds of startLease.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -39,6 +39,9 @@
 	// Flow returns how long a worker's answer to a heartbeat takes from its beginning
 	// to its end; nil means that answers come whole. It is called by many goroutines.
 	Flow func(w spoolsill.WorkerID) time.Duration
+	// Delay returns how long an answer of a worker is under way before its beginning
+	// arrives; nil means no time. It is called by many goroutines.
+	Delay func(w spoolsill.WorkerID) time.Duration
 	// Room is how many runs a worker has room for; more are a broken promise.
 	// 0 means that this is not judged.
 	Room int
@@ -243,15 +246,23 @@
 		return sched.Heartbeat{}, noAnswer(begin.Err())
 	}
 	h, reply := f.heartbeat(w, r, sent)
-	if f.Flow == nil {
-		return h, reply
+	if err := f.underWay(begin, w, f.Delay); err != nil {
+		return sched.Heartbeat{}, noAnswer(err)
 	}
-	if err := spend(ctx, f.Flow(w.id)); err != nil {
+	if err := f.underWay(ctx, w, f.Flow); err != nil {
 		return sched.Heartbeat{}, noAnswer(err)
 	}
 	return h, reply
 }
 
+// underWay lets the time pass that an answer takes, unless ctx ends before.
+func (f *Workers) underWay(ctx context.Context, w *worker, takes func(spoolsill.WorkerID) time.Duration) error {
+	if takes == nil {
+		return nil
+	}
+	return spend(ctx, takes(w.id))
+}
+
 // beginWithin returns a context that ends when the answer to a renewal must have
 // begun.
 func beginWithin(ctx context.Context, r leader.Renewal) (context.Context, context.CancelFunc) {
@@ -334,6 +345,9 @@
 		return lost
 	}
 	f.locked(w, start)
+	if err := f.underWay(ctx, w, f.Delay); err != nil {
+		return noAnswer(err)
+	}
 	return reply
 }
 
@@ -416,5 +430,8 @@
 		return lost
 	}
 	f.locked(w, stop)
+	if err := f.underWay(ctx, w, f.Delay); err != nil {
+		return noAnswer(err)
+	}
 	return reply
 }
--- a/leader/order.go
+++ b/leader/order.go
@@ -12,15 +12,16 @@
 	// startWindow is how long after it is sent a start may still be carried
 	// out: as long as its tries take, and a little.
 	startWindow = 1500 * time.Millisecond
-	// startTries is how often a start is sent; each try is waited for twice as
-	// long as the one before, up to answerMost.
+	// startTries is how often a start is sent at most, within startTime; each try is
+	// waited for twice as long as the one before, up to orderMost.
 	startTries = 5
+	startTime  = 1350 * time.Millisecond
 	// stopTimeout and stopTries are the same for stops.
 	stopTimeout = 300 * time.Millisecond
 	stopTries   = 4
 	orderPause  = 20 * time.Millisecond
 	// startLease is when the latest try of a start has lost its force.
-	startLease = startTries*(answerMost+orderPause) + startWindow
+	startLease = startTime + startWindow
 )
 
 // sendStart sends a start order, and again to the letter when it is not
@@ -50,11 +51,15 @@
 		Run:     o.Run,
 		Outcome: sched.StartUnknown,
 	}
-	timeout := h.leader.answers.timeout()
+	timeout := h.leader.answers.order()
+	end := time.Now().Add(startTime)
 	for try := range startTries {
 		if try > 0 {
 			pause.For(ctx, orderPause)
-			timeout = min(2*timeout, answerMost)
+			timeout = min(2*timeout, orderMost, time.Until(end))
+		}
+		if timeout <= 0 {
+			break
 		}
 		begun := time.Now()
 		r, deadline := h.startOnce(ctx, o, timeout)
@@ -91,8 +96,7 @@
 }
 
 func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder, timeout time.Duration) (Reply, sched.ClockMillis) {
-	now := time.Now()
-	deadline := h.workerTime(now) + sched.ClockMillis(startWindow.Milliseconds())
+	deadline := h.workerTime(time.Now()) + sched.ClockMillis(startWindow.Milliseconds())
 	c, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r := h.leader.config.Workers.Start(c, Start{
@@ -101,9 +105,6 @@
 		Deadline: deadline,
 		Order:    o,
 	})
-	if r.Clock > 0 {
-		h.leader.answers.take(time.Since(now))
-	}
 	h.setClock(r.Clock, time.Now())
 	return r, deadline
 }
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -129,15 +129,18 @@
 // lease of a silent worker would otherwise never be certain to have ended.
 func (h *renewer) run(ctx context.Context) {
 	var seen uint64
-	answers := false
+	unanswered := 1 // in a row, up to now
 	for ctx.Err() == nil {
 		acked, _, _ := h.read()
-		wait, slack := h.leader.renewWaits()
+		wait := h.leader.waitForEnds()
 		if seen > acked {
 			wait = 0
 		}
-		b, r := h.renew(ctx, acked, wait, slack, answers)
-		answers = r.Kind == Taken
+		b, r := h.renew(ctx, acked, wait, unanswered)
+		unanswered++
+		if r.Kind == Taken {
+			unanswered = 0
+		}
 		switch r.Kind {
 		case Taken:
 			for _, e := range b.Ended {
@@ -186,10 +189,11 @@
 	}
 }
 
-func (h *renewer) renew(ctx context.Context, acked uint64, wait, slack time.Duration, extend bool) (sched.Heartbeat, Reply) {
+func (h *renewer) renew(ctx context.Context, acked uint64, wait time.Duration, unanswered int) (sched.Heartbeat, Reply) {
+	begun := time.Now()
 	var deadline sched.ClockMillis
-	if extend {
-		deadline = h.leaseDeadline(time.Now())
+	if unanswered == 0 {
+		deadline = h.leaseDeadline(begun)
 	}
 	if deadline == 0 {
 		wait = 0
@@ -200,10 +204,15 @@
 		Deadline: deadline,
 		LastSeen: acked,
 		Wait:     wait,
-		Within:   slack,
+		Within:   h.leader.answers.heartbeat(unanswered),
 	})
-	h.setClock(r.Clock, time.Now())
-	if extend {
+	now := time.Now()
+	h.setClock(r.Clock, now)
+	if r.Kind == Taken && (wait == 0 || len(b.Ended) == 0) {
+		// A worker that has an end to tell of has waited for some shorter time.
+		h.leader.answers.take(max(now.Sub(begun)-wait, 0))
+	}
+	if unanswered == 0 {
 		// Calls to a worker that has been silent already say nothing new.
 		h.leader.losses.take(r.Kind == NoAnswer)
 	}
@@ -234,14 +243,12 @@
 	return l.share > lossy
 }
 
-// renewWaits returns how long workers are to wait for an end, and how much longer
-// an answer may take.
-func (l *Leader) renewWaits() (wait, slack time.Duration) {
-	wait = renewWait
+// waitForEnds returns how long workers are to wait for an end.
+func (l *Leader) waitForEnds() time.Duration {
 	if l.losses.many() {
-		wait = max(lossyWait, time.Duration(l.inTouch.Load())*lossyEach)
+		return max(lossyWait, time.Duration(l.inTouch.Load())*lossyEach)
 	}
-	return wait, l.answers.timeout()
+	return renewWait
 }
 
 // leaseDeadline returns until when the worker may keep what it runs, on its
--- /dev/null
+++ b/leader/slow_test.go
@@ -0,0 +1,68 @@
+package leader_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// Answers of all workers are under way for 0.4 s from some moment on, as over a link
+// that is full. They are waited for: orders that are sent again and again since their
+// answers are late fill the link further, and nothing is ever known to have started.
+func TestSlowAnswersAreWaitedFor(t *testing.T) {
+	const (
+		workers = 20
+		jobs    = 100
+		tasks   = 2
+		every   = 100 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, workers)
+		defer x.end()
+		var slow atomic.Bool
+		var orders atomic.Int64
+		x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
+			if slow.Load() {
+				return 400 * time.Millisecond
+			}
+			return 2 * time.Millisecond
+		}
+		x.workers.Fault = func(spoolsill.WorkerID) cellfake.OrderFault {
+			orders.Add(1)
+			return cellfake.OrderWell
+		}
+		l := x.lead("a")
+		pause.For(x.ctx, 3*time.Second)
+		slow.Store(true)
+		pause.For(x.ctx, 2*time.Second)
+		before := orders.Load()
+		var ids []spoolsill.JobID
+		for i := range jobs {
+			id := spoolsill.JobID(fmt.Sprintf("job%03d", i))
+			x.submit(sched.Job{
+				ID:    id,
+				Queue: "plain",
+				Steps: []sched.Step{step(tasks, 1)},
+			})
+			ids = append(ids, id)
+			pause.For(x.ctx, every)
+		}
+		pause.For(x.ctx, 6*time.Second)
+		x.assertCompleted(l, ids)
+		x.c.Check(x.workers.Starts(), qt.Equals, jobs*tasks)
+		// A worker is asked for its ends once in 0.4 s at most, besides the starts.
+		most := int64(jobs*tasks*5/4 + workers*16*5/2)
+		sent := orders.Load() - before
+		x.c.Check(sent <= most, qt.IsTrue, qt.Commentf("%d orders and heartbeats, want %d at most", sent, most))
+		x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
