node, delegate: other hosts carry out the leader's calls to workers

Cause: on the large site the leader makes some 4,400 calls a second to 1,100 workers, 0.3 of its 0.8 core by a kept-alive HTTP call of 75 us each, while 146 other hosts use 0.006 core; a little less processor for it and nothing is served. On the small twins the calls fill its link of 2 Mbit/s. Change: each call (renewal, start, stop) goes to a host of the worker's hall, chosen by weighted rendezvous among the hosts that greet the leader (package delegate, pure). Decisions, fences and deadlines stay with the leader, so a delegate keeps nothing and nothing has to be agreed on: a call that it carries out late is bounded by what the order says, like one that a network delivers late. One that leaves a call unanswered rests for three seconds, unless more than half would; a worker that does not answer is called by another host each time. Without delegates the leader calls by itself. Starts and stops carry their limit (Within), as renewals do, since a context that ended with it would end the way back too; a stand-in of a test that waited for the context waits for that limit now, its checks are as they were. The stand-in's links told the end of a connection behind the bytes of others, after the end of a test: mended. Weighed: a leader for each hall, which places no gang over halls; delegates that keep leases by themselves, which have state that must be handed over at each change.

--- /dev/null
+++ b/delegate/directory_test.go
@@ -0,0 +1,155 @@
+package delegate_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/delegate"
+)
+
+func hosts(n, halls int) []delegate.Host {
+	var hs []delegate.Host
+	for i := range n {
+		hs = append(hs, delegate.Host{
+			ID:    spoolsill.HostID(fmt.Sprintf("host%d", i)),
+			Hall:  spoolsill.HallID(fmt.Sprintf("hall%d", i%halls)),
+			Cores: 0.2,
+		})
+	}
+	return hs
+}
+
+// assigned returns who carries out the calls to each of some workers of a hall.
+func assigned(d *delegate.Directory, workers int, hall spoolsill.HallID, now time.Time) map[spoolsill.WorkerID]spoolsill.HostID {
+	m := map[spoolsill.WorkerID]spoolsill.HostID{}
+	for i := range workers {
+		w := spoolsill.WorkerID(fmt.Sprintf("w%d", i))
+		m[w], _ = d.Of(w, hall, 0, now)
+	}
+	return m
+}
+
+func TestNobodyIsChosenOfNone(t *testing.T) {
+	var d delegate.Directory
+	_, ok := d.Of("w", "hall0", 0, time.Now())
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// A hall of 30 hosts and 220 workers: all of them are carried in the hall, and larger
+// hosts carry more.
+func TestWorkersAreSpreadOverTheHostsOfTheirHall(t *testing.T) {
+	c := qt.New(t)
+	var d delegate.Directory
+	hs := hosts(150, 5)
+	hs[0].Cores = 0.8 // four times the others, in hall0
+	d.SetHosts(hs)
+	count := map[spoolsill.HostID]int{}
+	for _, h := range assigned(&d, 2200, "hall0", time.Now()) {
+		count[h]++
+	}
+	c.Assert(count, qt.HasLen, 30)
+	for _, h := range hs {
+		switch {
+		case h.Hall != "hall0":
+			c.Check(count[h.ID], qt.Equals, 0)
+		case h.ID == "host0": // 4 parts of 33
+			c.Check(count[h.ID] > 200 && count[h.ID] < 340, qt.IsTrue, qt.Commentf("%d", count[h.ID]))
+		default:
+			c.Check(count[h.ID] > 30 && count[h.ID] < 110, qt.IsTrue, qt.Commentf("%d", count[h.ID]))
+		}
+	}
+}
+
+// When a host is lost, only its own workers change over, and all of them at once.
+func TestOnlyWorkersOfALostHostChangeOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "hosts")
+		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
+		fails := rapid.Bool().Draw(t, "fails")
+		now := time.Unix(1000, 0)
+		var d delegate.Directory
+		hs := hosts(n, 1)
+		d.SetHosts(hs)
+		before := assigned(&d, 100, "hall0", now)
+		if fails {
+			d.Fail(hs[lost].ID, now)
+		} else {
+			d.SetHosts(append(append([]delegate.Host{}, hs[:lost]...), hs[lost+1:]...))
+		}
+		after := assigned(&d, 100, "hall0", now)
+		for w, h := range before {
+			if h != hs[lost].ID && after[w] != h {
+				t.Fatalf("%s went from %s to %s", w, h, after[w])
+			}
+			if after[w] == hs[lost].ID {
+				t.Fatalf("%s stays at the lost host", w)
+			}
+		}
+	})
+}
+
+// A host that left a call unanswered is asked again after a while.
+func TestHostThatFailedIsAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var d delegate.Directory
+	d.SetHosts(hosts(3, 1))
+	before := assigned(&d, 50, "hall0", now)
+	d.Fail("host1", now)
+	d.Fail("host2", now.Add(time.Second)) // more than half: none of them rests
+	c.Assert(assigned(&d, 50, "hall0", now.Add(time.Second)), qt.DeepEquals, before)
+	c.Assert(assigned(&d, 50, "hall0", now.Add(3500*time.Millisecond)), qt.Not(qt.DeepEquals), before)
+	c.Assert(assigned(&d, 50, "hall0", now.Add(5*time.Second)), qt.DeepEquals, before)
+}
+
+// Of a hall whose hosts are all gone or fail, other halls' hosts carry the calls.
+func TestHallWithoutHostsIsCarriedByOthers(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var d delegate.Directory
+	hs := hosts(9, 3)
+	d.SetHosts(hs)
+	for _, h := range hs {
+		if h.Hall == "hall1" {
+			d.Fail(h.ID, now)
+		}
+	}
+	for _, h := range assigned(&d, 50, "hall1", now) {
+		c.Check(h, qt.Not(qt.Equals), spoolsill.HostID(""))
+		for _, x := range hs {
+			c.Check(x.ID == h && x.Hall == "hall1", qt.IsFalse)
+		}
+	}
+	h, ok := d.Of("w", "nowhere", 0, now)
+	c.Check(ok, qt.IsTrue)
+	c.Check(h, qt.Not(qt.Equals), spoolsill.HostID(""))
+}
+
+// A worker that does not answer is called by one host after the other, of its hall and
+// of any: the delegate may be the one that is cut off.
+func TestWorkerThatDoesNotAnswerIsCalledByOthers(t *testing.T) {
+	var d delegate.Directory
+	hs := hosts(40, 4)
+	d.SetHosts(hs)
+	hall := map[spoolsill.HostID]spoolsill.HallID{}
+	for _, h := range hs {
+		hall[h.ID] = h.Hall
+	}
+	askers := map[spoolsill.HostID]bool{}
+	halls := map[spoolsill.HallID]bool{}
+	for i := range 10 {
+		h, _ := d.Of("w", "hall0", i, time.Now())
+		askers[h] = true
+		halls[hall[h]] = true
+		if i%2 == 0 {
+			qt.Check(t, hall[h], qt.Equals, spoolsill.HallID("hall0"))
+		}
+	}
+	qt.Check(t, len(askers) >= 6, qt.IsTrue, qt.Commentf("%d hosts", len(askers)))
+	qt.Check(t, len(halls) >= 3, qt.IsTrue, qt.Commentf("%d halls", len(halls)))
+}
--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -234,7 +234,7 @@
 func (f *Workers) Renew(ctx context.Context, r leader.Renewal) (sched.Heartbeat, leader.Reply) {
 	sent := time.Now()
 	renew := func(w *worker) { f.renew(w, r) }
-	begin, cancel := beginWithin(ctx, r)
+	begin, cancel := beginWithin(ctx, r.Wait, r.Within)
 	defer cancel()
 	w, reply := f.meet(begin, r.Worker, renew)
 	if w == nil {
@@ -263,13 +263,12 @@
 	return spend(ctx, takes(w.id))
 }
 
-// beginWithin returns a context that ends when the answer to a renewal must have
-// begun.
-func beginWithin(ctx context.Context, r leader.Renewal) (context.Context, context.CancelFunc) {
-	if r.Within == 0 {
+// beginWithin returns a context that ends when the answer to a call must have begun.
+func beginWithin(ctx context.Context, wait, within time.Duration) (context.Context, context.CancelFunc) {
+	if within == 0 {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, r.Wait+r.Within)
+	return context.WithTimeout(ctx, wait+within)
 }
 
 func noAnswer(err error) leader.Reply {
@@ -338,6 +337,8 @@
 
 // Start implements [leader.Workers].
 func (f *Workers) Start(ctx context.Context, o leader.Start) leader.Reply {
+	ctx, cancel := beginWithin(ctx, 0, o.Within)
+	defer cancel()
 	var reply leader.Reply
 	start := func(w *worker) { reply = f.start(w, o) }
 	w, lost := f.meet(ctx, o.Worker, start)
@@ -413,6 +414,8 @@
 
 // Stop implements [leader.Workers].
 func (f *Workers) Stop(ctx context.Context, o leader.Stop) leader.Reply {
+	ctx, cancel := beginWithin(ctx, 0, o.Within)
+	defer cancel()
 	reply := leader.Reply{
 		Kind: leader.Taken,
 	}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -224,7 +224,9 @@
 		b = b[:packet]
 	}
 	k, err := c.Conn.Read(b)
-	if l != nil {
+	if l != nil && k > 0 {
+		// The end of a connection takes nothing of the link: behind the bytes of
+		// others it would be told after the end of a test.
 		l.in.carry(c.open, k)
 	}
 	c.network.wait(c.owner.Name)
--- a/leader/order.go
+++ b/leader/order.go
@@ -97,13 +97,12 @@
 
 func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder, timeout time.Duration) (Reply, sched.ClockMillis) {
 	deadline := h.workerTime(time.Now()) + sched.ClockMillis(startWindow.Milliseconds())
-	c, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	r := h.leader.config.Workers.Start(c, Start{
+	r := h.leader.config.Workers.Start(ctx, Start{
 		Target:   h.target,
 		Fence:    h.leader.Epoch(),
 		Deadline: deadline,
 		Order:    o,
+		Within:   timeout,
 	})
 	h.setClock(r.Clock, time.Now())
 	return r, deadline
@@ -169,12 +168,11 @@
 }
 
 func (h *renewer) stopOnce(ctx context.Context, o sched.StopOrder) Reply {
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
 	r := h.leader.config.Workers.Stop(ctx, Stop{
 		Target: h.target,
 		Fence:  h.leader.Epoch(),
 		Run:    o.Run,
+		Within: stopTimeout,
 	})
 	h.setClock(r.Clock, time.Now())
 	return r
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -78,6 +78,7 @@
 		target: Target{
 			Worker:  id,
 			Address: l.state.Address(id),
+			Hall:    l.state.Hall(id),
 		},
 		cancel: cancel,
 		wake:   make(chan struct{}, 1),
--- a/leader/unasked_test.go
+++ b/leader/unasked_test.go
@@ -83,7 +83,7 @@
 func (w *lateWorkers) Start(ctx context.Context, o leader.Start) leader.Reply {
 	if kind, held := w.hold(o); held {
 		if kind == leader.NoAnswer {
-			<-ctx.Done()
+			pause.For(ctx, o.Within)
 		}
 		return leader.Reply{
 			Kind: kind,
@@ -130,11 +130,12 @@
 			Kind: leader.Rejected,
 		}
 	}
+	begun := time.Now()
 	r := w.Workers.Stop(ctx, o)
 	if !deaf {
 		return r
 	}
-	<-ctx.Done()
+	pause.For(ctx, o.Within-time.Since(begun))
 	return leader.Reply{
 		Kind: leader.NoAnswer,
 	}
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -12,6 +12,7 @@
 type Target struct {
 	Worker  spoolsill.WorkerID
 	Address string
+	Hall    spoolsill.HallID
 }
 
 // A Renewal asks a worker to renew the lease of all that runs there and to
@@ -29,7 +30,7 @@
 	// Within is how much longer the beginning of the answer is waited for. An
 	// answer that has begun is read to its end for as long as it goes on: a worker
 	// lists up to 500 ends, and many of them at once fill a small link. 0 means that
-	// only the context bounds the call.
+	// the client of the platform sets the limit.
 	Within time.Duration
 }
 
@@ -40,6 +41,8 @@
 	// Deadline is when the order loses its force, on the worker's clock.
 	Deadline sched.ClockMillis
 	Order    sched.StartOrder
+	// Within is how long the answer is waited for; 0 is as for [Renewal].
+	Within time.Duration
 }
 
 // A Stop orders a worker to stop a run.
@@ -47,6 +50,8 @@
 	Target
 	Fence spoolsill.Epoch
 	Run   sched.RunID
+	// Within is how long the answer is waited for; 0 is as for [Renewal].
+	Within time.Duration
 }
 
 // A ReplyKind tells what a worker made of an order.
--- /dev/null
+++ b/node/delegated.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/delegate"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/peer"
+	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+const (
+	// delegateSlack is how much longer than the worker's answer that of a delegate
+	// may take: its way there and back, and a turn at a processor that is busy.
+	delegateSlack = 60 * time.Millisecond
+	// delegatesKept is how long the list of delegates is used: hosts come and go
+	// less often than calls are made.
+	delegatesKept = 50 * time.Millisecond
+)
+
+// delegatedWorkers has the calls to workers carried out by other hosts, and makes
+// those itself that no other host takes. It implements [leader.Workers].
+type delegatedWorkers struct {
+	node   *Node
+	direct *platform.Workers
+
+	mu        sync.Mutex
+	directory delegate.Directory
+	listed    time.Time // when directory took in the hosts last
+	// unanswered counts the calls to a worker in a row that had no answer.
+	unanswered map[spoolsill.WorkerID]int
+}
+
+// delegateOf returns the host that carries out the next call to a worker.
+func (d *delegatedWorkers) delegateOf(t leader.Target) (spoolsill.HostID, bool) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.listed) >= delegatesKept {
+		d.listed = now
+		d.directory.SetHosts(d.node.hosts.delegates(d.node.silentSince(now)))
+	}
+	return d.directory.Of(t.Worker, t.Hall, d.unanswered[t.Worker], now)
+}
+
+// fail takes in that a host left a call unanswered, or did not take it.
+func (d *delegatedWorkers) fail(h spoolsill.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.directory.Fail(h, time.Now())
+}
+
+// heard takes in what came of a call to a worker. The next one after a call without an
+// answer goes another way: it may be the delegate that is cut off.
+func (d *delegatedWorkers) heard(w spoolsill.WorkerID, k leader.ReplyKind) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch k {
+	case leader.NoAnswer, leader.Unreachable, leader.NobodyThere:
+		if d.unanswered == nil {
+			d.unanswered = map[spoolsill.WorkerID]int{}
+		}
+		d.unanswered[w]++
+	default:
+		delete(d.unanswered, w)
+	}
+}
+
+// passOn has a delegate make a call. It reports false when none takes it: then the
+// call was certainly not made.
+func passOn[R, Q any](ctx context.Context, d *delegatedWorkers, t leader.Target, method string, q Q) (r R, made bool, err error) {
+	h, ok := d.delegateOf(t)
+	if !ok {
+		return r, false, nil
+	}
+	r, err = peer.Call[R](ctx, d.node.peers, h, method, q)
+	if err == nil || errors.Is(ctx.Err(), context.Canceled) {
+		return r, true, err
+	}
+	d.fail(h)
+	d.node.log.WithError(err).WithField("delegate", string(h)).WithField("worker", string(t.Worker)).Info("delegate left a call unanswered")
+	var refused *peer.RemoteError
+	made = !errors.Is(err, peer.ErrUnreachable) && !errors.As(err, &refused)
+	return r, made, err
+}
+
+// Renew implements [leader.Workers].
+func (d *delegatedWorkers) Renew(ctx context.Context, l leader.Renewal) (sched.Heartbeat, leader.Reply) {
+	sent := time.Now()
+	// Twice what the beginning of the worker's answer may take, for the rest of it.
+	limited, cancel := context.WithTimeout(ctx, l.Wait+2*l.Within+delegateSlack)
+	defer cancel()
+	r, made, err := passOn[renewReply](limited, d, l.Target, methodRenew, renewalRequest(l))
+	if !made {
+		return d.direct.Renew(ctx, l)
+	}
+	if err != nil {
+		r.Reply = noReply(err)
+	}
+	d.heard(l.Worker, r.Reply.Kind)
+	return r.heartbeat(l.Worker, sent), r.Reply.reply()
+}
+
+// Start implements [leader.Workers].
+func (d *delegatedWorkers) Start(ctx context.Context, o leader.Start) leader.Reply {
+	limited, cancel := context.WithTimeout(ctx, o.Within+delegateSlack)
+	defer cancel()
+	r, made, err := passOn[orderReply](limited, d, o.Target, methodStart, startRequestOf(o))
+	if !made {
+		return d.direct.Start(ctx, o)
+	}
+	return d.replyTo(o.Target, r, err)
+}
+
+// Stop implements [leader.Workers].
+func (d *delegatedWorkers) Stop(ctx context.Context, o leader.Stop) leader.Reply {
+	limited, cancel := context.WithTimeout(ctx, o.Within+delegateSlack)
+	defer cancel()
+	r, made, err := passOn[orderReply](limited, d, o.Target, methodStop, stopRequestOf(o))
+	if !made {
+		return d.direct.Stop(ctx, o)
+	}
+	return d.replyTo(o.Target, r, err)
+}
+
+func (d *delegatedWorkers) replyTo(t leader.Target, r orderReply, err error) leader.Reply {
+	if err != nil {
+		r = noReply(err)
+	}
+	d.heard(t.Worker, r.Kind)
+	return r.reply()
+}
+
+func noReply(err error) orderReply {
+	return orderReplyOf(leader.Reply{
+		Kind: leader.NoAnswer,
+		Err:  err,
+	})
+}
+
+func (n *Node) renewAsked(ctx context.Context, _ peer.Caller, q renewRequest) (renewReply, error) {
+	h, r := n.workers.Renew(ctx, q.renewal())
+	return renewReplyOf(h, r), nil
+}
+
+func (n *Node) startAsked(ctx context.Context, _ peer.Caller, q startRequest) (orderReply, error) {
+	return orderReplyOf(n.workers.Start(ctx, q.start())), nil
+}
+
+func (n *Node) stopAsked(ctx context.Context, _ peer.Caller, q stopRequest) (orderReply, error) {
+	return orderReplyOf(n.workers.Stop(ctx, q.stop())), nil
+}
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -32,6 +32,9 @@
 		Version: math.MaxUint64,
 		Held:    n.configs.held(sent),
 		Cores:   n.settings.Cores,
+		Hall:    n.settings.Hall,
+		// One that stops takes on nothing new.
+		Delegate: !n.closing.Load(),
 	})
 	if err == nil && r.Leads {
 		n.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -354,9 +354,12 @@
 func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
 	b := n.settings.Bounds
 	return leader.New(leader.Config{
-		Store:        n.store,
-		Chain:        c,
-		Workers:      n.workers,
+		Store: n.store,
+		Chain: c,
+		Workers: &delegatedWorkers{
+			node:   n,
+			direct: n.workers,
+		},
 		Advisor:      n,
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
--- a/node/peers.go
+++ b/node/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/delegate"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
@@ -27,6 +28,9 @@
 	methodTell    = "tell"
 	methodNews    = "news"
 	methodPiece   = "piece"
+	methodRenew   = "renew"
+	methodStart   = "start"
+	methodStop    = "stop"
 )
 
 // hostSilent is how long ago a host may have greeted the leader to be asked for
@@ -46,6 +50,11 @@
 	Held heldConfig
 	// Cores is the processor time that the caller has each second.
 	Cores float64
+	// Hall is where the caller stands.
+	Hall spoolsill.HallID
+	// Delegate tells that the caller carries out calls to workers. Hosts of an
+	// earlier release can't.
+	Delegate bool
 }
 
 type greetReply struct {
@@ -130,12 +139,20 @@
 	peer.Handle(n.peers, methodTell, n.told)
 	peer.Handle(n.peers, methodNews, n.newsAsked)
 	peer.Handle(n.peers, methodPiece, n.pieceAsked)
+	peer.Handle(n.peers, methodRenew, n.renewAsked)
+	peer.Handle(n.peers, methodStart, n.startAsked)
+	peer.Handle(n.peers, methodStop, n.stopAsked)
 }
 
 func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
 	n.peers.Learn(c.Host, q.Address)
-	n.hosts.greeted(c.Host, q.Cores, time.Now())
 	now := time.Now()
+	n.hosts.greeted(c.Host, greetedHost{
+		at:       now,
+		cores:    q.Cores,
+		hall:     q.Hall,
+		delegate: q.Delegate,
+	})
 	n.configs.offeredBy(c.Host, q.Held, now)
 	r := greetReply{
 		Held: n.configs.held(now),
@@ -267,8 +284,12 @@
 
 // Hosts implements [leader.Advisor].
 func (n *Node) Hosts() []spoolsill.HostID {
-	silent := max(hostSilent, silentGreets*n.spaced(greetEvery))
-	return append(n.hosts.since(time.Now().Add(-silent)), n.settings.Host)
+	return append(n.hosts.since(n.silentSince(time.Now())), n.settings.Host)
+}
+
+// silentSince returns since when hosts that have not greeted count as silent.
+func (n *Node) silentSince(now time.Time) time.Time {
+	return now.Add(-max(hostSilent, silentGreets*n.spaced(greetEvery)))
 }
 
 // Ask implements [leader.Advisor].
@@ -298,20 +319,38 @@
 }
 
 type greetedHost struct {
-	at    time.Time
-	cores float64
+	at       time.Time
+	cores    float64
+	hall     spoolsill.HallID
+	delegate bool
 }
 
-func (l *hostList) greeted(h spoolsill.HostID, cores float64, at time.Time) {
+func (l *hostList) greeted(h spoolsill.HostID, g greetedHost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.seen == nil {
 		l.seen = map[spoolsill.HostID]greetedHost{}
 	}
-	l.seen[h] = greetedHost{
-		at:    at,
-		cores: cores,
+	l.seen[h] = g
+}
+
+// delegates returns the hosts that have greeted at or after a time and carry out
+// calls to workers.
+func (l *hostList) delegates(since time.Time) []delegate.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var hosts []delegate.Host
+	for h, g := range l.seen {
+		if !g.delegate || g.at.Before(since) {
+			continue
+		}
+		hosts = append(hosts, delegate.Host{
+			ID:    h,
+			Hall:  g.hall,
+			Cores: g.cores,
+		})
 	}
+	return hosts
 }
 
 func (l *hostList) count() int {
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -181,6 +181,14 @@
 	return ""
 }
 
+// Hall returns where a worker stands.
+func (s *State) Hall(id spoolsill.WorkerID) spoolsill.HallID {
+	if w := s.workers[id]; w != nil {
+		return w.Hall
+	}
+	return ""
+}
+
 // Idle reports whether a worker has no runs.
 func (s *State) Idle(id spoolsill.WorkerID) bool {
 	w := s.workers[id]
