oplog: lines that come in quick succession share writes

Cause: each line was a write of its own; the leader of the large site writes some 2,500 lines a second, and a system call and a switch of goroutines for each come on top of the 6 us of its formatting. Change: after a write the next one waits for ten milliseconds and takes all lines that came; the first line after a silence is written at once. Result: 701 lines in 0.7 s take 75 writes at most, 701 before (TestLinesShareWrites). Ruled out: a buffer that is written when it is full: the last lines before a failure, which are the ones that matter, would wait in it.

--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -9,6 +9,7 @@
 package oplog
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -17,6 +18,8 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
+
+	"github.com/spoolsill/spoolsill/internal/pause"
 )
 
 const (
@@ -30,6 +33,11 @@
 	// warningsPerSecond and warningsBurst bound the others of one kind.
 	warningsPerSecond = 200
 	warningsBurst     = 400
+	// writeEvery is how far apart writes are while lines keep coming, writeMost how
+	// many bytes one has at most. A write costs the same for one line as for fifty: a
+	// leader of 1,600 starts a second writes 2,500 lines, in a hundred writes.
+	writeEvery = 10 * time.Millisecond
+	writeMost  = 256 << 10
 	// reportEvery is how often lines that were left out are told of.
 	reportEvery = time.Second
 )
@@ -81,7 +89,8 @@
 	for {
 		select {
 		case b := <-l.queue:
-			l.write(b)
+			l.write(l.gather(b))
+			pause.For(ctx, writeEvery)
 		case <-t.C:
 			if n := l.LeftOut(); n > told {
 				l.WithField("lines", n-told).Warn("log lines left out")
@@ -103,17 +112,30 @@
 	for {
 		select {
 		case b := <-l.queue:
-			l.write(b)
+			l.write(l.gather(b))
 		default:
 			return
 		}
 	}
 }
 
-// write drops a line that can't be written: there is nowhere to say so.
+// gather returns a line with those that wait behind it.
+func (l *Log) gather(b []byte) []byte {
+	for len(b) < writeMost {
+		select {
+		case next := <-l.queue:
+			b = append(b, next...)
+		default:
+			return b
+		}
+	}
+	return b
+}
+
+// write drops lines that can't be written: there is nowhere to say so.
 func (l *Log) write(b []byte) {
 	if _, err := l.out.Write(b); err != nil {
-		l.left.Add(1)
+		l.left.Add(int64(bytes.Count(b, []byte("\n"))))
 	}
 }
 
--- a/oplog/oplog_test.go
+++ b/oplog/oplog_test.go
@@ -86,3 +86,36 @@
 		c.Assert(strings.Contains(s, `"lines":3400,"msg":"log lines left out"`), qt.IsTrue, qt.Commentf("%d left out", l.LeftOut()))
 	})
 }
+
+// A countingWriter counts writes and lines.
+type countingWriter struct {
+	writes, lines int
+}
+
+func (w *countingWriter) Write(b []byte) (int, error) {
+	w.writes++
+	w.lines += bytes.Count(b, []byte("\n"))
+	return len(b), nil
+}
+
+// Lines that come in quick succession share writes, and the first does not wait.
+func TestLinesShareWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out countingWriter
+		l := oplog.New(&out)
+		ctx, cancel := context.WithCancel(t.Context())
+		go l.Run(ctx)
+		l.Info("first")
+		synctest.Wait()
+		c.Check(out.lines, qt.Equals, 1)
+		for i := range 700 {
+			l.WithField("i", i).Info("started")
+			pause.For(t.Context(), time.Millisecond)
+		}
+		cancel()
+		l.Wait()
+		c.Check(out.lines, qt.Equals, 701)
+		c.Check(out.writes <= 75, qt.IsTrue, qt.Commentf("%d writes", out.writes))
+	})
+}
