oplog: a write is no longer than a pipe takes whole

Cause: writes of many lines at once were as long as all that waited. Change: a write has 4 KB at most, which a pipe takes whole, and whole lines only. Result: TestLinesShareWrites checks the length besides the number of writes, with a hundred lines at once; with the former limit of 256 KB it fails (30,466 bytes).

--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -33,11 +33,11 @@
 	// warningsPerSecond and warningsBurst bound the others of one kind.
 	warningsPerSecond = 200
 	warningsBurst     = 400
-	// writeEvery is how far apart writes are while lines keep coming, writeMost how
-	// many bytes one has at most. A write costs the same for one line as for fifty: a
-	// leader of 1,600 starts a second writes 2,500 lines, in a hundred writes.
+	// writeEvery is how long lines gather for one write, writeMost how many bytes it
+	// has at most: what a pipe takes whole, so that readers of pieces see whole lines.
+	// A leader of 1,600 starts a second writes 2,500 lines, some sixteen at once.
 	writeEvery = 10 * time.Millisecond
-	writeMost  = 256 << 10
+	writeMost  = 4 << 10
 	// reportEvery is how often lines that were left out are told of.
 	reportEvery = time.Second
 )
@@ -89,7 +89,7 @@
 	for {
 		select {
 		case b := <-l.queue:
-			l.write(l.gather(b))
+			l.writeAll(b)
 			pause.For(ctx, writeEvery)
 		case <-t.C:
 			if n := l.LeftOut(); n > told {
@@ -97,7 +97,7 @@
 				told = n
 			}
 		case <-ctx.Done():
-			l.flush()
+			l.writeAll(nil)
 			return
 		}
 	}
@@ -108,28 +108,24 @@
 	<-l.written
 }
 
-func (l *Log) flush() {
+// writeAll writes a line and those that wait behind it, as many at once as a write
+// may have.
+func (l *Log) writeAll(b []byte) {
 	for {
-		select {
-		case b := <-l.queue:
-			l.write(l.gather(b))
-		default:
-			return
-		}
-	}
-}
-
-// gather returns a line with those that wait behind it.
-func (l *Log) gather(b []byte) []byte {
-	for len(b) < writeMost {
 		select {
 		case next := <-l.queue:
+			if len(b) > 0 && len(b)+len(next) > writeMost {
+				l.write(b)
+				b = nil
+			}
 			b = append(b, next...)
 		default:
-			return b
+			if len(b) > 0 {
+				l.write(b)
+			}
+			return
 		}
 	}
-	return b
 }
 
 // write drops lines that can't be written: there is nowhere to say so.
--- a/oplog/oplog_test.go
+++ b/oplog/oplog_test.go
@@ -87,13 +87,14 @@
 	})
 }
 
-// A countingWriter counts writes and lines.
+// A countingWriter counts writes and lines, and knows the longest write.
 type countingWriter struct {
-	writes, lines int
+	writes, lines, most int
 }
 
 func (w *countingWriter) Write(b []byte) (int, error) {
 	w.writes++
+	w.most = max(w.most, len(b))
 	w.lines += bytes.Count(b, []byte("\n"))
 	return len(b), nil
 }
@@ -109,13 +110,17 @@
 		l.Info("first")
 		synctest.Wait()
 		c.Check(out.lines, qt.Equals, 1)
-		for i := range 700 {
-			l.WithField("i", i).Info("started")
+		for range 700 {
+			l.WithField("i", strings.Repeat("1", 200)).Info("started")
 			pause.For(t.Context(), time.Millisecond)
 		}
+		for range 100 {
+			l.WithField("i", strings.Repeat("1", 200)).Info("started at once")
+		}
 		cancel()
 		l.Wait()
-		c.Check(out.lines, qt.Equals, 701)
-		c.Check(out.writes <= 75, qt.IsTrue, qt.Commentf("%d writes", out.writes))
+		c.Check(out.lines, qt.Equals, 801)
+		c.Check(out.writes <= 85, qt.IsTrue, qt.Commentf("%d writes", out.writes))
+		c.Check(out.most <= 4096, qt.IsTrue, qt.Commentf("%d bytes", out.most))
 	})
 }
