node, delegate: gauges of the hosts that make the leader's calls

An operator sees how many hosts make calls for the leader, and how many are passed over since they left one unanswered. They are kept by the host, not by one leadership.

--- a/delegate/directory.go
+++ b/delegate/directory.go
@@ -64,6 +64,16 @@
 	d.chosen = nil
 }
 
+// Count returns how many hosts can carry calls out, and how many of them rest.
+func (d *Directory) Count(now time.Time) (all, resting int) {
+	for _, h := range d.hosts {
+		if now.Before(d.resting[h.ID]) {
+			resting++
+		}
+	}
+	return len(d.hosts), resting
+}
+
 // Of returns the host that carries out the next call to a worker, of which so many in
 // a row had no answer: each of them leads to another host, every other time to one of
 // any hall. It returns false when there is none.
--- a/delegate/directory_test.go
+++ b/delegate/directory_test.go
@@ -101,7 +101,9 @@
 	d.SetHosts(hosts(3, 1))
 	before := assigned(&d, 50, "hall0", now)
 	d.Fail("host1", now)
-	d.Fail("host2", now.Add(time.Second)) // more than half: none of them rests
+	d.Fail("host2", now.Add(time.Second)) // more than half: none of them is passed over
+	all, resting := d.Count(now.Add(time.Second))
+	c.Assert([]int{all, resting}, qt.DeepEquals, []int{3, 2})
 	c.Assert(assigned(&d, 50, "hall0", now.Add(time.Second)), qt.DeepEquals, before)
 	c.Assert(assigned(&d, 50, "hall0", now.Add(3500*time.Millisecond)), qt.Not(qt.DeepEquals), before)
 	c.Assert(assigned(&d, 50, "hall0", now.Add(5*time.Second)), qt.DeepEquals, before)
--- a/node/delegated.go
+++ b/node/delegated.go
@@ -48,6 +48,13 @@
 	return d.directory.Of(t.Worker, t.Hall, d.unanswered[t.Worker], now)
 }
 
+// hosts returns how many hosts make calls for this one, and how many of them rest.
+func (d *delegatedWorkers) hosts() (all, resting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.directory.Count(time.Now())
+}
+
 // fail takes in that a host left a call unanswered, or did not take it.
 func (d *delegatedWorkers) fail(h spoolsill.HostID) {
 	d.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -79,13 +79,15 @@
 	listen   func(address string) (net.Listener, error)
 	store    store.Store
 	workers  *platform.Workers
-	advisor  *platform.Advisor
-	peers    *peer.Node
-	life     spoolsill.Incarnation
-	health   *storeHealth
-	metrics  *telemetry.Metrics
-	port     int // of the metrics
-	jobs     *jobstore.Writer
+	// delegated has other hosts make the calls to workers, while this one leads.
+	delegated *delegatedWorkers
+	advisor   *platform.Advisor
+	peers     *peer.Node
+	life      spoolsill.Incarnation
+	health    *storeHealth
+	metrics   *telemetry.Metrics
+	port      int // of the metrics
+	jobs      *jobstore.Writer
 
 	telling    *semaphore.Weighted
 	cancelling *semaphore.Weighted
@@ -159,6 +161,10 @@
 		MaxRow:    s.MaxRow,
 		Timeout:   h.writeTimeout,
 	})
+	n.delegated = &delegatedWorkers{
+		node:   n,
+		direct: n.workers,
+	}
 	n.handlePeers()
 	n.gauges()
 	return n
@@ -354,12 +360,9 @@
 func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
 	b := n.settings.Bounds
 	return leader.New(leader.Config{
-		Store: n.store,
-		Chain: c,
-		Workers: &delegatedWorkers{
-			node:   n,
-			direct: n.workers,
-		},
+		Store:        n.store,
+		Chain:        c,
+		Workers:      n.delegated,
 		Advisor:      n,
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
@@ -412,6 +415,8 @@
 	n.metrics.Gauge("spoolsill.peer.sent.bytes", "bytes that this host sent to other hosts", func() int64 { sent, _ := n.peers.Traffic(); return int64(sent) })
 	n.metrics.Gauge("spoolsill.peer.received.bytes", "bytes that this host received from other hosts", func() int64 { _, read := n.peers.Traffic(); return int64(read) })
 	n.metrics.Gauge("spoolsill.peer.handling", "calls of other hosts that are not answered yet", func() int64 { return int64(n.peers.Handling()) })
+	n.metrics.Gauge("spoolsill.delegates", "hosts that make calls to workers for this one, while it leads", func() int64 { all, _ := n.delegated.hosts(); return int64(all) })
+	n.metrics.Gauge("spoolsill.delegates.resting", "of them, those that left a call unanswered and are passed over", func() int64 { _, resting := n.delegated.hosts(); return int64(resting) })
 	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
 }
 
