node, leader: a leadership that failed makes the next one last longer

Cause: a new leader was replaced 0.15 to 0.4 s after its row stood still, however often the one before it had been replaced before it had read all jobs; what it had read, the next one read anew. Change: the row counts the leaderships in a row that have not read all jobs. For each one but the first, others wait twice as long, up to sixteen times. A leadership that was settled is replaced as soon as before.

--- a/leader/chain.go
+++ b/leader/chain.go
@@ -42,6 +42,9 @@
 	Hosts int `msgpack:"n"`
 	// Released tells that the leader has ended as planned.
 	Released bool `msgpack:"r"`
+	// Unsettled counts the leaderships in a row, this one included, that have not
+	// read all jobs: what one has read, the next one reads anew.
+	Unsettled int `msgpack:"u"`
 }
 
 // ReadHead returns the head and its version; version 0 means that nobody has
@@ -98,6 +101,7 @@
 	if me.Hosts == 0 {
 		c.head.Hosts = old.Hosts
 	}
+	c.head.Unsettled = old.Unsettled + 1
 	if err := c.write(ctx, c.head, nil, nil); err != nil {
 		return nil, err
 	}
@@ -115,6 +119,12 @@
 	return c.head.Write
 }
 
+// Settle tells with the next write that all jobs are read. It must not be called while
+// a write is under way.
+func (c *Chain) Settle() {
+	c.head.Unsettled = 0
+}
+
 // Write puts and deletes rows, whatever it takes, until ctx ends or another host
 // leads.
 func (c *Chain) Write(ctx context.Context, puts []store.Put, deletes []store.Key) error {
--- a/leader/write.go
+++ b/leader/write.go
@@ -23,6 +23,9 @@
 		return nil
 	}
 	l.writing = true
+	if l.loaded {
+		l.config.Chain.Settle()
+	}
 	// The write goes on when the leadership is being given up: its fate must
 	// be known before the row can be written again.
 	ctx = l.writeCtx
--- /dev/null
+++ b/node/backoff_test.go
@@ -0,0 +1,43 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// A store that is so busy that each new leader is turned away before it has read all
+// jobs has few of them: each is given longer than the one before. Once the store is
+// well, the cell has a leader that stays.
+func TestLeadershipsThatFailAreFurtherApart(t *testing.T) {
+	run(t, 5, 1, func(x *cell) {
+		x.store.SetFault(func(t store.Transaction) cellfake.StoreFault {
+			for _, p := range t.Puts {
+				var h leader.Head
+				if p.Key == leader.HeadKey && msgpack.Unmarshal(p.Value, &h) == nil && h.Write > 0 {
+					return cellfake.StoreRefuse
+				}
+			}
+			return cellfake.StoreWell
+		})
+		before, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		pause.For(x.ctx, time.Minute)
+		after, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Check(after.Epoch-before.Epoch <= 40, qt.IsTrue, qt.Commentf("%d leaderships in a minute", after.Epoch-before.Epoch))
+		x.store.SetFault(nil)
+		pause.For(x.ctx, 6*time.Second)
+		last, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		x.c.Check(last.Unsettled, qt.Equals, 0)
+		x.c.Check(last.Epoch-after.Epoch <= 1, qt.IsTrue)
+	})
+}
--- a/node/elect.go
+++ b/node/elect.go
@@ -45,6 +45,10 @@
 	// this host get lost as well: with three lost in a row the leader needs 1.05 s
 	// to learn that a write lasts, and whoever takes over loses as many.
 	lapseLosing = 1300 * time.Millisecond
+	// backoffMost is how often the wait is doubled at most for leaderships that fail
+	// before they have read all jobs, as on hosts whose links are full: to 5.6 s,
+	// in which the smallest link of today carries the jobs of a cell of its size.
+	backoffMost = 4
 	// lapseGone is the same when the leader's process is gone: its port
 	// refuses connections, or it says that it does not lead. A host that has
 	// just taken over needs a moment to know it.
@@ -229,13 +233,19 @@
 		return 0 // it was an earlier life of this host
 	}
 	if g.last.gone || g.last.turnedAway {
-		return lapseGone
+		return backoff(lapseGone, h)
 	}
 	least := lapse
 	if g.last.answers && n.health.losing(time.Now()) {
 		least = lapseLosing
 	}
-	return least + max(lapseWrites*n.health.usualWrite(), lapseReads*read)
+	return backoff(least, h) + max(lapseWrites*n.health.usualWrite(), lapseReads*read)
+}
+
+// backoff returns how long is waited for a leadership instead of d: twice as long for
+// each one before it that ended before it had read all jobs.
+func backoff(d time.Duration, h leader.Head) time.Duration {
+	return d << min(max(h.Unsettled-1, 0), backoffMost)
 }
 
 // lead tries to take over and leads until it is deposed or ctx ends.
