--- a/internal/bench/cellbench/mixes.go
+++ b/internal/bench/cellbench/mixes.go
@@ -95,10 +95,7 @@
 			MaxAttempts: 3,
 			Stretch:     2.2,
 			Goal:        time.Second,
-			Advisor: &sched.Advisor{
-				Base:      490 * time.Millisecond,
-				PerWorker: 7 * time.Millisecond,
-			},
+			Advisor:     advisor(490*time.Millisecond, 7*time.Millisecond),
 		},
 		Rate:         1.84 * load,
 		Steps:        Spread{Mean: 1},
@@ -125,10 +122,7 @@
 			MaxAttempts: 4,
 			Stretch:     4,
 			Goal:        time.Second,
-			Advisor: &sched.Advisor{
-				Base:      140 * time.Millisecond,
-				PerWorker: 2 * time.Millisecond,
-			},
+			Advisor:     advisor(140*time.Millisecond, 2*time.Millisecond),
 		},
 		Rate:         1.9 * load,
 		Steps:        Spread{Mean: 1},
