--- a/node/elect.go
+++ b/node/elect.go
@@ -46,8 +46,8 @@
 	// to learn that a write lasts, and whoever takes over loses as many.
 	lapseLosing = 1300 * time.Millisecond
 	// backoffMost is how often the wait is doubled at most for leaderships that fail
-	// before they have read all jobs, as on hosts whose links are full: to 5.6 s,
-	// in which the smallest link of today carries the jobs of a cell of its size.
+	// before they have read all jobs, as on hosts whose links are full: to sixteen
+	// times lapse, 5.6 s. Chosen, not measured.
 	backoffMost = 4
 	// lapseGone is the same when the leader's process is gone: its port
 	// refuses connections, or it says that it does not lead. A host that has
