sched, leader: lines on runs that are gone count the workers gone under the task

Cause: a log of one second shows a run that is gone and the next one placed, but not how often that has happened to the task: whether repeats are counted anywhere had to be worked out from run numbers. Change: a count in memory of workers that went under each task, told as workers_gone in "run is gone"; nothing is decided by it. Result: tests of sched and leader pass; no decision differs.

--- a/leader/log.go
+++ b/leader/log.go
@@ -74,6 +74,9 @@
 		if n.Worker != "" {
 			f["worker"] = string(n.Worker)
 		}
+		if n.Gone > 0 {
+			f["workers_gone"] = n.Gone
+		}
 		if a := n.Account; a != nil {
 			f["objective_ms"] = a.Objective.Milliseconds()
 			f["waited_advice_ms"] = a.Advice.Milliseconds()
--- a/sched/event.go
+++ b/sched/event.go
@@ -249,6 +249,8 @@
 	Age time.Duration
 	// Account is that of a job that ended, else nil.
 	Account *Account
+	// Gone is how many workers have gone under the run's task, where a run is gone.
+	Gone int
 }
 
 // An Account tells what a job's time went to, for logs.
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -51,6 +51,7 @@
 		Worker: r.worker.id,
 		Reason: reason,
 		Age:    s.now.Sub(r.begun),
+		Gone:   r.task.gone,
 	})
 	s.breakGang(r, reason)
 }
--- a/sched/state.go
+++ b/sched/state.go
@@ -142,6 +142,8 @@
 	// failedAt has the workers where it failed: another one tells whether
 	// the task or the worker is to blame.
 	failedAt []spoolsill.WorkerID
+	// gone is how many workers went while they had a run of it.
+	gone int
 	// preempted is how often a run of it was stopped to make room.
 	preempted int
 }
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -299,6 +299,7 @@
 func (s *State) dropRuns(w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
 		r.task.stage.job.account.Lost++
+		r.task.gone++
 		s.lose(r, reason)
 	}
 }
