leader, cellfake: tests of a task that crashes its workers, which fail

Cause: the reported repeats, brought about by the project's own stand-in: a run may crash its worker some time after its start, whose machine comes back as another worker; the stand-in counts the starts after three such crashes. Ruled out: that orders are carried out twice (the stand-in's other checks hold), and that a change of leader is needed for it.

--- /dev/null
+++ b/internal/cellfake/crash.go
@@ -0,0 +1,101 @@
+package cellfake
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+const (
+	// crashesBorne is how many workers may crash under a task before its starts
+	// are counted, startsAfter which of these starts breaks the promise.
+	crashesBorne = 3
+	startsAfter  = 3
+)
+
+// crashes judges how often tasks that crash their workers are started.
+type crashes struct {
+	of    map[sched.TaskID]int // workers that crashed under a task
+	after map[sched.TaskID]int // its starts after the last one that is borne
+}
+
+// begin takes in a start, and reports whether it breaks the promise.
+func (c *crashes) begin(t sched.TaskID) bool {
+	if c.of[t] < crashesBorne {
+		return false
+	}
+	c.after[t]++
+	return c.after[t] == startsAfter
+}
+
+// CrashesOf returns how many workers have crashed under a task.
+func (f *Workers) CrashesOf(t sched.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes.of[t]
+}
+
+// Crash ends a worker's life without a word: what it runs is gone with it, and
+// nobody answers at its address until [Workers.Replace].
+func (f *Workers) Crash(id spoolsill.WorkerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crash(f.workers[id])
+}
+
+func (f *Workers) crash(w *worker) {
+	w.gone = true
+	clear(w.running)
+	w.ended = nil
+}
+
+// Replace has the address of a worker that crashed answer for its machine's next
+// life, which has an id of its own.
+func (f *Workers) Replace(id, next spoolsill.WorkerID) {
+	f.Add(next)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].replaced = true
+}
+
+// crashLater has a run that crashes its worker do so.
+func (f *Workers) crashLater(w *worker, r sched.RunID) {
+	if f.Crashes == nil {
+		return
+	}
+	after, crashes := f.Crashes(r)
+	if !crashes {
+		return
+	}
+	time.AfterFunc(after, func() {
+		f.mu.Lock()
+		_, runs := w.running[r]
+		if runs {
+			f.crashes.of[r.Task]++
+			f.crash(w)
+		}
+		f.mu.Unlock()
+		if runs && f.Crashed != nil {
+			f.Crashed(w.id)
+		}
+	})
+}
+
+// judgeRepeats takes in a start of a task that may crash its workers.
+func (f *Workers) judgeRepeats(w *worker, r sched.RunID) {
+	if f.crashes.begin(r.Task) {
+		f.broken = append(f.broken, fmt.Sprintf("%s#%d started at %s, the third start after %d workers had crashed under it", r.Task, r.Number, w.id, crashesBorne))
+	}
+}
+
+// otherLife is what the address of a worker that was replaced answers.
+func otherLife() leader.Reply {
+	return leader.Reply{
+		Kind: leader.OtherLife,
+		Err:  errors.New("cellfake: the address answers for another life"),
+	}
+}
--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -45,18 +45,25 @@
 	// Room is how many runs a worker has room for; more are a broken promise.
 	// 0 means that this is not judged.
 	Room int
+	// Crashes tells whether a run crashes its worker, and how long after its start;
+	// nil means that none does. Crashed is told of each such crash; may be nil.
+	Crashes func(r sched.RunID) (after time.Duration, crashes bool)
+	Crashed func(w spoolsill.WorkerID)
 
 	mu      sync.Mutex
 	workers map[spoolsill.WorkerID]*worker
 	done    map[sched.TaskID]bool // ended done, and acknowledged
 	broken  []string
 	starts  int
+	crashes crashes
 }
 
 type worker struct {
 	id       spoolsill.WorkerID
 	began    time.Time
 	cut      bool
+	gone     bool // its life is over
+	replaced bool // and its address answers for the next one
 	fence    spoolsill.Epoch
 	deadline sched.ClockMillis
 	running  map[sched.RunID]progress
@@ -72,6 +79,10 @@
 		Lease:   lease,
 		workers: map[spoolsill.WorkerID]*worker{},
 		done:    map[sched.TaskID]bool{},
+		crashes: crashes{
+			of:    map[sched.TaskID]int{},
+			after: map[sched.TaskID]int{},
+		},
 	}
 	for _, id := range ids {
 		f.Add(id)
@@ -159,8 +170,12 @@
 	}
 	f.mu.Lock()
 	w := f.workers[id]
-	cut := w == nil || w.cut
+	cut := w == nil || w.cut || w.gone
+	replaced := w != nil && w.replaced && !w.cut
 	f.mu.Unlock()
+	if replaced {
+		return nil, otherLife()
+	}
 	fault := OrderWell
 	if f.Fault != nil {
 		fault = f.Fault(id)
@@ -184,6 +199,9 @@
 func (f *Workers) locked(w *worker, g func(*worker)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if w.gone {
+		return
+	}
 	f.lapse(w)
 	g(w)
 }
@@ -282,6 +300,9 @@
 func (f *Workers) heartbeat(w *worker, r leader.Renewal, sent time.Time) (sched.Heartbeat, leader.Reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if w.gone {
+		return sched.Heartbeat{}, noAnswer(errLost)
+	}
 	if r.Fence < w.fence {
 		return sched.Heartbeat{}, f.fenced(w)
 	}
@@ -339,7 +360,7 @@
 func (f *Workers) Start(ctx context.Context, o leader.Start) leader.Reply {
 	ctx, cancel := beginWithin(ctx, 0, o.Within)
 	defer cancel()
-	var reply leader.Reply
+	reply := noAnswer(errLost)
 	start := func(w *worker) { reply = f.start(w, o) }
 	w, lost := f.meet(ctx, o.Worker, start)
 	if w == nil {
@@ -385,6 +406,7 @@
 
 func (f *Workers) begin(w *worker, r sched.RunID) {
 	f.starts++
+	f.judgeRepeats(w, r)
 	if f.done[r.Task] {
 		f.broken = append(f.broken, fmt.Sprintf("%s#%d started after its end was acknowledged", r.Task, r.Number))
 	}
@@ -410,17 +432,19 @@
 	time.AfterFunc(took, func() {
 		f.locked(w, func(w *worker) { f.end(w, r, kind) })
 	})
+	f.crashLater(w, r)
 }
 
 // Stop implements [leader.Workers].
 func (f *Workers) Stop(ctx context.Context, o leader.Stop) leader.Reply {
 	ctx, cancel := beginWithin(ctx, 0, o.Within)
 	defer cancel()
-	reply := leader.Reply{
-		Kind: leader.Taken,
-	}
+	reply := noAnswer(errLost)
 	stop := func(w *worker) {
-		reply.Clock = w.clock()
+		reply = leader.Reply{
+			Kind:  leader.Taken,
+			Clock: w.clock(),
+		}
 		if !w.admit(o.Fence) {
 			reply = f.fenced(w)
 			return
--- /dev/null
+++ b/leader/crash_test.go
@@ -0,0 +1,166 @@
+package leader_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+const (
+	// crashAfter is how long after its start a task crashed its worker in the
+	// record, backAfter when the machine was back as another worker.
+	crashAfter = 10 * time.Millisecond
+	backAfter  = 3300 * time.Millisecond
+)
+
+// A machines keeps what is needed of machines whose workers crash and come back.
+type machines struct {
+	*cell
+
+	mu    sync.Mutex
+	lives map[string]int
+}
+
+// newMachines has the machines of a cell come back after each crash, as other
+// workers at the same address.
+func newMachines(x *cell) *machines {
+	m := &machines{
+		cell:  x,
+		lives: map[string]int{},
+	}
+	for i, id := range x.ids {
+		m.listLife(id, fmt.Sprintf("m%d", i))
+	}
+	x.workers.Crashed = m.crashed
+	return m
+}
+
+// machineOf returns the machine of a worker, whose first life is worker 0 of it.
+func (m *machines) machineOf(id spoolsill.WorkerID) string {
+	var i, life int
+	if _, err := fmt.Sscanf(string(id), "w%d/%d", &i, &life); err == nil {
+		return fmt.Sprintf("m%d", i)
+	}
+	_, err := fmt.Sscanf(string(id), "w%d", &i)
+	m.c.Assert(err, qt.IsNil)
+	return fmt.Sprintf("m%d", i)
+}
+
+func (m *machines) listLife(id spoolsill.WorkerID, machine string) {
+	b, err := json.Marshal(sched.Worker{
+		ID:      id,
+		Machine: machine,
+		Service: "work",
+		Address: string(id),
+		Capacity: spoolsill.Resources{
+			Processors: 10 * spoolsill.Core,
+		},
+	})
+	m.c.Assert(err, qt.IsNil)
+	m.store.Put(store.Put{
+		Key:   workerKey(id),
+		Value: b,
+	})
+}
+
+func (m *machines) crashed(id spoolsill.WorkerID) {
+	time.AfterFunc(backAfter, func() {
+		machine := m.machineOf(id)
+		m.mu.Lock()
+		m.lives[machine]++
+		next := spoolsill.WorkerID(fmt.Sprintf("w%s/%d", machine[1:], m.lives[machine]))
+		m.mu.Unlock()
+		m.workers.Replace(id, next)
+		m.store.Delete(workerKey(id))
+		m.listLife(next, machine)
+	})
+}
+
+var crashing = sched.TaskID{
+	Stage: sched.StageID{
+		Job: "crashing",
+	},
+}
+
+func (m *machines) submitCrashing() {
+	m.workers.Crashes = func(r sched.RunID) (time.Duration, bool) {
+		return crashAfter, r.Task == crashing
+	}
+	m.submit(sched.Job{
+		ID:    crashing.Stage.Job,
+		Queue: "plain",
+		Steps: []sched.Step{step(1, 1)},
+	})
+}
+
+// A customer's task crashed each worker 10 ms after its start, with all that ran
+// there, and was started again some thirty times in two minutes: only ends that a
+// worker told of counted as attempts, and a run that went with its worker put its
+// task back at no cost. The leader's log of one such round, 3.4 s after the start:
+//
+//	28.7725 run is gone, its address answers for another life, run 6
+//	28.7826 task placed, has room, run 7
+//	28.8238 task started, taken, run 7
+//
+// Two of the tasks were started a third time after three workers had crashed under
+// them, and jobs beside them went down with worker after worker.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMachines(newCell(t.Context(), t, 8))
+		defer m.end()
+		l := m.lead("a")
+		m.submitCrashing()
+		var ids []spoolsill.JobID
+		for i := range 24 {
+			id := spoolsill.JobID(fmt.Sprintf("job%02d", i))
+			ids = append(ids, id)
+			m.submit(sched.Job{
+				ID:    id,
+				Queue: "plain",
+				Steps: []sched.Step{step(3, 1)},
+			})
+			pause.For(m.ctx, time.Second)
+		}
+		pause.For(m.ctx, 30*time.Second)
+		m.c.Check(m.workers.Broken(), qt.HasLen, 0)
+		s, ok := l.Status(crashing.Stage.Job)
+		m.c.Assert(ok, qt.IsTrue)
+		m.c.Check(s.State, qt.Equals, sched.Failed)
+		m.assertCompleted(l, ids)
+	})
+}
+
+// The leader is replaced again and again, at any moment of a crash and what follows
+// it, and the next one is not told: what it knows of the crashes is what was written.
+func TestCrashesOfATaskLastOverTakeOvers(t *testing.T) {
+	for seed := range 8 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMachines(newCell(t.Context(), t, 8))
+				defer m.end()
+				l := m.lead("host0")
+				m.submitCrashing()
+				for i := range 20 {
+					pause.For(m.ctx, time.Duration(1700+137*seed+211*i%1900)*time.Millisecond)
+					m.kills[i]()
+					l = m.lead(spoolsill.HostID(fmt.Sprintf("host%d", i+1)))
+				}
+				pause.For(m.ctx, 40*time.Second)
+				m.c.Check(m.workers.Broken(), qt.HasLen, 0)
+				s, ok := l.Status(crashing.Stage.Job)
+				m.c.Assert(ok, qt.IsTrue)
+				m.c.Check(s.State, qt.Equals, sched.Failed)
+			})
+		})
+	}
+}
