sched: workers that go count against the tasks that ran there

Cause: only ends that a worker tells of were counted as attempts. A run that went with its worker put its task back at no cost, and what lasts of a task had no place for it: a task that crashes each worker at its start was started for ever. Not held against a task: workers that leave as announced, that answer again, or that never met the order; a run of twice the others' time clears it. Suspects are tried apart from each other and where little goes with them; beside a strong one nothing new is started for a second. It lasts behind the job's progress, in the row that records the next start: nothing where nothing crashed, and both releases read each other's rows. Ruled out: giving up at three crashes whatever they were: flapping machines have three runs of one innocent gang member fail now and then.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -271,6 +271,7 @@
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.need)
+	w.endTrial(r)
 	r.task.run = nil
 	r.task.stage.job.runs--
 }
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -17,6 +17,7 @@
 	s.saveLeaving()
 	s.stopStuck()
 	s.stopAgain()
+	s.keepSuspects()
 	s.openDue()
 	if s.now.Sub(s.answeredFirst) < s.config.SettleTime {
 		return
@@ -130,8 +131,9 @@
 // place starts the tasks of a stage that can start now.
 func (d *decider) place(g *stage) {
 	q := d.queue(g.job)
-	if q.Service == "" || d.failExhausted(g) {
-		// Failures may have been heard of before the queue was known.
+	if q.Service == "" || d.failExhausted(g) || d.giveUp(g) {
+		// Failures may have been heard of before the queue was known, crashes by a
+		// former leader.
 		return
 	}
 	d.charge(g)
@@ -194,6 +196,9 @@
 		if h := d.held[w]; h != nil && h != g && q.Priority > 0 {
 			continue
 		}
+		if d.barred(g, w) {
+			continue
+		}
 		ws = append(ws, w)
 	}
 	return ws
@@ -254,7 +259,7 @@
 		if m := g.step.MaxPerWorker; m > 0 && g.at(w) >= m {
 			continue
 		}
-		c := d.cost(g, w, free.Sub(need))
+		c := d.cost(g, w, free.Sub(need)) + d.trialCost(t, w)
 		if slices.Contains(t.failedAt, w.id) {
 			c += failedCost
 		}
--- a/sched/event.go
+++ b/sched/event.go
@@ -236,6 +236,8 @@
 	NoteWorker     NoteKind = "worker changed"
 	NoteStray      NoteKind = "unknown run at worker"
 	NoteAdvised    NoteKind = "advice received"
+	NoteCrash      NoteKind = "worker gone with its runs"
+	NoteGivenUp    NoteKind = "task given up"
 )
 
 // A Note explains one decision or change of belief, for logs.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -101,7 +101,7 @@
 func (d *decider) seats(g *stage, q *Queue, ws []*worker) []*worker {
 	costs := time.Duration((d.config.FarFactor - 1) * float64(d.expected(q, g.step)))
 	if !g.step.SameRack || d.now.Sub(g.openedAt) >= costs {
-		return seatsAmong(g, ws)
+		return d.seatsAmong(g, ws)
 	}
 	for _, rack := range racksOf(ws) {
 		var in []*worker
@@ -110,7 +110,7 @@
 				in = append(in, w)
 			}
 		}
-		if seats := seatsAmong(g, in); seats != nil {
+		if seats := d.seatsAmong(g, in); seats != nil {
 			return seats
 		}
 	}
@@ -127,11 +127,12 @@
 	return racks
 }
 
-func seatsAmong(g *stage, ws []*worker) []*worker {
+func (d *decider) seatsAmong(g *stage, ws []*worker) []*worker {
 	need := g.step.room()
 	type offer struct {
 		w     *worker
 		seats int
+		trial float64
 	}
 	offers := make([]offer, 0, len(ws))
 	total := 0
@@ -147,6 +148,7 @@
 		offers = append(offers, offer{
 			w:     w,
 			seats: n,
+			trial: d.gangTrialCost(g, w),
 		})
 		total += n
 	}
@@ -154,7 +156,11 @@
 		return nil
 	}
 	slices.SortStableFunc(offers, func(a, b offer) int {
-		return cmp.Or(cmp.Compare(a.w.health.slowness(), b.w.health.slowness()), cmp.Compare(b.seats, a.seats))
+		return cmp.Or(
+			cmp.Compare(a.trial, b.trial),
+			cmp.Compare(a.w.health.slowness(), b.w.health.slowness()),
+			cmp.Compare(b.seats, a.seats),
+		)
 	})
 	seats := make([]*worker, 0, len(g.tasks))
 	for _, o := range offers {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -29,6 +29,7 @@
 	for _, sp := range p.Stages {
 		s.restoreStage(x, sp)
 	}
+	s.restoreCrashes(x, p.Crashes)
 	if x.state.Final() {
 		s.stopJob(x, "job has ended")
 		return
@@ -139,6 +140,25 @@
 	}
 }
 
+// restoreCrashes takes in what a former leader knew of crashes.
+func (s *State) restoreCrashes(j *job, cs []TaskCrashes) {
+	for _, c := range cs {
+		g := j.stage(c.Round, c.Step)
+		if g == nil || c.Index < 0 || c.Index >= len(g.tasks) {
+			continue
+		}
+		t := g.tasks[c.Index]
+		t.evidence = evidence{
+			losses: c.Losses,
+			lived:  c.Lived,
+		}
+		s.suspects = append(s.suspects, t)
+		if t.run != nil {
+			t.run.worker.beginTrial(t.run)
+		}
+	}
+}
+
 // inherit puts a run that a former leader recorded into its worker's account.
 func (s *State) inherit(t *task, p TaskProgress) {
 	w := s.worker(p.Worker)
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -1,6 +1,11 @@
 package sched
 
 import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/spoolsill/spoolsill"
@@ -13,6 +18,22 @@
 
 	State  JobState
 	Stages []StageProgress
+	// Crashes has the tasks under which workers went. It is kept behind the rest, and
+	// takes nothing where there are none: programs that do not know of it read a row
+	// as if it was not there, and rows without it are read.
+	Crashes []TaskCrashes `msgpack:"-"`
+}
+
+// A TaskCrashes is what speaks for a task crashing the workers that start it.
+type TaskCrashes struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads it
+
+	Round int
+	Step  int
+	Index int
+	// Lived is for how long runs have gone on that count.
+	Lived  time.Duration
+	Losses []Loss
 }
 
 // A StageProgress is the progress of one step in one round. Stages that have
@@ -42,13 +63,23 @@
 
 // EncodeProgress returns p as it is kept.
 func EncodeProgress(p Progress) ([]byte, error) {
-	return msgpack.Marshal(&p)
+	b, err := msgpack.Marshal(&p)
+	if err != nil || len(p.Crashes) == 0 {
+		return b, err
+	}
+	c, err := msgpack.Marshal(p.Crashes)
+	return append(b, c...), err
 }
 
 // DecodeProgress reads what [EncodeProgress] returned.
 func DecodeProgress(b []byte) (Progress, error) {
 	var p Progress
-	err := msgpack.Unmarshal(b, &p)
+	r := bytes.NewReader(b)
+	d := msgpack.NewDecoder(r)
+	if err := d.Decode(&p); err != nil || r.Len() == 0 {
+		return p, err
+	}
+	err := d.Decode(&p.Crashes)
 	return p, err
 }
 
@@ -58,6 +89,11 @@
 	taskBytes = 56
 	// stageBytes is what a stage needs besides.
 	stageBytes = 24
+	// lossesKept bounds the losses that a row keeps, those of the tasks with the most
+	// first; lossBytes is what one may need: a worker's name, and where it is the
+	// task's only one, the task.
+	lossesKept = 64
+	lossBytes  = 48
 )
 
 // ProgressBytes returns how long the progress of a job may become.
@@ -66,7 +102,7 @@
 	for i := range j.Steps {
 		n += stageBytes + j.Steps[i].Tasks*taskBytes
 	}
-	return n * j.rounds()
+	return n*j.rounds() + lossesKept*lossBytes
 }
 
 // progress returns what is to be kept of j.
@@ -80,14 +116,47 @@
 	for _, g := range j.stages {
 		if g.begun() {
 			p.Stages = append(p.Stages, g.progress())
+			p.Crashes = append(p.Crashes, g.crashes()...)
 			if p.State == Pending {
 				p.State = Running
 			}
 		}
 	}
+	p.Crashes = mostLosses(p.Crashes)
 	return p
 }
 
+// crashes returns what is to be kept of the crashes under g's tasks.
+func (g *stage) crashes() []TaskCrashes {
+	var cs []TaskCrashes
+	for _, t := range g.tasks {
+		if t.done || len(t.evidence.losses) == 0 {
+			continue
+		}
+		cs = append(cs, TaskCrashes{
+			Round:  g.id.Round,
+			Step:   g.id.Step,
+			Index:  t.index,
+			Lived:  t.evidence.lived,
+			Losses: t.evidence.losses,
+		})
+	}
+	return cs
+}
+
+// mostLosses returns as many as a row keeps, those with the most losses.
+func mostLosses(cs []TaskCrashes) []TaskCrashes {
+	slices.SortStableFunc(cs, func(a, b TaskCrashes) int { return cmp.Compare(len(b.Losses), len(a.Losses)) })
+	left := lossesKept
+	for i, c := range cs {
+		left -= len(c.Losses)
+		if left < 0 {
+			return cs[:i]
+		}
+	}
+	return cs
+}
+
 func (g *stage) progress() StageProgress {
 	p := StageProgress{
 		Round: g.id.Round,
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -22,6 +22,7 @@
 	r.worker.runs[r.id] = r
 	r.worker.used = r.worker.used.Add(r.need)
 	r.task.run = r
+	r.worker.beginTrial(r)
 	r.task.stage.job.runs++
 }
 
@@ -33,6 +34,7 @@
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.need)
+	w.endTrial(r)
 	if r.task.run == r {
 		r.task.run = nil
 	}
@@ -51,7 +53,7 @@
 		Worker: r.worker.id,
 		Reason: reason,
 		Age:    s.now.Sub(r.begun),
-		Gone:   r.task.gone,
+		Gone:   len(r.task.evidence.losses),
 	})
 	s.breakGang(r, reason)
 }
@@ -94,11 +96,15 @@
 	if w == nil {
 		return
 	}
+	r := w.runs[a.Run]
 	if a.Outcome == StartOtherLife {
+		if r != nil && !a.Doubt {
+			// It surely never began there: what ended that life is something else.
+			s.lose(r, "start: "+a.Outcome.String())
+		}
 		s.WorkerDied(now, a.Worker)
 		return
 	}
-	r := w.runs[a.Run]
 	if r == nil {
 		return
 	}
@@ -178,6 +184,10 @@
 	if s.answeredFirst.IsZero() {
 		s.answeredFirst = now
 	}
+	if w.missed || w.answered.IsZero() {
+		w.missed = false
+		s.loseSuspicion(w)
+	}
 	if now.Sub(w.answered) > silentAfter {
 		s.noteWorker(w, "answers", now.Sub(w.answered))
 	}
@@ -235,6 +245,7 @@
 	if x.Saved != "" {
 		r.task.saved = x.Saved
 	}
+	s.clearOutlived(r)
 	if r.moved.IsZero() || x.Percent != r.percent {
 		r.percent = x.Percent
 		r.moved = s.now
--- a/sched/state.go
+++ b/sched/state.go
@@ -54,13 +54,17 @@
 	stops []StopOrder
 	// unwanted are the runs that were ordered to stop and may still be there.
 	unwanted []*run
-	starts   []StartOrder // that waited for a ticket after they were recorded
-	advices  []AdviceOrder
-	asking   int // questions to the advisor that are not answered
-	warming  int // of them, those that keep tickets valid
-	askers   int // hosts that can ask it
-	notes    []Note
-	told     []JobStatus
+	// suspects are the tasks under which workers went; see evidence.
+	suspects []*task
+	// crashedAt has the machines whose workers crashed lately.
+	crashedAt map[string]time.Time
+	starts    []StartOrder // that waited for a ticket after they were recorded
+	advices   []AdviceOrder
+	asking    int // questions to the advisor that are not answered
+	warming   int // of them, those that keep tickets valid
+	askers    int // hosts that can ask it
+	notes     []Note
+	told      []JobStatus
 	// storeBack is when the store was last back after an outage.
 	storeBack time.Time
 	checked   time.Time // when runs that stand still were last looked for
@@ -80,7 +84,9 @@
 		lives:   map[string][]*worker{},
 		learnt:  map[QueueID]*experience{},
 		acks:    map[spoolsill.WorkerID]uint64{},
-		waiting: map[QueueID]int{},
+
+		crashedAt: map[string]time.Time{},
+		waiting:   map[QueueID]int{},
 	}
 }
 
@@ -142,8 +148,8 @@
 	// failedAt has the workers where it failed: another one tells whether
 	// the task or the worker is to blame.
 	failedAt []spoolsill.WorkerID
-	// gone is how many workers went while they had a run of it.
-	gone int
+	// evidence is what speaks for it crashing its workers.
+	evidence evidence
 	// preempted is how often a run of it was stopped to make room.
 	preempted int
 }
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -61,8 +61,12 @@
 	unwell time.Time // nothing new before
 	// silent tells that an order had no answer: nothing new until it answers.
 	silent bool
+	// missed tells that its runs were given up since its lease was over.
+	missed bool
 	ready  bool // takes something new, as of the pass under way
 	health health
+	// trials are the runs of tasks under which workers went.
+	trials []*run
 }
 
 // worker returns the account of a worker, and opens it when there is none.
@@ -288,20 +292,31 @@
 
 // declareDead drops all runs of a worker that is certainly gone.
 func (s *State) declareDead(w *worker, reason string) {
+	crashed := !w.takenAway()
 	w.dead = true
 	w.listed = false
 	s.endLife(w)
 	s.noteWorker(w, "dead: "+reason, s.now.Sub(w.answered))
-	s.dropRuns(w, reason)
+	if crashed {
+		s.confirmSuspicion(w)
+	}
+	s.dropRuns(w, reason, crashed)
 	s.closeAccount(w)
 }
 
-func (s *State) dropRuns(w *worker, reason string) {
-	for _, r := range sortedRuns(w) {
+// dropRuns takes in that all that a worker ran is gone with it: its life is over, or
+// it has been out of reach for longer than its lease. That counts against the tasks:
+// one that crashes its workers lists no end, and would be started again for ever.
+func (s *State) dropRuns(w *worker, reason string, over bool) {
+	rs := sortedRuns(w)
+	s.suspectRuns(w, rs, over, reason)
+	for _, r := range rs {
 		r.task.stage.job.account.Lost++
-		r.task.gone++
 		s.lose(r, reason)
 	}
+	for _, r := range rs {
+		s.giveUp(r.task.stage)
+	}
 }
 
 func sortedRuns(w *worker) []*run {
@@ -337,7 +352,8 @@
 		}
 		if len(w.runs) > 0 {
 			s.noteWorker(w, "lease is over", s.now.Sub(w.answered))
-			s.dropRuns(w, "lease is over")
+			w.missed = true
+			s.dropRuns(w, "lease is over", false)
 		}
 		s.closeAccount(w)
 	}
