--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -131,6 +131,9 @@
 			})
 			pause.For(m.ctx, time.Second)
 		}
+		tasks, crashed := l.Suspects()
+		m.c.Check(tasks, qt.Equals, int64(0))
+		m.c.Check(crashed > 0, qt.IsTrue)
 		pause.For(m.ctx, 30*time.Second)
 		m.c.Check(m.workers.Broken(), qt.HasLen, 0)
 		s, ok := l.Status(crashing.Stage.Job)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -95,6 +95,8 @@
 	losses   losses
 	answers  answers
 	inTouch  atomic.Int64 // workers that are kept in touch with
+	suspects atomic.Int64 // tasks under which workers went
+	crashed  atomic.Int64 // machines whose workers crashed in the last minute
 	rows     map[spoolsill.JobID][]byte
 
 	version   spoolsill.Version // of the queues
@@ -267,6 +269,12 @@
 	l.hears = make(chan struct{})
 }
 
+// Suspects returns how many tasks are suspected of crashing their workers, and on how
+// many machines workers crashed in the last minute.
+func (l *Leader) Suspects() (tasks, crashed int64) {
+	return l.suspects.Load(), l.crashed.Load()
+}
+
 // Fresh returns when the latest write that lasts was begun.
 func (l *Leader) Fresh() time.Time {
 	t, _ := l.Latest()
@@ -458,6 +466,9 @@
 	}
 	l.decided = now
 	l.state.Decide(now)
+	tasks, crashed := l.state.Suspects()
+	l.suspects.Store(int64(tasks))
+	l.crashed.Store(int64(crashed))
 	l.looking = time.Since(now)
 }
 
--- a/leader/log.go
+++ b/leader/log.go
@@ -29,6 +29,8 @@
 		"stages_wait":   x.Stages,
 		"stages_late":   x.Late,
 		"questions":     x.Asking,
+		"suspects":      x.Suspects,
+		"crashed":       x.Crashed,
 	}).Info("load of the cell")
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -425,9 +425,19 @@
 	n.metrics.Gauge("spoolsill.peer.handling", "calls of other hosts that are not answered yet", func() int64 { return int64(n.peers.Handling()) })
 	n.metrics.Gauge("spoolsill.delegates", "hosts that make calls to workers for this one, while it leads", func() int64 { all, _ := n.delegated.hosts(); return int64(all) })
 	n.metrics.Gauge("spoolsill.delegates.resting", "of them, those that left a call unanswered and are passed over", func() int64 { _, resting := n.delegated.hosts(); return int64(resting) })
+	n.metrics.Gauge("spoolsill.tasks.suspect", "tasks under which workers went and that are not cleared, at the leader", func() int64 { tasks, _ := n.suspects(); return tasks })
+	n.metrics.Gauge("spoolsill.workers.crashed", "machines whose workers crashed in the last minute, at the leader", func() int64 { _, crashed := n.suspects(); return crashed })
 	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
 }
 
+// suspects returns what the leader here knows of crashes; zeros where none is.
+func (n *Node) suspects() (tasks, crashed int64) {
+	if l := n.leaderHere(); l != nil {
+		return l.Suspects()
+	}
+	return 0, 0
+}
+
 // configAge is how old what is known of the configuration is, in milliseconds.
 func (n *Node) configAge() int64 {
 	age, ok := n.configs.age(time.Now())
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -269,6 +269,39 @@
 	x.c.Assert(x.jobState(), qt.Equals, sched.Running)
 }
 
+// One member of a gang crashes its worker at each start. It alone is held to it, and
+// the gang's job ends; members elsewhere are stopped, which is held against nobody.
+func TestGangMemberThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	x := newCell(t)
+	x.state.AddJob(x.now, job("j", "q", gang(2, 6)), sched.Progress{})
+	for i := range 3 {
+		x.listLife(2*i, 0)
+		x.listLife(2*i+1, 0)
+		o := x.step()
+		x.c.Assert(o, qt.HasLen, 2)
+		x.c.Assert(o[0].Worker, qt.Not(qt.Equals), o[1].Worker)
+		x.take(o)
+		x.now = x.now.Add(3 * time.Second)
+		x.renew(o[1].Worker, o[1].Run)
+		x.state.WorkerDied(x.now, o[0].Worker)
+		x.end(o[1], sched.EndStopped)
+		x.renew(o[1].Worker)
+		v, err := x.batchOf("j")
+		x.c.Assert(err, qt.IsNil)
+		p, err := sched.DecodeProgress(v)
+		x.c.Assert(err, qt.IsNil)
+		for _, c := range p.Crashes {
+			x.c.Assert(c.Index, qt.Equals, 0)
+			x.c.Assert(c.Losses, qt.HasLen, i+1)
+		}
+		// Both workers go as announced, so that the next run is on others.
+		for _, w := range []spoolsill.WorkerID{life(2*i, 0), life(2*i+1, 0)} {
+			x.list(w, true)
+		}
+	}
+	x.c.Assert(x.jobState(), qt.Equals, sched.Failed)
+}
+
 // The suspects of one crash are tried apart from each other, so that the next crash
 // tells which of them did it, also where one worker has less to lose than the others.
 func TestSuspectsAreTriedApart(t *testing.T) {
--- a/sched/load.go
+++ b/sched/load.go
@@ -23,6 +23,10 @@
 	Late   int
 	// Asking counts the questions to the advisor under way.
 	Asking int
+	// Suspects counts the tasks under which workers went and that are not cleared,
+	// Crashed the machines whose workers crashed in the last minute.
+	Suspects int
+	Crashed  int
 }
 
 // Load returns how full the cell is. Cost: O(workers + runs + stages).
@@ -56,5 +60,12 @@
 		}
 	}
 	l.Asking = s.asking
+	l.Suspects, l.Crashed = s.Suspects()
 	return l
 }
+
+// Suspects counts the tasks under which workers went and that are not cleared, and the
+// machines whose workers crashed in the last minute.
+func (s *State) Suspects() (tasks, crashed int) {
+	return len(s.suspects), len(s.crashedAt)
+}
