sched: machines that crashed lately are told by their address where entries name none

Cause: trials avoid machines that crashed in the last minute, by the machine's name; entries of some platforms do not have it, so that nothing was avoided there. Change: the address takes its place, which the next life shares.

--- a/sched/crash.go
+++ b/sched/crash.go
@@ -28,6 +28,12 @@
 	namedMost = 8
 )
 
+// place names the machine of a worker; where machines are not told, a life has the
+// address of the one before.
+func (w *worker) place() string {
+	return cmp.Or(w.Machine, w.Address)
+}
+
 // leftAsAnnounced reports whether a worker whose life is over ended no sooner than it
 // had said that it would.
 func (w *worker) leftAsAnnounced() bool {
@@ -62,8 +68,8 @@
 		}
 		s.touch(r.task.stage.job)
 	}
-	if over && w.Machine != "" {
-		s.crashedAt[w.Machine] = s.now
+	if over && w.place() != "" {
+		s.crashedAt[w.place()] = s.now
 	}
 	if len(under) > 0 {
 		s.noteCrash(w, under, reason)
@@ -212,7 +218,7 @@
 		stake = strongStakeCost
 	}
 	c := failedCost*float64(beside) + stake*w.used.DominantShare(w.Capacity)
-	if _, crashed := d.crashedAt[w.Machine]; crashed {
+	if _, crashed := d.crashedAt[w.place()]; crashed {
 		c += crashedCost
 	}
 	return c
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -19,14 +19,14 @@
 	return spoolsill.WorkerID(fmt.Sprintf("m%d-%d", machine, n))
 }
 
-// listLife lists a life of a machine of ten cores, and has it renew its lease.
+// listLife lists a life of a machine of ten cores, and has it renew its lease. As on
+// some platforms, entries do not name the machine: its lives share an address.
 func (x *cell) listLife(machine, n int) spoolsill.WorkerID {
 	id := life(machine, n)
 	x.state.ListWorker(x.now, sched.Worker{
 		ID:       id,
-		Machine:  fmt.Sprint(machine),
 		Service:  "work",
-		Address:  string(id),
+		Address:  fmt.Sprint("address of ", machine),
 		Capacity: cores(10),
 	})
 	x.renew(id)
@@ -661,6 +661,7 @@
 			delete(f.down, m)
 			f.x.state.UnlistWorker(f.x.now, id)
 			f.up(m)
+			f.x.state.WorkerDied(f.x.now, id)
 		case !down && f.r.IntN(60) == 0:
 			f.down[m] = f.x.now.Add(2 * time.Second)
 			delete(f.runs, id)
