platform, sched, leader: entries that are not whole name no worker to use

Cause: an entry may come from another writer. One without a service, address, state or capacity, with a negative or huge capacity or an unknown state became a worker; one that could not be read left a worker known before in use; a row whose value is not base64 made the whole page, or the feed, fail again and again, for all rows. One line for each such entry, gauge spoolsill_workers_unclear. Ruled out: treating such a worker as draining: its tasks would be moved for the time between two of its own writes.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -94,9 +94,11 @@
 	sweeper  *sweeper
 	losses   losses
 	answers  answers
-	inTouch  atomic.Int64 // workers that are kept in touch with
-	suspects atomic.Int64 // tasks under which workers went
-	crashed  atomic.Int64 // machines whose workers crashed in the last minute
+	inTouch  atomic.Int64                // workers that are kept in touch with
+	unclear  map[spoolsill.WorkerID]bool // entries that can't be understood
+	unclears atomic.Int64                // how many there are
+	suspects atomic.Int64                // tasks under which workers went
+	crashed  atomic.Int64                // machines whose workers crashed in the last minute
 	rows     map[spoolsill.JobID][]byte
 
 	version   spoolsill.Version // of the queues
@@ -170,6 +172,7 @@
 		events:   make(chan event, eventBuffer),
 		renewers: map[spoolsill.WorkerID]*renewer{},
 		wanted:   map[spoolsill.WorkerID]bool{},
+		unclear:  map[spoolsill.WorkerID]bool{},
 		statuses: map[spoolsill.JobID]sched.JobStatus{},
 		waiting:  map[sched.QueueID]int{},
 		hears:    make(chan struct{}),
@@ -275,6 +278,11 @@
 	return l.suspects.Load(), l.crashed.Load()
 }
 
+// Unclear returns how many workers' entries can't be understood.
+func (l *Leader) Unclear() int64 {
+	return l.unclears.Load()
+}
+
 // Fresh returns when the latest write that lasts was begun.
 func (l *Leader) Fresh() time.Time {
 	t, _ := l.Latest()
--- a/leader/load.go
+++ b/leader/load.go
@@ -56,29 +56,49 @@
 	for _, r := range rows {
 		listed[spoolsill.WorkerID(r.Key.Name)] = true
 	}
-	for _, id := range l.state.Workers() {
+	for _, id := range l.state.Listed() {
 		if !listed[id] {
 			l.state.UnlistWorker(now, id)
 		}
 	}
+	for id := range l.unclear {
+		if !listed[id] {
+			l.markUnclear(id, nil)
+		}
+	}
 	for _, r := range rows {
 		l.takeWorker(now, r)
 	}
 }
 
 func (l *Leader) takeWorker(now time.Time, r store.Row) {
+	id := spoolsill.WorkerID(r.Key.Name)
 	if r.Deleted {
-		l.state.UnlistWorker(now, spoolsill.WorkerID(r.Key.Name))
+		l.markUnclear(id, nil)
+		l.state.UnlistWorker(now, id)
 		return
 	}
 	w, err := l.config.DecodeWorker(r)
+	l.markUnclear(id, err)
 	if err != nil {
-		l.config.Log.WithError(err).Warn("worker's entry can't be read")
+		l.state.WorkerUnclear(now, id)
 		return
 	}
 	l.state.ListWorker(now, w)
 }
 
+// markUnclear keeps count of the entries that can't be understood, and tells of each of
+// them once: a worker's entry is written anew every second or two.
+func (l *Leader) markUnclear(id spoolsill.WorkerID, err error) {
+	if err == nil {
+		delete(l.unclear, id)
+	} else if !l.unclear[id] {
+		l.unclear[id] = true
+		l.config.Log.WithError(err).WithField("worker", string(id)).Warn("worker's entry can't be understood")
+	}
+	l.unclears.Store(int64(len(l.unclear)))
+}
+
 func (l *Leader) takeJobs(now time.Time, rows []store.Row) {
 	// Of two rows of one job the older one counts.
 	slices.SortStableFunc(rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
--- /dev/null
+++ b/leader/unclear_test.go
@@ -0,0 +1,64 @@
+package leader_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
+)
+
+// Someone else writes among the workers' entries, again and again: bytes that can't be
+// read under names of their own, and once over a worker's entry. Work goes on, a line
+// is logged for each name, and the count goes back when the rows go.
+func TestEntriesOfAnotherWriterDoNoHarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 2)
+		defer x.end()
+		logs := &test.Hook{}
+		x.logs = logs
+		l := x.lead("a")
+		pause.For(x.ctx, time.Second)
+		strange := []spoolsill.WorkerID{"strange0", "strange1", "w1"}
+		for range 10 {
+			for _, id := range strange {
+				x.store.Put(store.Put{
+					Key:   workerKey(id),
+					Value: []byte("\x00\xff"),
+				})
+			}
+			pause.For(x.ctx, 500*time.Millisecond)
+		}
+		x.submit(sched.Job{
+			ID:    "j",
+			Queue: "plain",
+			Steps: []sched.Step{step(2, 1)},
+		})
+		pause.For(x.ctx, 3*time.Second)
+		x.assertCompleted(l, []spoolsill.JobID{"j"})
+		x.c.Check(l.Unclear(), qt.Equals, int64(len(strange)))
+		x.c.Check(linesOf(logs, "worker's entry can't be understood"), qt.Equals, len(strange))
+		x.list("w1")
+		x.store.Delete(workerKey("strange0"))
+		pause.For(x.ctx, time.Second)
+		x.c.Check(l.Unclear(), qt.Equals, int64(1))
+		x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
+
+func linesOf(h *test.Hook, msg string) int {
+	n := 0
+	for _, e := range h.AllEntries() {
+		if e.Level <= logrus.InfoLevel && e.Message == msg {
+			n++
+		}
+	}
+	return n
+}
--- a/node/node.go
+++ b/node/node.go
@@ -427,6 +427,7 @@
 	n.metrics.Gauge("spoolsill.delegates.resting", "of them, those that left a call unanswered and are passed over", func() int64 { _, resting := n.delegated.hosts(); return int64(resting) })
 	n.metrics.Gauge("spoolsill.tasks.suspect", "tasks under which workers went and that are not cleared, at the leader", func() int64 { tasks, _ := n.suspects(); return tasks })
 	n.metrics.Gauge("spoolsill.workers.crashed", "machines whose workers crashed in the last minute, at the leader", func() int64 { _, crashed := n.suspects(); return crashed })
+	n.metrics.Gauge("spoolsill.workers.unclear", "workers' entries that can't be understood, at the leader", n.unclear)
 	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
 }
 
@@ -438,6 +439,15 @@
 	return 0, 0
 }
 
+// unclear returns how many workers' entries the leader here can't understand; 0 where
+// none is.
+func (n *Node) unclear() int64 {
+	if l := n.leaderHere(); l != nil {
+		return l.Unclear()
+	}
+	return 0
+}
+
 // configAge is how old what is known of the configuration is, in milliseconds.
 func (n *Node) configAge() int64 {
 	age, ok := n.configs.age(time.Now())
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -156,7 +156,7 @@
 func (s *State) mayLeave(r *run) bool {
 	g := r.task.stage
 	return !r.task.done && !g.job.state.Final() && !r.stopping &&
-		r.worker.present(s.now) && !r.worker.Draining
+		r.worker.present(s.now) && !r.worker.unclear && !r.worker.Draining
 }
 
 // Workers returns the ids of the workers that are to be kept in touch with:
@@ -166,13 +166,42 @@
 func (s *State) Workers() []spoolsill.WorkerID {
 	ids := make([]spoolsill.WorkerID, 0, len(s.order))
 	for _, w := range s.order {
-		if !w.dead && w.Address != "" && (w.present(s.now) || len(w.runs) > 0 || s.now.Sub(w.unlisted) < lateMost) {
+		if w.dead || w.Address == "" || !s.concerns(w) {
+			continue
+		}
+		if w.present(s.now) || len(w.runs) > 0 || s.now.Sub(w.unlisted) < lateMost {
+			ids = append(ids, w.id)
+		}
+	}
+	return ids
+}
+
+// Listed returns the ids of the workers that the platform lists.
+func (s *State) Listed() []spoolsill.WorkerID {
+	var ids []spoolsill.WorkerID
+	for _, w := range s.order {
+		if w.listed {
 			ids = append(ids, w.id)
 		}
 	}
 	return ids
 }
 
+// concerns reports whether a worker may have something to do with the cell: a queue has
+// its service, or it has runs. Entries of other services are not called. Before queues
+// are known all of them are.
+func (s *State) concerns(w *worker) bool {
+	if len(s.queues) == 0 || len(w.runs) > 0 {
+		return true
+	}
+	for _, q := range s.queues {
+		if q.Service == w.Service {
+			return true
+		}
+	}
+	return false
+}
+
 // Address returns where a worker is reached.
 func (s *State) Address(id spoolsill.WorkerID) string {
 	if w := s.workers[id]; w != nil {
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -138,7 +139,7 @@
 			x.listLife(1, 0)
 			x.now = x.now.Add(time.Second)
 			x.renew(life(1, 0))
-			b, err := x.batchOf("j")
+			b, err := x.rowOfJ()
 			x.c.Assert(err, qt.IsNil)
 			p, err := sched.DecodeProgress(b)
 			x.c.Assert(err, qt.IsNil)
@@ -158,23 +159,23 @@
 	x.c.Assert(b.Starts, qt.HasLen, 1)
 	x.state.WorkerDied(x.now, life(0, 0))
 	x.listLife(1, 0)
-	v, err := x.batchOf("j")
+	v, err := x.rowOfJ()
 	x.c.Assert(err, qt.IsNil)
 	p, err := sched.DecodeProgress(v)
 	x.c.Assert(err, qt.IsNil)
 	x.c.Assert(p.Crashes, qt.HasLen, 0)
 }
 
-// batchOf decides and returns the row of a job that is written with it.
-func (x *cell) batchOf(id spoolsill.JobID) ([]byte, error) {
+// rowOfJ decides, and returns the row of job "j" that is written with it.
+func (x *cell) rowOfJ() ([]byte, error) {
 	x.state.Decide(x.now)
 	b, _, err := x.state.Batch(x.now)
 	for _, r := range b.Rows {
-		if r.ID == id {
+		if r.ID == "j" {
 			return r.Value, err
 		}
 	}
-	return nil, fmt.Errorf("no row of %s", id)
+	return nil, errors.New("no row of j")
 }
 
 // A worker that was taken away without a word, and answered on after its entry had
@@ -286,7 +287,7 @@
 		x.state.WorkerDied(x.now, o[0].Worker)
 		x.end(o[1], sched.EndStopped)
 		x.renew(o[1].Worker)
-		v, err := x.batchOf("j")
+		v, err := x.rowOfJ()
 		x.c.Assert(err, qt.IsNil)
 		p, err := sched.DecodeProgress(v)
 		x.c.Assert(err, qt.IsNil)
@@ -414,7 +415,7 @@
 		x.state.WorkerDied(x.now, life(i, 0))
 	}
 	x.listLife(2, 0)
-	b, err := x.batchOf("j")
+	b, err := x.rowOfJ()
 	x.c.Assert(err, qt.IsNil)
 	x.c.Assert(len(b) < sched.ProgressBytes(j), qt.IsTrue)
 	p, err := sched.DecodeProgress(b)
--- /dev/null
+++ b/sched/unclear_test.go
@@ -0,0 +1,60 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// A worker whose entry someone else has overwritten gets nothing new, keeps what it
+// runs, and is back with its next whole entry.
+func TestWorkerWithAnUnclearEntryKeepsItsRuns(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.take(o)
+	x.state.WorkerUnclear(x.now, "w")
+	x.state.AddJob(x.now, job("k", "q", tasks(1, 1)), sched.Progress{})
+	for range 8 {
+		x.now = x.now.Add(500 * time.Millisecond)
+		x.renew("w", o[0].Run)
+		x.c.Assert(x.step(), qt.HasLen, 0)
+	}
+	x.c.Assert(x.state.Workers(), qt.DeepEquals, []spoolsill.WorkerID{"w"})
+	x.end(o[0], sched.EndDone)
+	x.c.Assert(x.jobState(), qt.Equals, sched.Completed)
+	x.worker("w")
+	x.c.Assert(x.step(), qt.HasLen, 1)
+}
+
+// What was recorded for such a worker does not leave either.
+func TestOrderToAWorkerWithAnUnclearEntryDoesNotLeave(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	x.state.Decide(x.now)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 1)
+	x.state.WorkerUnclear(x.now, "w")
+	x.c.Assert(x.state.Written(x.now, b), qt.HasLen, 0)
+}
+
+// An entry that can't be understood makes no worker, and one of a service that no queue
+// has is not called.
+func TestEntriesOfNoUseAreNotCalled(t *testing.T) {
+	x := newCell(t)
+	x.state.WorkerUnclear(x.now, "nobody")
+	x.state.ListWorker(x.now, sched.Worker{
+		ID:       "other",
+		Service:  "elsewhere",
+		Address:  "other",
+		Capacity: cores(10),
+	})
+	x.c.Assert(x.state.Workers(), qt.HasLen, 0)
+}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -61,6 +61,9 @@
 	unwell time.Time // nothing new before
 	// silent tells that an order had no answer: nothing new until it answers.
 	silent bool
+	// unclear tells that its entry names no worker to use: it gets nothing new, and keeps
+	// its lease and its runs, until the entry does again.
+	unclear bool
 	// missed tells that its runs were given up since its lease was over.
 	missed bool
 	ready  bool // takes something new, as of the pass under way
@@ -112,12 +115,28 @@
 	if !w.listed {
 		s.noteWorker(w, "listed", 0)
 	}
+	if w.unclear {
+		s.noteWorker(w, "its entry is whole again", 0)
+	}
 	w.listed = true
+	w.unclear = false
 	w.lapsed = time.Time{}
 	w.Worker = l
 	s.endOlderLives(w)
 }
 
+// WorkerUnclear takes in that a worker's entry can't be understood, as if someone else
+// had written it. One that is not known from before is none.
+func (s *State) WorkerUnclear(now time.Time, id spoolsill.WorkerID) {
+	s.now = now
+	w := s.workers[id]
+	if w == nil || w.unclear || w.dead {
+		return
+	}
+	w.unclear = true
+	s.noteWorker(w, "its entry can't be understood", now.Sub(w.answered))
+}
+
 // endOlderLives declares the other lives of a machine dead: a machine has one
 // life at a time, and this one was listed later.
 func (s *State) endOlderLives(w *worker) {
@@ -372,7 +391,7 @@
 // have been renewed: a worker that answers again after a silence may be about
 // to end all that it runs.
 func (w *worker) takes(now time.Time) bool {
-	return w.present(now) && !w.Draining && !w.dead && len(w.strays) == 0 &&
+	return w.present(now) && !w.unclear && !w.Draining && !w.dead && len(w.strays) == 0 &&
 		now.Sub(w.answered) < silentAfter && !w.silent && !now.Before(w.unwell) &&
 		w.renewed.Sub(now) > leaseLeft
 }
