clock: what ends is measured by a clock that counts suspensions

Cause: leaderships, leases, the configuration's age and the answers' freshness were differences of time.Now, whose steady clock stands still while a machine is suspended: after five seconds a leader that was replaced looked as fresh as before. A host that was suspended once would have given up each later leadership after three seconds, for its loop seemed late: leader.TestLeaderWorksAheadOfTheTimeOfDay, mended. Ruled out: asking the kernel at each look, two system calls each.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/sched"
 )
@@ -45,6 +46,8 @@
 	// Room is how many runs a worker has room for; more are a broken promise.
 	// 0 means that this is not judged.
 	Room int
+	// Clock is that of the leaders; nil is the system's.
+	Clock *clock.Clock
 	// Crashes tells whether a run crashes its worker, and how long after its start;
 	// nil means that none does. Crashed is told of each such crash; may be nil.
 	Crashes func(r sched.RunID) (after time.Duration, crashes bool)
@@ -250,7 +253,7 @@
 
 // Renew implements [leader.Workers].
 func (f *Workers) Renew(ctx context.Context, r leader.Renewal) (sched.Heartbeat, leader.Reply) {
-	sent := time.Now()
+	sent := f.Clock.Now()
 	renew := func(w *worker) { f.renew(w, r) }
 	begin, cancel := beginWithin(ctx, r.Wait, r.Within)
 	defer cancel()
--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -74,7 +74,7 @@
 	if len(a.queue) == 0 {
 		return
 	}
-	hosts := a.able(time.Now())
+	hosts := a.able(a.leader.config.Clock.Now())
 	rest := a.queue[:0]
 	longAll := false // each host that may be asked long questions is busy
 	for i, o := range a.queue {
@@ -105,7 +105,7 @@
 			delete(a.busy, f.host)
 			delete(a.failed, f.host)
 			if f.failed {
-				a.failed[f.host] = time.Now()
+				a.failed[f.host] = a.leader.config.Clock.Now()
 				a.listed = time.Time{}
 			}
 		default:
@@ -178,9 +178,9 @@
 	l.spawn(func() {
 		c, cancel := context.WithTimeout(ctx, o.Cost+askSlack)
 		defer cancel()
-		begun := time.Now()
+		begun := l.config.Clock.Now()
 		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, o.Workers)
-		l.config.Observer.Asked(outcome(err), time.Since(begun))
+		l.config.Observer.Asked(outcome(err), l.config.Clock.Since(begun))
 		if err != nil {
 			l.config.Log.WithError(err).WithField("host", string(h)).WithField("stage", o.Stage.String()).Warn("advice failed")
 		}
@@ -192,7 +192,7 @@
 			advice: sched.Advice{
 				Order:    o,
 				Tickets:  tickets,
-				Received: time.Now(),
+				Received: l.config.Clock.Now(),
 				Valid:    valid,
 				Lost:     err != nil,
 			},
--- a/leader/fixture_test.go
+++ b/leader/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/sched"
@@ -38,6 +39,9 @@
 	hosts   sync.WaitGroup
 	leaders []*leader.Leader
 	kills   []context.CancelFunc
+	ends    sync.Map // why leaderships have ended, by epoch
+	// clock is the leaders'; nil is the system's.
+	clock *clock.Clock
 	// observer of the leaders; may be nil.
 	observer leader.Observer
 	// cutHost does not reach the advisor.
@@ -123,6 +127,7 @@
 			},
 			WorkersTable: workersTable,
 			DecodeWorker: decodeWorker,
+			Clock:        x.clock,
 			Sched: sched.Config{
 				Lease:     lease,
 				FarFactor: 1,
@@ -135,7 +140,7 @@
 		ctx, cancel := context.WithCancel(x.ctx)
 		x.leaders = append(x.leaders, l)
 		x.kills = append(x.kills, cancel)
-		x.hosts.Go(func() { _ = l.Lead(ctx, time.Second) })
+		x.hosts.Go(func() { x.ends.Store(l.Epoch(), l.Lead(ctx, time.Second)) })
 		return l
 	}
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
@@ -59,6 +60,8 @@
 	// Sched configures the decisions; its times of taking over are set here.
 	Sched sched.Config
 	Log   *logrus.Entry
+	// Clock tells the time; nil means the system's.
+	Clock *clock.Clock
 	// Observer is told what happens, for metrics; nil means nobody is.
 	Observer Observer
 }
@@ -217,7 +220,7 @@
 // waits until every job that was accepted before the call is. It returns false
 // for sure when ctx ends before.
 func (l *Leader) Settle(ctx context.Context, id spoolsill.JobID) (s sched.JobStatus, known, sure bool) {
-	asked := time.Now()
+	asked := l.config.Clock.Now()
 	for {
 		// In this order: what is heard of in between is known by the second look.
 		heard, next := l.hearing()
@@ -250,7 +253,7 @@
 func (l *Leader) Waiting(q sched.QueueID) (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.waiting[q], l.known && time.Since(l.taken) < countAge
+	return l.waiting[q], l.known && l.config.Clock.Since(l.taken) < countAge
 }
 
 // hearJobs takes in that all jobs accepted before a time have been read.
@@ -319,13 +322,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer l.calls.Wait()
 	defer cancel()
-	now := time.Now()
+	now := l.config.Clock.Now()
 	l.mu.Lock()
 	l.ctx = ctx
 	l.fresh = now
 	l.mu.Unlock()
 	l.lastWrite = now
 	l.config.Sched.TakenOver = now
+	l.config.Sched.Ahead = l.config.Clock.Ahead()
 	l.config.Sched.StartLease = startLease
 	l.config.Sched.InheritedLease = inheritedLease(l.config.Sched.Lease)
 	l.state = sched.New(l.config.Sched)
@@ -358,11 +362,17 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case e := <-l.events:
+			if l.suspended() {
+				return ErrSuspended
+			}
 			if err := l.take(e); err != nil {
 				return err
 			}
 		case <-tick.C:
 		}
+		if l.suspended() {
+			return ErrSuspended
+		}
 		if err := l.drain(); err != nil {
 			return err
 		}
@@ -388,7 +398,7 @@
 }
 
 func (l *Leader) take(e event) error {
-	now := time.Now()
+	now := l.config.Clock.Now()
 	switch e := e.(type) {
 	case queuesChanged:
 		l.takeQueues(e)
@@ -440,7 +450,7 @@
 
 // act decides, and sends what may be sent.
 func (l *Leader) act(ctx context.Context) error {
-	now := time.Now()
+	now := l.config.Clock.Now()
 	l.decide(now)
 	if t := l.state.Told(); len(t) > 0 {
 		l.publish(l.lastWrite, t)
@@ -477,7 +487,7 @@
 	tasks, crashed := l.state.Suspects()
 	l.suspects.Store(int64(tasks))
 	l.crashed.Store(int64(crashed))
-	l.looking = time.Since(now)
+	l.looking = l.config.Clock.Since(now)
 }
 
 // Lead runs l and gives the leadership up when ctx ends as planned, within the
--- a/leader/load.go
+++ b/leader/load.go
@@ -235,6 +235,7 @@
 		},
 	}
 	for _, f := range l.feeds {
+		f.Clock = l.config.Clock
 		l.spawn(func() { f.Run(ctx) })
 	}
 }
--- a/leader/order.go
+++ b/leader/order.go
@@ -29,7 +29,7 @@
 func (l *Leader) sendStart(o sched.StartOrder) {
 	h := l.renewers[o.Worker]
 	if h == nil {
-		l.state.StartAnswered(time.Now(), sched.StartAnswer{
+		l.state.StartAnswered(l.config.Clock.Now(), sched.StartAnswer{
 			Worker:  o.Worker,
 			Run:     o.Run,
 			Outcome: sched.StartRejected,
@@ -52,16 +52,16 @@
 		Outcome: sched.StartUnknown,
 	}
 	timeout := h.leader.answers.order()
-	end := time.Now().Add(startTime)
+	end := h.leader.config.Clock.Now().Add(startTime)
 	for try := range startTries {
 		if try > 0 {
 			pause.For(ctx, orderPause)
-			timeout = min(2*timeout, orderMost, time.Until(end))
+			timeout = min(2*timeout, orderMost, end.Sub(h.leader.config.Clock.Now()))
 		}
 		if timeout <= 0 {
 			break
 		}
-		begun := time.Now()
+		begun := h.leader.config.Clock.Now()
 		r, deadline := h.startOnce(ctx, o, timeout)
 		switch r.Kind {
 		case NoAnswer:
@@ -96,7 +96,10 @@
 }
 
 func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder, timeout time.Duration) (Reply, sched.ClockMillis) {
-	deadline := h.workerTime(time.Now()) + sched.ClockMillis(startWindow.Milliseconds())
+	deadline := h.workerTime(h.leader.config.Clock.Now()) + sched.ClockMillis(startWindow.Milliseconds())
+	if h.leader.suspended() {
+		return unsent(), deadline
+	}
 	r := h.leader.config.Workers.Start(ctx, Start{
 		Target:   h.target,
 		Fence:    h.leader.Epoch(),
@@ -104,7 +107,7 @@
 		Order:    o,
 		Within:   timeout,
 	})
-	h.setClock(r.Clock, time.Now())
+	h.setClock(r.Clock, h.leader.config.Clock.Now())
 	return r, deadline
 }
 
@@ -130,7 +133,7 @@
 func (l *Leader) sendStop(ctx context.Context, o sched.StopOrder) {
 	h := l.renewers[o.Worker]
 	if h == nil {
-		l.state.StopAnswered(time.Now(), sched.StopAnswer{
+		l.state.StopAnswered(l.config.Clock.Now(), sched.StopAnswer{
 			Order:  o,
 			Reason: "the worker is not in touch",
 		})
@@ -168,12 +171,15 @@
 }
 
 func (h *renewer) stopOnce(ctx context.Context, o sched.StopOrder) Reply {
+	if h.leader.suspended() {
+		return unsent()
+	}
 	r := h.leader.config.Workers.Stop(ctx, Stop{
 		Target: h.target,
 		Fence:  h.leader.Epoch(),
 		Run:    o.Run,
 		Within: stopTimeout,
 	})
-	h.setClock(r.Clock, time.Now())
+	h.setClock(r.Clock, h.leader.config.Clock.Now())
 	return r
 }
--- a/leader/probe.go
+++ b/leader/probe.go
@@ -30,7 +30,7 @@
 		select {
 		case at := <-t.C:
 			l.send(probeSent{
-				at: at,
+				at: l.config.Clock.Now().Add(-time.Since(at)), //nolint:forbidigo // a ticker's time
 			})
 		case <-ctx.Done():
 			return
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -192,7 +192,7 @@
 }
 
 func (h *renewer) renew(ctx context.Context, acked uint64, wait time.Duration, unanswered int) (sched.Heartbeat, Reply) {
-	begun := time.Now()
+	begun := h.leader.config.Clock.Now()
 	var deadline sched.ClockMillis
 	if unanswered == 0 {
 		deadline = h.leaseDeadline(begun)
@@ -200,6 +200,9 @@
 	if deadline == 0 {
 		wait = 0
 	}
+	if h.leader.suspended() {
+		return sched.Heartbeat{}, unsent()
+	}
 	b, r := h.leader.config.Workers.Renew(ctx, Renewal{
 		Target:   h.target,
 		Fence:    h.leader.Epoch(),
@@ -208,7 +211,7 @@
 		Wait:     wait,
 		Within:   h.leader.answers.heartbeat(unanswered),
 	})
-	now := time.Now()
+	now := h.leader.config.Clock.Now()
 	h.setClock(r.Clock, now)
 	if r.Kind == Taken && (wait == 0 || len(b.Ended) == 0) {
 		// A worker that has an end to tell of has waited for some shorter time.
--- /dev/null
+++ b/leader/suspend_test.go
@@ -0,0 +1,121 @@
+package leader_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/clock"
+	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// callTimes are workers that note when each epoch called last.
+type callTimes struct {
+	*cellfake.Workers
+
+	mu   sync.Mutex
+	last map[spoolsill.Epoch]time.Time
+}
+
+func (w *callTimes) note(e spoolsill.Epoch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last[e] = time.Now()
+}
+
+func (w *callTimes) of(e spoolsill.Epoch) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last[e]
+}
+
+func (w *callTimes) Renew(ctx context.Context, r leader.Renewal) (sched.Heartbeat, leader.Reply) {
+	w.note(r.Fence)
+	return w.Workers.Renew(ctx, r)
+}
+
+func (w *callTimes) Start(ctx context.Context, s leader.Start) leader.Reply {
+	w.note(s.Fence)
+	return w.Workers.Start(ctx, s)
+}
+
+func (w *callTimes) Stop(ctx context.Context, s leader.Stop) leader.Reply {
+	w.note(s.Fence)
+	return w.Workers.Stop(ctx, s)
+}
+
+// A leader's machine is suspended for some seconds, of which its steady clock knows
+// nothing: at any moment of its work, twice in a row for less than a lease too. When it
+// wakes nothing more is sent in its epoch, and it says why it ended. The next leader
+// finishes the work, and nothing runs twice.
+func TestSuspendedLeaderSendsNothingMore(t *testing.T) {
+	for _, ms := range []int{0, 3, 7, 12, 19, 31, 140, 290} {
+		after := time.Duration(ms) * time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var suspended atomic.Int64
+				x := newCell(t.Context(), t, 4)
+				defer x.end()
+				w := &callTimes{
+					Workers: x.workers,
+					last:    map[spoolsill.Epoch]time.Time{},
+				}
+				x.orders = w
+				logs := &test.Hook{}
+				x.logs = logs
+				x.clock = &clock.Clock{
+					Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+				}
+				a := x.lead("a")
+				pause.For(x.ctx, time.Second)
+				ids := x.submitMixed(12)
+				pause.For(x.ctx, 200*time.Millisecond+after)
+				suspended.Add(int64(30 * time.Millisecond))
+				suspended.Add(int64(5 * time.Second))
+				woke := time.Now()
+				fresh := a.Fresh()
+				x.c.Check(x.clock.Since(fresh) >= 5*time.Second, qt.IsTrue)
+				pause.For(x.ctx, time.Second)
+				x.c.Check(w.of(a.Epoch()).After(woke), qt.IsFalse)
+				why, _ := x.ends.Load(a.Epoch())
+				x.c.Check(why, qt.Equals, leader.ErrSuspended)
+				x.clock = nil
+				b := x.lead("b")
+				pause.For(x.ctx, 30*time.Second)
+				x.assertCompleted(b, ids)
+				x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+			})
+		})
+	}
+}
+
+// A host that was suspended before leads as well as any other: its clock is ahead of the
+// time of day and of its timers, by an hour here.
+func TestLeaderWorksAheadOfTheTimeOfDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 4)
+		defer x.end()
+		x.clock = &clock.Clock{
+			Suspended: func() time.Duration { return time.Hour },
+		}
+		x.workers.Clock = x.clock
+		l := x.lead("a")
+		for range 3 {
+			pause.For(x.ctx, 5*time.Second)
+			ids := x.submitMixed(12)
+			pause.For(x.ctx, 15*time.Second)
+			x.assertCompleted(l, ids)
+		}
+		x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+	})
+}
--- a/node/config.go
+++ b/node/config.go
@@ -147,7 +147,7 @@
 
 // ConfigIsCurrent implements [platform.Jobs].
 func (n *Node) ConfigIsCurrent(v spoolsill.Version) bool {
-	return n.configs.current(v, time.Now(), cmp.Or(n.settings.Bounds.ConfigInForce, configInForce))
+	return n.configs.current(v, n.clock.Now(), cmp.Or(n.settings.Bounds.ConfigInForce, configInForce))
 }
 
 // followConfig keeps up with the operators' configuration.
@@ -162,6 +162,7 @@
 		Table: platform.OperatorTable,
 		Wait:  configWait,
 		Heard: n.configs.hear,
+		Clock: n.clock,
 		Listed: func(rows []store.Row) {
 			n.log.WithField("rows", len(rows)).Info("configuration table listed")
 			for _, r := range rows {
@@ -193,7 +194,7 @@
 		version: c.Version,
 		raw:     raw,
 		config:  &c,
-	}, time.Now()) {
+	}, n.clock.Now()) {
 		return true
 	}
 	n.log.WithField("version", uint64(c.Version)).WithField("from", from).WithField("queues", len(c.Routes)).Info("configuration in force")
--- a/node/delegated.go
+++ b/node/delegated.go
@@ -38,7 +38,7 @@
 
 // delegateOf returns the host that carries out the next call to a worker.
 func (d *delegatedWorkers) delegateOf(t leader.Target) (spoolsill.HostID, bool) {
-	now := time.Now()
+	now := d.node.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now.Sub(d.listed) >= delegatesKept {
@@ -52,14 +52,14 @@
 func (d *delegatedWorkers) hosts() (all, resting int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.directory.Count(time.Now())
+	return d.directory.Count(d.node.clock.Now())
 }
 
 // fail takes in that a host left a call unanswered, or did not take it.
 func (d *delegatedWorkers) fail(h spoolsill.HostID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.directory.Fail(h, time.Now())
+	d.directory.Fail(h, d.node.clock.Now())
 }
 
 // heard takes in what came of a call to a worker. The next one after a call without an
@@ -98,7 +98,7 @@
 
 // Renew implements [leader.Workers].
 func (d *delegatedWorkers) Renew(ctx context.Context, l leader.Renewal) (sched.Heartbeat, leader.Reply) {
-	sent := time.Now()
+	sent := d.node.clock.Now()
 	// Twice what the beginning of the worker's answer may take, for the rest of it.
 	limited, cancel := context.WithTimeout(ctx, l.Wait+2*l.Within+delegateSlack)
 	defer cancel()
--- a/node/elect.go
+++ b/node/elect.go
@@ -128,7 +128,7 @@
 	first := true
 	var call greeting
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := n.clock.Now()
 		h, v, err := leader.ReadHead(ctx, n.store)
 		if err != nil {
 			// Other hosts may have told who leads.
@@ -138,7 +138,7 @@
 			pause.For(ctx, n.spaced(watchFailed))
 			continue
 		}
-		now := time.Now()
+		now := n.clock.Now()
 		read := now.Sub(begun)
 		if first || v != at {
 			at = v
@@ -177,7 +177,7 @@
 	if most == 0 {
 		most = n.head.MostCores
 	}
-	late := time.Since(n.resignedAt) < resigned
+	late := n.clock.Since(n.resignedAt) < resigned
 	n.mu.Unlock()
 	cores := max(n.settings.Cores, leastCores)
 	d := time.Duration(float64(firstHandicap) / cores)
@@ -236,7 +236,7 @@
 		return backoff(lapseGone, h)
 	}
 	least := lapse
-	if g.last.answers && n.health.losing(time.Now()) {
+	if g.last.answers && n.health.losing(n.clock.Now()) {
 		least = lapseLosing
 	}
 	return backoff(least, h) + max(lapseWrites*n.health.usualWrite(), lapseReads*read)
@@ -267,7 +267,7 @@
 	n.setLeading(nil, 0)
 	if errors.Is(err, leader.ErrOverloaded) {
 		n.mu.Lock()
-		n.resignedAt = time.Now()
+		n.resignedAt = n.clock.Now()
 		n.mu.Unlock()
 	}
 	n.log.WithField("epoch", uint64(c.Epoch())).WithError(err).Info("this host no longer leads")
--- a/node/fetchconfig.go
+++ b/node/fetchconfig.go
@@ -173,7 +173,7 @@
 func (f *configFetcher) fetch(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.forgetOld()
-		o, due, ok := f.node.configs.wanted(time.Now())
+		o, due, ok := f.node.configs.wanted(f.node.clock.Now())
 		switch {
 		case !ok:
 			return
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	n.peers.Learn(h.Host, h.Address)
-	sent := time.Now()
+	sent := n.clock.Now()
 	r, err := peer.Call[greetReply](ctx, n.peers, h.Host, methodGreet, greetRequest{
 		Address: n.peerAddress(),
 		Version: math.MaxUint64,
@@ -44,12 +44,12 @@
 			epoch:  r.Epoch,
 			writes: r.Writes,
 		}
-		n.heardBegun = time.Now().Add(-r.Age)
+		n.heardBegun = n.clock.Now().Add(-r.Age)
 		n.mu.Unlock()
 	}
 	if err == nil {
 		n.configs.vouchedBy(r.Held, sent)
-		n.configs.offeredBy(h.Host, r.Held, time.Now())
+		n.configs.offeredBy(h.Host, r.Held, n.clock.Now())
 	}
 	return r, err
 }
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	maybe := false
 	var last error
-	begun := time.Now()
+	begun := n.clock.Now()
 	tries := 0
 	for ctx.Err() == nil {
 		o, err := n.submitOnce(ctx, j)
@@ -83,7 +83,7 @@
 		case jobstore.Unknown:
 			maybe = true
 		case jobstore.Refused:
-			now := time.Now()
+			now := n.clock.Now()
 			if !n.health.reachable(now) && now.Sub(begun) > awayBudget {
 				return n.notKept(ctx, j, maybe, tries, begun, err)
 			}
@@ -129,7 +129,7 @@
 
 // notKept tells why a job was not kept, or is not known to be.
 func (n *Node) notKept(ctx context.Context, j sched.Job, maybe bool, tries int, begun time.Time, err error) (platform.Outcome, error) {
-	now := time.Now()
+	now := n.clock.Now()
 	leader, answers := n.leaderHost()
 	n.log.WithError(err).WithFields(logrus.Fields{
 		"request":          platform.RequestOf(ctx),
@@ -154,7 +154,7 @@
 func (n *Node) submitOnce(ctx context.Context, j sched.Job) (jobstore.Outcome, error) {
 	o := jobstore.Refused
 	var err error
-	now := time.Now()
+	now := n.clock.Now()
 	if n.health.tryable(now) {
 		o, err = n.jobs.Accept(ctx, j)
 		settled := o != jobstore.Refused && o != jobstore.Unknown
@@ -174,7 +174,7 @@
 	if !ok {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, time.Duration(share*float64(time.Until(end))))
+	return context.WithTimeout(ctx, time.Duration(share*float64(time.Until(end)))) //nolint:forbidigo // a context's end, which stands still too
 }
 
 // handOn has the leader keep a job. It reports false when the leader did not
@@ -216,7 +216,7 @@
 			State: r.State,
 		}, stateOutcome(r.Known), nil
 	}
-	if !n.health.tryable(time.Now()) {
+	if !n.health.tryable(n.clock.Now()) {
 		return sched.JobStatus{}, platform.Unable, errStoreAway
 	}
 	s, known, err := jobstore.State(ctx, n.store, id)
@@ -271,7 +271,7 @@
 			return platform.Done, nil
 		}
 		last = err
-		if !n.health.reachable(time.Now()) {
+		if !n.health.reachable(n.clock.Now()) {
 			break
 		}
 		pause.For(ctx, writePause)
@@ -280,7 +280,7 @@
 }
 
 func (n *Node) cancelOnce(ctx context.Context, id spoolsill.JobID) (bool, error) {
-	if n.health.tryable(time.Now()) {
+	if n.health.tryable(n.clock.Now()) {
 		known, err := n.cancelHere(ctx, id)
 		if err == nil {
 			return known, nil
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
@@ -69,6 +70,8 @@
 	// Leads is told when the host begins to lead, and when it ends; nil means that
 	// nobody is.
 	Leads func(leads bool)
+	// Clock tells the time; nil means the system's.
+	Clock *clock.Clock
 	// Dial opens connections to the platform and to workers; nil means TCP.
 	Dial platform.Dialer
 	// Listen opens a listener; nil means TCP.
@@ -79,6 +82,7 @@
 type Node struct {
 	settings platform.Settings
 	log      *logrus.Entry
+	clock    *clock.Clock
 	listen   func(address string) (net.Listener, error)
 	leads    func(bool)
 	store    store.Store
@@ -123,11 +127,12 @@
 func New(c Config) *Node {
 	s := c.Settings
 	log := c.Log.WithField("host", string(s.Host))
-	life := spoolsill.Incarnation(time.Now().UnixNano())
+	life := spoolsill.Incarnation(time.Now().UnixNano()) //nolint:forbidigo // no right, a name
 	h := &storeHealth{}
 	n := &Node{
 		settings: s,
 		log:      log,
+		clock:    c.Clock,
 		listen:   c.Listen,
 		leads:    c.Leads,
 		store: &watchedStore{
@@ -135,6 +140,7 @@
 			health:  h,
 			metrics: c.Metrics,
 			log:     log,
+			clock:   c.Clock,
 		},
 		workers:    platform.NewWorkers(c.Dial),
 		life:       life,
@@ -244,6 +250,7 @@
 	g.Go(func() error { fetcher.run(work); return nil })
 	g.Go(func() error { n.jobs.Run(work); return nil })
 	g.Go(func() error { n.serveMetrics(work); return nil })
+	g.Go(func() error { n.watchSuspensions(work); return nil })
 	electing, stopElecting := context.WithCancel(work)
 	defer stopElecting()
 	elected := make(chan struct{})
@@ -334,7 +341,7 @@
 	if _, ok := n.Config(); !ok {
 		return false
 	}
-	return n.health.reachable(time.Now())
+	return n.health.reachable(n.clock.Now())
 }
 
 // leaderHere returns the leader if it is this host.
@@ -374,6 +381,7 @@
 		Advisor:      n,
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
+		Clock:        n.clock,
 		Sched: sched.Config{
 			Lease:      min(b.Lease, leaseMost),
 			SettleTime: settleTime,
@@ -428,7 +436,8 @@
 	n.metrics.Gauge("spoolsill.tasks.suspect", "tasks under which workers went and that are not cleared, at the leader", func() int64 { tasks, _ := n.suspects(); return tasks })
 	n.metrics.Gauge("spoolsill.workers.crashed", "machines whose workers crashed in the last minute, at the leader", func() int64 { _, crashed := n.suspects(); return crashed })
 	n.metrics.Gauge("spoolsill.workers.unclear", "workers' entries that can't be understood, at the leader", n.unclear)
-	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(time.Now())) })
+	n.metrics.Gauge("spoolsill.suspended.milliseconds", "for how long this machine has been suspended since the host started", func() int64 { return n.clock.Ahead().Milliseconds() })
+	n.metrics.Gauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return flag(n.health.reachable(n.clock.Now())) })
 }
 
 // suspects returns what the leader here knows of crashes; zeros where none is.
@@ -450,7 +459,7 @@
 
 // configAge is how old what is known of the configuration is, in milliseconds.
 func (n *Node) configAge() int64 {
-	age, ok := n.configs.age(time.Now())
+	age, ok := n.configs.age(n.clock.Now())
 	if !ok {
 		return 0
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/internal/standin"
 	"github.com/spoolsill/spoolsill/internal/standin/wire"
@@ -60,6 +62,14 @@
 	logged *test.Hook
 	stop   context.CancelFunc
 	err    chan error
+	// suspended is for how long its machine has been suspended, in nanoseconds.
+	suspended atomic.Int64
+}
+
+// suspend has the host's machine wake from a suspension: its steady clock, as the
+// test's, has not counted that time.
+func (h *host) suspend(d time.Duration) {
+	h.suspended.Add(int64(d))
 }
 
 func newCell(t *testing.T, hosts, workers int) *cell {
@@ -196,6 +206,9 @@
 		logged: logged,
 		err:    make(chan error, 1),
 	}
+	h.Clock = &clock.Clock{
+		Suspended: func() time.Duration { return time.Duration(h.suspended.Load()) },
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	for len(x.hosts) <= i {
--- a/node/peers.go
+++ b/node/peers.go
@@ -146,7 +146,7 @@
 
 func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
 	n.peers.Learn(c.Host, q.Address)
-	now := time.Now()
+	now := n.clock.Now()
 	n.hosts.greeted(c.Host, greetedHost{
 		at:       now,
 		cores:    q.Cores,
@@ -161,10 +161,10 @@
 		r.Leads = true
 		r.Epoch = l.Epoch()
 		begun, writes := l.Latest()
-		r.Age = time.Since(begun)
+		r.Age = n.clock.Since(begun)
 		r.Writes = writes
 		r.UsualWrite = n.health.usualWrite()
-		r.Refused = n.health.refusedFor(time.Now())
+		r.Refused = n.health.refusedFor(n.clock.Now())
 		n.noteYield(r)
 		r.MostCores = max(n.hosts.mostCores(), n.settings.Cores)
 		r.Hosts = n.hosts.count() + 1
@@ -221,7 +221,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return time.Since(begun) < lapse && n.yielded != w
+	return n.clock.Since(begun) < lapse && n.yielded != w
 }
 
 func (n *Node) waitingAsked(_ context.Context, _ peer.Caller, q waitingRequest) (waitingReply, error) {
@@ -284,7 +284,7 @@
 
 // Hosts implements [leader.Advisor].
 func (n *Node) Hosts() []spoolsill.HostID {
-	return append(n.hosts.since(n.silentSince(time.Now())), n.settings.Host)
+	return append(n.hosts.since(n.silentSince(n.clock.Now())), n.settings.Host)
 }
 
 // silentSince returns since when hosts that have not greeted count as silent.
--- a/node/pieces.go
+++ b/node/pieces.go
@@ -62,7 +62,7 @@
 }
 
 func (n *Node) pieceAsked(ctx context.Context, _ peer.Caller, q pieceRequest) (pieceReply, error) {
-	k := n.configs.document(q.Version, time.Now())
+	k := n.configs.document(q.Version, n.clock.Now())
 	ctx, cancel := context.WithTimeout(ctx, pieceWait)
 	defer cancel()
 	if n.pieces.Wait(ctx) != nil {
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/store"
 	"github.com/spoolsill/spoolsill/telemetry"
 )
@@ -184,6 +185,7 @@
 	health  *storeHealth
 	metrics *telemetry.Metrics
 	log     *logrus.Entry
+	clock   *clock.Clock
 }
 
 func (s *watchedStore) took(err error) {
@@ -191,7 +193,7 @@
 		return
 	}
 	ok := err == nil || errors.Is(err, store.ErrHistoryGone)
-	if !s.health.take(time.Now(), ok) {
+	if !s.health.take(s.clock.Now(), ok) {
 		return
 	}
 	if ok {
@@ -203,7 +205,7 @@
 
 // Commit implements [store.Store].
 func (s *watchedStore) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
-	begun := time.Now()
+	begun := s.clock.Now()
 	write := s.health.sent(begun)
 	r, err := s.Store.Commit(ctx, t)
 	s.health.ended(write)
@@ -211,11 +213,11 @@
 		return r, err // another try was answered, which says nothing of this one
 	}
 	if err == nil || errors.Is(err, store.ErrUnknown) {
-		s.health.took(time.Since(begun), err == nil)
+		s.health.took(s.clock.Since(begun), err == nil)
 	}
 	s.health.wrote(begun, errors.Is(err, store.ErrRefused))
 	s.took(err)
-	s.metrics.Wrote(writeOutcome(r, err), time.Since(begun))
+	s.metrics.Wrote(writeOutcome(r, err), s.clock.Since(begun))
 	return r, err
 }
 
--- a/node/young.go
+++ b/node/young.go
@@ -43,7 +43,7 @@
 
 func (n *Node) newsAsked(context.Context, peer.Caller, newsRequest) (newsReply, error) {
 	return newsReply{
-		Held: n.configs.held(time.Now()),
+		Held: n.configs.held(n.clock.Now()),
 		Head: n.knownHead(),
 	}, nil
 }
@@ -74,14 +74,14 @@
 // newest.
 func (n *Node) young() bool {
 	_, known := n.Config()
-	_, heard := n.configs.age(time.Now())
+	_, heard := n.configs.age(n.clock.Now())
 	return !known || !heard
 }
 
 // alone reports whether neither the store nor a leader can be asked.
 func (n *Node) alone() bool {
 	_, led := n.leaderHost()
-	return !led && n.leaderHere() == nil && !n.health.reachable(time.Now())
+	return !led && n.leaderHere() == nil && !n.health.reachable(n.clock.Now())
 }
 
 // askForNews asks all hosts that the settings name, side by side. It remembers which
@@ -109,13 +109,13 @@
 func (n *Node) askHostForNews(ctx context.Context, address string) error {
 	h := spoolsill.HostID(address) // its name is not known yet
 	n.peers.Learn(h, address)
-	sent := time.Now()
+	sent := n.clock.Now()
 	r, err := peer.Call[newsReply](ctx, n.peers, h, methodNews, newsRequest{})
 	if err != nil {
 		return err
 	}
 	n.configs.vouchedBy(r.Held, sent)
-	n.configs.offeredBy(h, r.Held, time.Now())
+	n.configs.offeredBy(h, r.Held, n.clock.Now())
 	if r.Head.Epoch > n.knownHead().Epoch {
 		n.takeHead(r.Head)
 	}
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -217,8 +217,7 @@
 	if len(s.timed) == 0 {
 		return
 	}
-	// Due times are times of day: drop the monotonic reading.
-	wall := s.now.Round(0)
+	wall := s.wall()
 	rest := s.timed[:0]
 	for _, g := range s.timed {
 		if wall.Before(g.due) {
@@ -266,7 +265,7 @@
 		Kind:   NoteJobEnded,
 		Job:    j.ID,
 		Reason: to.String() + ": " + reason,
-		Age:    s.now.Sub(j.Received),
+		Age:    s.wall().Sub(j.Received),
 
 		Account: s.accountOf(j),
 	})
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -43,7 +43,7 @@
 	if !g.due.IsZero() {
 		since = g.due
 	}
-	waited := s.now.Round(0).Sub(since)
+	waited := s.wall().Sub(since)
 	chain := s.chainLeft(g)
 	slack := objective - waited - chain
 	r := rank{
--- a/sched/state.go
+++ b/sched/state.go
@@ -19,6 +19,9 @@
 	// started.
 	TakenOver      time.Time
 	InheritedLease time.Duration
+	// Ahead is by how much the times that the State is given are ahead of the time of
+	// day.
+	Ahead time.Duration
 	// SettleTime is for how long nothing is placed once the first worker has
 	// answered under this leadership, so that the others are known as well. Else
 	// each stage that waits asks the advisor about the first worker alone, and
@@ -90,6 +93,12 @@
 	}
 }
 
+// wall returns the time of day, without a steady reading: what others named as a time
+// of day is compared with it.
+func (s *State) wall() time.Time {
+	return s.now.Round(0).Add(-s.config.Ahead)
+}
+
 // A job is a job with its progress.
 type job struct {
 	Job
--- a/sched/waiting_test.go
+++ b/sched/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -57,3 +58,29 @@
 		})
 	}
 }
+
+// Times that are ahead of the time of day, as after a suspension, start no timed job
+// before its time.
+func TestTimedJobWaitsForTheTimeOfDay(t *testing.T) {
+	const ahead = time.Hour
+	x := newCell(t)
+	x.state = sched.New(sched.Config{
+		Lease: lease,
+		Ahead: ahead,
+	})
+	x.state.SetQueues([]sched.Queue{
+		{
+			ID:      "q",
+			Service: "work",
+		},
+	})
+	x.worker("w")
+	j := job("j", "q", tasks(1, 1))
+	j.Rounds = 1
+	j.FirstRound = x.now.Round(0).Add(-ahead + time.Second)
+	x.state.AddJob(x.now, j, sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.now = x.now.Add(time.Second)
+	x.renew("w")
+	x.c.Assert(x.step(), qt.HasLen, 1)
+}
--- a/store/follow.go
+++ b/store/follow.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/internal/pause"
 )
 
@@ -46,6 +47,9 @@
 	// Of a call that does not end it tells nothing, see Age.
 	Failed func(err error)
 
+	// Clock tells the time; nil means the system's.
+	Clock *clock.Clock
+
 	answered atomic.Pointer[time.Time] // when the call was sent that was answered last
 }
 
@@ -80,10 +84,10 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	begun := time.Now()
+	begun := f.Clock.Now()
 	f.answered.Store(&begun)
 	p := &pursuit{
-		listing: newTableListing(f.Store, f.Table),
+		listing: newTableListing(f.Store, f.Table, f.Clock),
 		delay:   retryFirst,
 	}
 	for ctx.Err() == nil {
@@ -93,8 +97,8 @@
 		case err == nil:
 			f.succeed(p, o)
 		case errors.Is(err, ErrHistoryGone):
-			pause.For(ctx, time.Until(p.listed.Add(listEvery)))
-			p.listing = newTableListing(f.Store, f.Table)
+			pause.For(ctx, listEvery-f.Clock.Since(p.listed))
+			p.listing = newTableListing(f.Store, f.Table, f.Clock)
 		case ctx.Err() == nil:
 			f.fail(ctx, p, err)
 		}
@@ -163,7 +167,7 @@
 	if p.failing {
 		wait = 0 // to learn at once that calls work again
 	}
-	sent := time.Now()
+	sent := f.Clock.Now()
 	c, err := f.Store.Feed(ctx, f.Table, p.at, wait)
 	if err != nil {
 		return outcome{}, err
--- a/store/list.go
+++ b/store/list.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/spoolsill/spoolsill/internal/clock"
 )
 
 // listsAtOnce bounds the partitions that are read side by side.
@@ -60,6 +62,7 @@
 type tableListing struct {
 	store Store
 	table string
+	clock *clock.Clock
 	// first was read before all rows, so that a feed that goes on from it
 	// misses no change of partitions that are made meanwhile.
 	first Version
@@ -68,10 +71,11 @@
 	parts map[string]*Listing
 }
 
-func newTableListing(s Store, table string) *tableListing {
+func newTableListing(s Store, table string, c *clock.Clock) *tableListing {
 	return &tableListing{
 		store: s,
 		table: table,
+		clock: c,
 		parts: map[string]*Listing{},
 	}
 }
@@ -81,7 +85,7 @@
 // answer had.
 func (t *tableListing) readAll(ctx context.Context) ([]Row, Version, error) {
 	if t.began.IsZero() {
-		t.began = time.Now()
+		t.began = t.clock.Now()
 	}
 	if !t.begun {
 		p, err := t.store.List(ctx, t.table, "", "", 1)
--- a/store/patience.go
+++ b/store/patience.go
@@ -39,11 +39,11 @@
 	defer cancel()
 	ended := make(chan attempt, max(p.Tries, 1))
 	send := func(ctx context.Context) {
-		begun := time.Now()
+		begun := time.Now() //nolint:forbidigo // how long a try takes, of which a suspension is no part
 		r, err := s.Commit(ctx, t)
 		ended <- attempt{
 			result: r,
-			took:   time.Since(begun),
+			took:   time.Since(begun), //nolint:forbidigo // see begun
 			err:    err,
 		}
 	}
