sched, leader: rooms that shrink while orders are under way

Cause: a start was decided on the room that was known then. What was recorded, or held while a ticket was renewed, left whatever the worker's entry had told meanwhile; and a leader that writes to the store but hears nothing of the entries started on rooms of any age. Change: the room is looked at again when a ticket comes and when an order leaves; orders that fit no more are placed anew. Nothing starts on entries that are older than the time after which a room that has shrunk counts, contactMs and a heartbeat, less the half second that an order may be under way. Nothing is stopped for a lost room. Result: the property (rooms that move, late orders, stops, gangs) finds an order over the room without the look when orders leave; each of the other looks has a test that fails without it. Ruled out: stopping runs for a room that has shrunk: what is saved by it is not known, what is thrown away is.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -146,6 +146,7 @@
 	jobsListed     struct{ rows []store.Row }
 	jobChanged     struct{ row store.Row }
 	jobsHeard      struct{ sent time.Time }
+	workersHeard   struct{ sent time.Time }
 	heartbeatTaken struct{ heartbeat sched.Heartbeat }
 	workerReplaced struct{ worker spoolsill.WorkerID }
 	workerRefused  struct{ worker spoolsill.WorkerID }
@@ -414,6 +415,8 @@
 		l.takeJob(now, e.row)
 	case jobsHeard:
 		l.takeHeard(e.sent)
+	case workersHeard:
+		l.state.WorkersHeard(now, e.sent)
 	case heartbeatTaken:
 		l.state.Heartbeat(now, e.heartbeat)
 	case workerReplaced:
--- a/leader/load.go
+++ b/leader/load.go
@@ -231,6 +231,11 @@
 					row: r,
 				})
 			},
+			Heard: func(sent time.Time) {
+				l.send(workersHeard{
+					sent: sent,
+				})
+			},
 			Failed: l.reportFeed("workers"),
 		},
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -371,6 +371,10 @@
 	return h.Host, h.Host != "" && !h.Released && h.Host != n.settings.Host
 }
 
+// orderMargin is how long an order is under way from the last look at its worker's room:
+// two tries of a start on a calm day, see answers of package leader.
+const orderMargin = 500 * time.Millisecond
+
 // newLeader returns a leader for a chain that was just won.
 func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
 	b := n.settings.Bounds
@@ -389,6 +393,7 @@
 			StopTime:   b.StopTime,
 			DrainTime:  b.DrainTime,
 			FarFactor:  b.FarFactor,
+			EntriesAge: max(b.RoomKnown-orderMargin, 0),
 		},
 		Log:      n.log,
 		Observer: n.metrics,
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -245,7 +245,7 @@
 }
 
 func (s *State) usable(r *run) bool {
-	return r.worker.takes(s.now) && r.task.stage.advice.valid(r.worker.id, s.now)
+	return r.worker.takes(s.now) && r.worker.hasRoom() && r.task.stage.advice.valid(r.worker.id, s.now)
 }
 
 // plan takes room for a run while its ticket is renewed.
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -19,7 +19,7 @@
 	s.stopAgain()
 	s.keepSuspects()
 	s.openDue()
-	if s.now.Sub(s.answeredFirst) < s.config.SettleTime {
+	if s.now.Sub(s.answeredFirst) < s.config.SettleTime || !s.roomIsKnown() {
 		return
 	}
 	d := decider{
--- /dev/null
+++ b/sched/room_test.go
@@ -0,0 +1,276 @@
+package sched_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// listWith lists a worker with so many cores.
+func (x *cell) listWith(id spoolsill.WorkerID, n int) {
+	x.state.ListWorker(x.now, sched.Worker{
+		ID:       id,
+		Service:  "work",
+		Address:  string(id),
+		Capacity: cores(n),
+	})
+}
+
+// A worker's room shrinks while orders to it are being recorded: as many leave as fit,
+// and the others are placed anew.
+func TestOrdersThatFitNoMoreDoNotLeave(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(3, 3)), sched.Progress{})
+	x.state.Decide(x.now)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 3)
+	x.listWith("w", 6)
+	out := x.state.Written(x.now, b)
+	x.c.Assert(out, qt.HasLen, 2)
+	x.take(out)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.worker("v")
+	x.c.Assert(x.step(), qt.HasLen, 1)
+}
+
+// A room that has shrunk takes nothing until what runs there, or is being stopped, fits
+// again, and one that has grown is used at the next look.
+func TestRoomThatMoves(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(2, 4)), sched.Progress{})
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 2)
+	x.take(o)
+	x.listWith("w", 5)
+	x.state.AddJob(x.now, job("k", "q", tasks(2, 1)), sched.Progress{})
+	x.now = x.now.Add(50 * time.Millisecond)
+	x.renew("w", o[0].Run, o[1].Run)
+	x.state.Decide(x.now)
+	b, any, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(any && len(b.Starts) > 0, qt.IsFalse)
+	x.state.CancelJob(x.now, "j")
+	x.c.Assert(x.state.Stops(), qt.HasLen, 2)
+	x.renew("w", o[0].Run, o[1].Run)
+	x.state.Decide(x.now)
+	x.end(o[0], sched.EndStopped)
+	x.c.Assert(x.step(), qt.HasLen, 1) // four of five cores are taken by what is being stopped
+	x.end(o[1], sched.EndStopped)
+	x.c.Assert(x.step(), qt.HasLen, 1)
+	x.state.AddJob(x.now, job("l", "q", tasks(8, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 3)
+	x.listWith("w", 10)
+	x.c.Assert(x.step(), qt.HasLen, 5)
+}
+
+// What is known of the workers' entries has become too old: nothing is decided, and
+// what was recorded does not leave, until they are heard of again.
+func TestNothingStartsOnOldEntries(t *testing.T) {
+	x := newCell(t)
+	x.state = sched.New(sched.Config{
+		Lease:      lease,
+		EntriesAge: 4 * time.Second,
+	})
+	x.state.SetQueues([]sched.Queue{
+		{
+			ID:      "q",
+			Service: "work",
+		},
+	})
+	x.state.AddJob(x.now, job("j", "q", tasks(2, 1)), sched.Progress{})
+	x.worker("w")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.state.WorkersHeard(x.now, x.now)
+	x.state.Decide(x.now)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 2)
+	x.now = x.now.Add(5 * time.Second)
+	x.renew("w")
+	x.c.Assert(x.state.Written(x.now, b), qt.HasLen, 0)
+	x.state.Decide(x.now)
+	b, _, err = x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 0)
+	x.state.WorkersHeard(x.now, x.now)
+	x.c.Assert(x.step(), qt.HasLen, 2)
+}
+
+// Room that was held for a task while its ticket was renewed is lost meanwhile: the
+// start is not even recorded.
+func TestRoomThatWasHeldIsLost(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "advised", tasks(1, 8)), sched.Progress{})
+	x.step()
+	x.advise(x.question(), "w")
+	x.now = x.now.Add(1400 * time.Millisecond)
+	x.renew("w")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	q := x.question()
+	x.c.Assert(q.Purpose, qt.Equals, sched.Renew)
+	x.listWith("w", 6)
+	x.advise(q, "w")
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 0)
+	x.worker("w")
+	x.c.Assert(x.step(), qt.HasLen, 1)
+}
+
+// A roomModel plays workers whose rooms move and which do not guard them: they start
+// what they are told, and count what they have against their room.
+type roomModel struct {
+	x    *cell
+	room map[spoolsill.WorkerID]int
+	runs map[spoolsill.WorkerID]map[sched.RunID]int
+	late []lateStart // carried out later, without an answer
+	need map[spoolsill.JobID]int
+}
+
+// A lateStart is an order that is carried out before its time is over, or not at all.
+type lateStart struct {
+	sched.StartOrder
+	until time.Time
+}
+
+func (m *roomModel) used(w spoolsill.WorkerID) int {
+	n := 0
+	for _, c := range m.runs[w] {
+		n += c
+	}
+	return n
+}
+
+func (m *roomModel) begin(t *rapid.T, o sched.StartOrder) {
+	c := m.need[o.Run.Task.Stage.Job]
+	m.runs[o.Worker][o.Run] = c
+	if n := m.used(o.Worker); n > m.room[o.Worker] {
+		t.Fatalf("%s#%d brings %s to %d cores of %d", o.Run.Task, o.Run.Number, o.Worker, n, m.room[o.Worker])
+	}
+}
+
+// round has workers answer, decides, writes, and has orders carried out.
+func (m *roomModel) round(t *rapid.T, recording func()) {
+	for w, runs := range m.runs {
+		var ids []sched.RunID
+		for r := range runs {
+			ids = append(ids, r)
+		}
+		m.x.renew(w, ids...)
+	}
+	m.x.state.Decide(m.x.now)
+	b, _, err := m.x.state.Batch(m.x.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recording()
+	for _, o := range m.x.state.Written(m.x.now, b) {
+		if rapid.IntRange(0, 4).Draw(t, "late") == 0 {
+			m.x.answerStart(o, sched.StartUnknown)
+			m.late = append(m.late, lateStart{
+				StartOrder: o,
+				until:      m.x.now.Add(time.Second),
+			})
+			continue
+		}
+		m.begin(t, o)
+		m.x.answerStart(o, sched.StartTaken)
+	}
+}
+
+// In whatever series rooms shrink and grow, orders are answered or carried out late, and
+// runs end or are stopped: no order that is sent brings a worker over the room that its
+// entry tells.
+func TestNoStartBringsAWorkerOverItsRoom(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &roomModel{
+			x:    newCell(t),
+			room: map[spoolsill.WorkerID]int{},
+			runs: map[spoolsill.WorkerID]map[sched.RunID]int{},
+			need: map[spoolsill.JobID]int{},
+		}
+		ids := []spoolsill.WorkerID{"a", "b", "c"}
+		for _, w := range ids {
+			m.room[w] = 10
+			m.runs[w] = map[sched.RunID]int{}
+			m.x.listWith(w, 10)
+		}
+		move := func() {
+			w := rapid.SampledFrom(ids).Draw(rt, "worker")
+			m.room[w] = rapid.IntRange(0, 12).Draw(rt, "cores")
+			m.x.listWith(w, m.room[w])
+		}
+		for i := range rapid.IntRange(10, 60).Draw(rt, "moves") {
+			switch rapid.IntRange(0, 4).Draw(rt, "move") {
+			case 0:
+				move()
+			case 1:
+				m.submit(rt, i)
+			case 2:
+				m.endOne(rt)
+			case 3:
+				id := spoolsill.JobID(fmt.Sprint("j", rapid.IntRange(0, i).Draw(rt, "job")))
+				m.x.state.CancelJob(m.x.now, id)
+			case 4:
+				m.carryOutLate(rt)
+			}
+			m.x.now = m.x.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(rt, "ms")) * time.Millisecond)
+			m.round(rt, func() {
+				if rapid.Bool().Draw(rt, "moves while it is recorded") {
+					move()
+				}
+			})
+		}
+	})
+}
+
+func (m *roomModel) submit(t *rapid.T, i int) {
+	id := spoolsill.JobID(fmt.Sprint("j", i))
+	c := rapid.IntRange(1, 6).Draw(t, "need")
+	m.need[id] = c
+	p := tasks(rapid.IntRange(1, 4).Draw(t, "tasks"), c)
+	p.Gang = rapid.Bool().Draw(t, "gang")
+	m.x.state.AddJob(m.x.now, job(id, "q", p), sched.Progress{})
+}
+
+// endOne has a worker end a run, as a stop would.
+func (m *roomModel) endOne(t *rapid.T) {
+	for _, w := range slices.Sorted(maps.Keys(m.runs)) {
+		runs := slices.SortedFunc(maps.Keys(m.runs[w]), func(a, b sched.RunID) int {
+			return strings.Compare(a.Task.String(), b.Task.String())
+		})
+		for _, r := range runs {
+			delete(m.runs[w], r)
+			kind := rapid.SampledFrom([]sched.EndKind{sched.EndDone, sched.EndStopped, sched.EndFailed}).Draw(t, "kind")
+			m.x.end(sched.StartOrder{
+				Worker: w,
+				Run:    r,
+			}, kind)
+			return
+		}
+	}
+}
+
+// carryOutLate has orders carried out that were not answered. Those are not judged, but
+// they take room.
+func (m *roomModel) carryOutLate(t *rapid.T) {
+	for _, o := range m.late {
+		if m.x.now.Before(o.until) && !rapid.Bool().Draw(t, "dropped") {
+			m.runs[o.Worker][o.Run] = m.need[o.Run.Task.Stage.Job]
+		}
+	}
+	m.late = nil
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -19,6 +19,9 @@
 	// started.
 	TakenOver      time.Time
 	InheritedLease time.Duration
+	// EntriesAge is how old what is known of the workers' entries may be for something to
+	// be started: a worker's room may have shrunk since. 0 means any age.
+	EntriesAge time.Duration
 	// Ahead is by how much the times that the State is given are ahead of the time of
 	// day.
 	Ahead time.Duration
@@ -70,7 +73,9 @@
 	told      []JobStatus
 	// storeBack is when the store was last back after an outage.
 	storeBack time.Time
-	checked   time.Time // when runs that stand still were last looked for
+	// entriesHeard is as of when all workers' entries are known; zero before.
+	entriesHeard time.Time
+	checked      time.Time // when runs that stand still were last looked for
 	// answeredFirst is when the first worker answered under this leadership.
 	answeredFirst time.Time
 	ended         []endedJob
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -411,7 +411,7 @@
 		if sum != w.used {
 			return fmt.Errorf("worker %s: account says %v, runs need %v", w.id, w.used, sum)
 		}
-		if w.present(s.now) && w.free().Negative() {
+		if w.present(s.now) && !w.hasRoom() {
 			return fmt.Errorf("worker %s: %v used of %v", w.id, w.used, w.Capacity)
 		}
 	}
