node: only three refusals of a delegate prove that it made no call

Cause: passOn took every refusal for proof; a failure within a delegate may come after the worker was called, and a start taken for not made would be made twice. Change: busy, no such method and bad input are named, as well as a host not reached. Result: TestWhichFailuresOfADelegateProveThatNoCallWasMade, which fails for the internal kind and for codes of later releases on the former rule; tests of node pass.

--- a/node/delegated.go
+++ b/node/delegated.go
@@ -91,9 +91,21 @@
 	}
 	d.fail(h)
 	d.node.log.WithError(err).WithField("delegate", string(h)).WithField("worker", string(t.Worker)).Info("delegate left a call unanswered")
+	return r, !notMade(err), err
+}
+
+// notMade reports whether a delegate's failure proves that it made no call: it was not
+// reached, or refused before it looked for a worker. A failure within may have come after
+// the worker was called; a start that was taken for not made would be made twice.
+func notMade(err error) bool {
+	if errors.Is(err, peer.ErrUnreachable) {
+		return true
+	}
 	var refused *peer.RemoteError
-	made = !errors.Is(err, peer.ErrUnreachable) && !errors.As(err, &refused)
-	return r, made, err
+	if !errors.As(err, &refused) {
+		return false
+	}
+	return refused.Code == peer.CodeBusy || refused.Code == peer.CodeMethod || refused.Code == peer.CodeInput
 }
 
 // Renew implements [leader.Workers].
--- a/node/delegated_test.go
+++ b/node/delegated_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +15,8 @@
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
 	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/node"
+	"github.com/spoolsill/spoolsill/peer"
 )
 
 func workerName(i int) string {
@@ -202,3 +205,19 @@
 	}
 	return cellfake.OrderLose + cellfake.OrderFault(r.IntN(3))
 }
+
+// Only what a delegate says before it looks for a worker proves that it called none.
+func TestWhichFailuresOfADelegateProveThatNoCallWasMade(t *testing.T) {
+	refusal := func(c peer.Code) error {
+		return fmt.Errorf("call: %w", &peer.RemoteError{
+			Code: c,
+		})
+	}
+	c := qt.New(t)
+	for _, e := range []error{peer.ErrUnreachable, refusal(peer.CodeBusy), refusal(peer.CodeMethod), refusal(peer.CodeInput)} {
+		c.Check(node.NotMade(e), qt.IsTrue, qt.Commentf("%v", e))
+	}
+	for _, e := range []error{refusal(peer.CodeInternal), refusal("of a later release"), peer.ErrLost, context.DeadlineExceeded} {
+		c.Check(node.NotMade(e), qt.IsFalse, qt.Commentf("%v", e))
+	}
+}
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -79,3 +79,8 @@
 func (p *PartialConfig) Version() spoolsill.Version {
 	return p.partial.version
 }
+
+// NotMade reports whether a delegate's failure proves that it made no call.
+func NotMade(err error) bool {
+	return notMade(err)
+}
