soak, cellfake: tasks that crash workers, rooms that move, entries of another writer

Cause: the soak's workers neither crashed by their tasks nor came back as others, their rooms stood still, and nobody else wrote among their entries. Jobs that are cancelled together shared a source of random numbers without a lock: a data race of the soak's own client. A check that changed: a job that goes back from failed has a cause to have failed now, since the judge would count a second breach; it still must find the first.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Hosts    int           `help:"Hosts of a run." default:"5"`
 	Workers  int           `help:"Workers of a run." default:"12"`
 	Clients  int           `help:"Clients of a run." default:"12"`
+	Troubled bool          `help:"Have tasks crash workers, workers' rooms move, and others write among their entries."`
 }
 
 func main() {
@@ -80,6 +81,7 @@
 		Hosts:    f.Hosts,
 		Workers:  f.Workers,
 		Clients:  f.Clients,
+		Troubled: f.Troubled,
 	})
 	if err != nil {
 		return err
--- a/internal/cellfake/crash.go
+++ b/internal/cellfake/crash.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -47,10 +49,13 @@
 	f.crash(f.workers[id])
 }
 
-func (f *Workers) crash(w *worker) {
+// crash ends a worker's life, and returns the runs that are lost with it.
+func (f *Workers) crash(w *worker) []sched.RunID {
+	lost := slices.Collect(maps.Keys(w.running))
 	w.gone = true
 	clear(w.running)
 	w.ended = nil
+	return lost
 }
 
 // Replace has the address of a worker that crashed answer for its machine's next
@@ -73,14 +78,14 @@
 	}
 	time.AfterFunc(after, func() {
 		f.mu.Lock()
-		_, runs := w.running[r]
-		if runs {
+		var lost []sched.RunID
+		if _, runs := w.running[r]; runs {
 			f.crashes.of[r.Task]++
-			f.crash(w)
+			lost = f.crash(w)
 		}
 		f.mu.Unlock()
-		if runs && f.Crashed != nil {
-			f.Crashed(w.id)
+		if len(lost) > 0 && f.Crashed != nil {
+			f.Crashed(w.id, lost)
 		}
 	})
 }
--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -46,12 +46,15 @@
 	// Room is how many runs a worker has room for; more are a broken promise.
 	// 0 means that this is not judged.
 	Room int
+	// RoomKnown is for how long after it has shrunk a worker's room is judged as it was.
+	RoomKnown time.Duration
 	// Clock is that of the leaders; nil is the system's.
 	Clock *clock.Clock
 	// Crashes tells whether a run crashes its worker, and how long after its start;
-	// nil means that none does. Crashed is told of each such crash; may be nil.
+	// nil means that none does. Crashed is told of each such crash and the runs that are
+	// lost; may be nil.
 	Crashes func(r sched.RunID) (after time.Duration, crashes bool)
-	Crashed func(w spoolsill.WorkerID)
+	Crashed func(w spoolsill.WorkerID, lost []sched.RunID)
 
 	mu      sync.Mutex
 	workers map[spoolsill.WorkerID]*worker
@@ -65,6 +68,7 @@
 	id       spoolsill.WorkerID
 	began    time.Time
 	cut      bool
+	room     movingRoom
 	gone     bool // its life is over
 	replaced bool // and its address answers for the next one
 	fence    spoolsill.Epoch
@@ -421,7 +425,7 @@
 			}
 		}
 	}
-	if f.Room > 0 && len(w.running) >= f.Room {
+	if f.Room > 0 && len(w.running) >= w.room.judged(f.Room, f.RoomKnown) {
 		f.broken = append(f.broken, fmt.Sprintf("%s#%d started at %s, which has no room", r.Task, r.Number, w.id))
 	}
 	took, kind := time.Second, sched.EndDone
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -36,6 +37,8 @@
 	http   *http.Client
 	made   int
 	open   []handedIn
+
+	choosing sync.Mutex // held while a host is chosen
 }
 
 type handedIn struct {
@@ -76,7 +79,14 @@
 // call makes one call at a random host; status 0 means that there was no
 // complete answer.
 func (c *client) call(ctx context.Context, method, path, body string) (int, string) {
-	return c.callAt(ctx, c.hosts[c.random.IntN(len(c.hosts))], method, path, body)
+	return c.callAt(ctx, c.anyHost(), method, path, body)
+}
+
+// anyHost returns a random host. Calls may be made by several goroutines.
+func (c *client) anyHost() string {
+	c.choosing.Lock()
+	defer c.choosing.Unlock()
+	return c.hosts[c.random.IntN(len(c.hosts))]
 }
 
 func (c *client) callAt(ctx context.Context, host, method, path, body string) (int, string) {
--- a/internal/soak/harm.go
+++ b/internal/soak/harm.go
@@ -200,8 +200,8 @@
 }
 
 func (x *run) harmWorker(context.Context) func() {
-	i := x.random.IntN(len(x.workers))
-	return x.harmProxy("worker "+string(x.workers[i].ID), x.workers[i].proxy)
+	m := x.workers[x.random.IntN(len(x.workers))]
+	return x.harmProxy("worker "+string(m.current().ID), m.proxy)
 }
 
 // cancelAtTakeOver cancels lasting jobs while the leader is killed and answers of
@@ -240,15 +240,15 @@
 // removeWorker has a worker's entry go while it lives on, as during an outage of
 // the store, or says that it leaves.
 func (x *run) removeWorker(context.Context) func() {
-	w := x.workers[x.random.IntN(len(x.workers))]
+	m := x.workers[x.random.IntN(len(x.workers))]
+	e := m.current()
 	if x.random.IntN(2) == 0 {
-		wire.DeleteWorker(x.store, w.ID)
+		wire.DeleteWorker(x.store, e.ID)
 	} else {
-		e := w.WorkerEntry
 		e.Draining = true
 		x.list(e)
 	}
-	return func() { x.list(w.WorkerEntry) }
+	return func() { x.list(m.current()) }
 }
 
 func (x *run) list(e wire.WorkerEntry) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -41,6 +41,10 @@
 	// doneAt has for each task the earliest end of a run that succeeds.
 	doneAt map[sched.TaskID]time.Time
 	starts int
+	// failing counts the runs of each step that fail, lost those of each task that
+	// went with a worker that crashed.
+	failing map[int]int
+	lost    map[sched.TaskID]int
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -73,6 +77,9 @@
 		r = &record{
 			steps:  steps,
 			doneAt: map[sched.TaskID]time.Time{},
+
+			failing: map[int]int{},
+			lost:    map[sched.TaskID]int{},
 		}
 		j.jobs[id] = r
 	}
@@ -137,6 +144,8 @@
 		j.breach("%s is shown as cancelled, and nobody did so", id)
 	case state == sched.Completed.String():
 		j.checkDone(id, r)
+	case state == sched.Failed.String() && !r.mayFail():
+		j.breach("%s is shown as failed without cause", id)
 	}
 	if final(r.shown) && state != r.shown {
 		j.breach("%s was %s and is shown as %s", id, r.shown, state)
@@ -147,6 +156,39 @@
 	}
 }
 
+const (
+	// attempts is how often a task may fail, by the configuration; crashesToGiveUp is
+	// under how many crashes of workers it may be given up, by the platform's word.
+	attempts        = 3
+	crashesToGiveUp = 2
+)
+
+// mayFail reports whether there is a cause for the job to fail.
+func (r *record) mayFail() bool {
+	for _, n := range r.failing {
+		if n >= attempts {
+			return true
+		}
+	}
+	for _, n := range r.lost {
+		if n >= crashesToGiveUp {
+			return true
+		}
+	}
+	return false
+}
+
+// Lost takes in the runs that went with a worker that crashed.
+func (j *Judge) Lost(runs []sched.RunID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, x := range runs {
+		if r := j.jobs[x.Task.Stage.Job]; r != nil {
+			r.lost[x.Task]++
+		}
+	}
+}
+
 func final(state string) bool {
 	return state == sched.Completed.String() || state == sched.Failed.String() || state == sched.Cancelled.String()
 }
@@ -179,6 +221,9 @@
 		return
 	}
 	r.starts++
+	if k == sched.EndFailed {
+		r.failing[x.Task.Stage.Step]++
+	}
 	if !r.mayRun {
 		j.breach("%s#%d was started, and its job was refused", x.Task, x.Number)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,9 @@
 	Hosts   int
 	Workers int
 	Clients int
+	// Troubled has tasks crash their workers, workers' rooms move, and others write
+	// among their entries, besides all else.
+	Troubled bool
 }
 
 // A Result is what came of a run.
@@ -44,12 +47,13 @@
 	Ended    int
 	Starts   int
 	Lives    int // of all hosts
+	Crashes  int // of workers, by tasks
 	Broken   []string
 }
 
 // String returns the result for people.
 func (r Result) String() string {
-	return fmt.Sprintf("%d jobs, %d accepted, %d ended, %d starts, %d lives of hosts, broken promises: %d", r.Jobs, r.Accepted, r.Ended, r.Starts, r.Lives, len(r.Broken))
+	return fmt.Sprintf("%d jobs, %d accepted, %d ended, %d starts, %d lives of hosts, %d crashes of workers, broken promises: %d", r.Jobs, r.Accepted, r.Ended, r.Starts, r.Lives, r.Crashes, len(r.Broken))
 }
 
 const (
@@ -90,7 +94,7 @@
 	judge    *Judge
 	store    *cellfake.Store
 	fakes    *cellfake.Workers
-	workers  []soakedWorker
+	workers  []*machine
 	hosts    []*Process
 	stores   []*Proxy // of each host
 	advisors []*Proxy
@@ -110,11 +114,6 @@
 	added        int // routes that the operator has added to it
 }
 
-type soakedWorker struct {
-	wire.WorkerEntry
-	proxy *Proxy
-}
-
 // Run makes one run. Everything that it starts has ended when it returns.
 func Run(ctx context.Context, c Config) (Result, error) {
 	c = c.withDefaults()
@@ -169,7 +168,10 @@
 	x.store.SetFault(x.fateOfWrite)
 	x.fakes.Fault = x.fateOfOrder
 	x.fakes.Room = room
+	x.fakes.RoomKnown = roomKnown
 	x.fakes.Work = x.work
+	x.fakes.Crashes = func(r sched.RunID) (time.Duration, bool) { return crashAfter, crashes(r.Task.Stage.Job) }
+	x.fakes.Crashed = x.crashed
 	if err := x.putConfig(x.version, x.added); err != nil {
 		return err
 	}
@@ -203,6 +205,10 @@
 		x.judge.Started(r, lastingTime, sched.EndDone)
 		return lastingTime, sched.EndDone
 	}
+	if crashes(r.Task.Stage.Job) {
+		x.judge.Started(r, lastingTime, sched.EndDone)
+		return lastingTime, sched.EndDone
+	}
 	d := taskTime + rand.N(taskSpread)
 	k := sched.EndDone
 	if rand.Float64() < failing {
@@ -244,7 +250,9 @@
 func (x *run) addWorker(i int) error {
 	id := spoolsill.WorkerID(fmt.Sprintf("w%02d", i))
 	x.fakes.Add(id)
-	at, err := x.serve(wire.Worker(x.fakes, id))
+	m := &machine{}
+	m.life.Store(&id)
+	at, err := x.serve(x.serveMachine(m))
 	if err != nil {
 		return err
 	}
@@ -252,22 +260,20 @@
 	if err != nil {
 		return err
 	}
-	w := soakedWorker{
-		WorkerEntry: wire.WorkerEntry{
-			ID:      id,
-			Address: address,
-			Machine: "m" + string(id),
-			Rack:    "r1-1",
-			Capacity: spoolsill.Resources{
-				Processors: room * spoolsill.Core,
-				Memory:     spoolsill.GiB,
-			},
-			Remaining: 2 * time.Second,
+	m.proxy = p
+	m.entry = wire.WorkerEntry{
+		ID:      id,
+		Address: address,
+		Machine: "m" + string(id),
+		Rack:    "r1-1",
+		Capacity: spoolsill.Resources{
+			Processors: room * spoolsill.Core,
+			Memory:     spoolsill.GiB,
 		},
-		proxy: p,
+		Remaining: 2 * time.Second,
 	}
-	x.workers = append(x.workers, w)
-	return wire.PutWorker(x.store, w.WorkerEntry)
+	x.workers = append(x.workers, m)
+	return wire.PutWorker(x.store, m.entry)
 }
 
 func (x *run) addHost(i int, storeAt, advisorAt string) error {
@@ -339,7 +345,7 @@
 		clients = append(clients, c)
 		wg.Go(func() { c.run(working) })
 	}
-	x.harmAndOperate(ctx)
+	x.harmAndOperate(ctx, addresses)
 	stop()
 	wg.Wait()
 	c := newClient(len(clients), x.config.Seed, addresses, x.judge)
@@ -350,10 +356,13 @@
 
 // harmAndOperate does harm while the operator adds routes, if it does, and has the
 // operator go on when all is well again.
-func (x *run) harmAndOperate(ctx context.Context) {
+func (x *run) harmAndOperate(ctx context.Context, hosts []string) {
 	operating, stop := context.WithCancel(ctx)
 	defer stop()
 	var wg sync.WaitGroup
+	if x.config.Troubled {
+		wg.Go(func() { x.trouble(operating, hosts) })
+	}
 	if x.grows() {
 		wg.Go(func() { x.operate(operating) })
 	}
@@ -420,6 +429,9 @@
 
 func (x *run) result() Result {
 	var r Result
+	for _, m := range x.workers {
+		r.Crashes += m.crashes()
+	}
 	for _, p := range x.hosts {
 		r.Lives += p.Lives()
 		if err := p.Stray(); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,12 @@
 	1011,
 }
 
+// troubled are seeds that are run with tasks that crash their workers, rooms that move
+// and entries of another writer besides.
+var troubled = []uint64{
+	3000, // four tasks that crash their workers, 14 lives of hosts
+}
+
 // seedsAtOnce is how many runs are made side by side: one takes half a processor,
 // and most of its time is waiting.
 const seedsAtOnce = 2
@@ -46,17 +52,21 @@
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	var g errgroup.Group
 	g.SetLimit(seedsAtOnce)
-	for _, seed := range seeds {
-		g.Go(func() error {
-			checkSeed(t, binary, seed)
-			return nil
-		})
+	check := func(seeds []uint64, troubled bool) {
+		for _, seed := range seeds {
+			g.Go(func() error {
+				checkSeed(t, binary, seed, troubled)
+				return nil
+			})
+		}
 	}
+	check(seeds, false)
+	check(troubled, true)
 	qt.Assert(t, g.Wait(), qt.IsNil)
 }
 
 // checkSeed makes the run of one seed. Its logs stay when a promise was broken.
-func checkSeed(t *testing.T, binary string, seed uint64) {
+func checkSeed(t *testing.T, binary string, seed uint64, troubled bool) {
 	dir, err := os.MkdirTemp("", "soak")
 	if !qt.Check(t, err, qt.IsNil) {
 		return
@@ -66,11 +76,13 @@
 		Dir:      dir,
 		Seed:     seed,
 		Duration: 8 * time.Second,
+		Troubled: troubled,
 	})
 	t.Logf("seed %d: %s", seed, r)
 	well := qt.Check(t, err, qt.IsNil)
 	well = qt.Check(t, r.Broken, qt.HasLen, 0, qt.Commentf("logs of seed %d are in %s", seed, dir)) && well
 	well = qt.Check(t, r.Accepted > 0, qt.IsTrue) && well
+	well = qt.Check(t, r.Crashes > 0, qt.Equals, troubled) && well
 	if well {
 		qt.Check(t, os.RemoveAll(dir), qt.IsNil)
 	}
@@ -126,8 +138,30 @@
 			j.HandedIn(id, http.StatusOK)
 			j.Shown(id, "cancelled")
 		}},
+		"failed without cause": {1, func(j *soak.Judge) {
+			j.HandedIn(id, http.StatusOK)
+			j.Started(first, 0, sched.EndFailed)
+			j.Started(first, 0, sched.EndFailed)
+			j.Lost([]sched.RunID{first})
+			j.Shown(id, "failed")
+		}},
+		"failed as often as its queue allows": {0, func(j *soak.Judge) {
+			j.HandedIn(id, http.StatusOK)
+			for range 3 {
+				j.Started(first, 0, sched.EndFailed)
+			}
+			j.Shown(id, "failed")
+		}},
+		"given up": {0, func(j *soak.Judge) {
+			j.HandedIn(id, http.StatusOK)
+			j.Lost([]sched.RunID{first})
+			j.Lost([]sched.RunID{first})
+			j.Shown(id, "failed")
+		}},
 		"goes back": {1, func(j *soak.Judge) {
 			j.HandedIn(id, http.StatusOK)
+			j.Lost([]sched.RunID{first})
+			j.Lost([]sched.RunID{first})
 			j.Shown(id, "failed")
 			j.Shown(id, "running")
 		}},
--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -135,6 +135,7 @@
 zone = "{{.Hall}}"
 ip = "{{.IP}}"
 portRange = [{{.PeerPort}}, {{.PeerPort}}]
+heartbeatMs = 1500
 advice = "{{.AdvisorAddress}}"
 [listen]
 front = "{{.ClientAddress}}"
@@ -145,6 +146,7 @@
 memoryMb = {{.MemoryMB}}
 [bounds]
 maxHoldMs = {{.Lease.Milliseconds}}
+contactMs = 3000
 graceS = {{.StopGrace.Seconds}}
 stop_ms = 200
 drainMs = 2000
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -73,7 +73,7 @@
 	})
 }
 
-func (m *machines) crashed(id spoolsill.WorkerID) {
+func (m *machines) crashed(id spoolsill.WorkerID, _ []sched.RunID) {
 	time.AfterFunc(backAfter, func() {
 		machine := m.machineOf(id)
 		m.mu.Lock()
