jobstore, sched, platform: rows that are no jobs end no leader

Change: jobs are checked when they are read, lengths are compared with what is there before anything is allocated, a panic of the decoder is an error; each step's count has the bound of all; a progress with an unknown state is none.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/packed"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
@@ -74,11 +75,17 @@
 	return msgpack.Marshal(&j)
 }
 
-// DecodeJob reads what [EncodeJob] returned.
+// DecodeJob reads what [EncodeJob] returned. The error says why it is no job that a
+// host has accepted.
 func DecodeJob(b []byte) (sched.Job, error) {
 	var j sched.Job
-	err := msgpack.Unmarshal(b, &j)
-	return j, err
+	if _, err := packed.Decode(b, &j); err != nil {
+		return sched.Job{}, err
+	}
+	if err := j.Check(); err != nil {
+		return sched.Job{}, err
+	}
+	return j, nil
 }
 
 // An Outcome tells what became of a job that was handed in.
--- a/leader/chain.go
+++ b/leader/chain.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/packed"
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/store"
@@ -55,7 +56,7 @@
 		return Head{}, 0, err
 	}
 	var h Head
-	err = msgpack.Unmarshal(r.Value, &h)
+	_, err = packed.Decode(r.Value, &h)
 	return h, r.Version, err
 }
 
--- a/sched/job.go
+++ b/sched/job.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -65,6 +66,37 @@
 	Received time.Time
 }
 
+// Bounds of a job, far above what hosts accept: a leader makes each task at once.
+const (
+	mostSteps  = 1 << 12
+	mostTasks  = 1 << 20
+	mostRounds = 1 << 20
+)
+
+// Check returns why a job is none that a host has accepted. One that was damaged, or
+// that someone else wrote, would else end each process that leads.
+func (j *Job) Check() error {
+	if len(j.Steps) > mostSteps || j.Rounds < 0 || j.Rounds > mostRounds {
+		return fmt.Errorf("sched: %d steps, %d rounds", len(j.Steps), j.Rounds)
+	}
+	total := 0
+	for i, p := range j.Steps {
+		if p.Tasks < 0 || p.Tasks > mostTasks || p.Need.Negative() {
+			return fmt.Errorf("sched: step %d has %d tasks that need %v", i, p.Tasks, p.Need)
+		}
+		for _, a := range p.After {
+			if a < 0 || a >= i {
+				return fmt.Errorf("sched: step %d waits for step %d", i, a)
+			}
+		}
+		total += p.Tasks
+	}
+	if total > mostTasks || total*j.rounds() > mostTasks {
+		return fmt.Errorf("sched: %d tasks in %d rounds", total, j.rounds())
+	}
+	return nil
+}
+
 // rounds returns how many rounds the job has in all.
 func (j *Job) rounds() int {
 	return max(j.Rounds, 1)
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -1,14 +1,15 @@
 package sched
 
 import (
-	"bytes"
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/packed"
 )
 
 // A Progress is what lasts of a job besides the job itself. A leader that
@@ -74,12 +75,17 @@
 // DecodeProgress reads what [EncodeProgress] returned.
 func DecodeProgress(b []byte) (Progress, error) {
 	var p Progress
-	r := bytes.NewReader(b)
-	d := msgpack.NewDecoder(r)
-	if err := d.Decode(&p); err != nil || r.Len() == 0 {
-		return p, err
+	rest, err := packed.Decode(b, &p)
+	if err != nil {
+		return Progress{}, err
 	}
-	err := d.Decode(&p.Crashes)
+	if int(p.State) >= len(jobStateNames) {
+		return Progress{}, fmt.Errorf("sched: progress has %s", p.State)
+	}
+	if len(rest) == 0 {
+		return p, nil
+	}
+	_, err = packed.Decode(rest, &p.Crashes)
 	return p, err
 }
 
