--- a/leader/leader.go
+++ b/leader/leader.go
@@ -99,9 +99,7 @@
 	answers  answers
 	inTouch  atomic.Int64                // workers that are kept in touch with
 	unclear  map[spoolsill.WorkerID]bool // entries that can't be understood
-	unclears atomic.Int64                // how many there are
-	suspects atomic.Int64                // tasks under which workers went
-	crashed  atomic.Int64                // machines whose workers crashed in the last minute
+	gauges   gauges
 	rows     map[spoolsill.JobID][]byte
 
 	version   spoolsill.Version // of the queues
@@ -276,17 +274,6 @@
 	l.hears = make(chan struct{})
 }
 
-// Suspects returns how many tasks are suspected of crashing their workers, and on how
-// many machines workers crashed in the last minute.
-func (l *Leader) Suspects() (tasks, crashed int64) {
-	return l.suspects.Load(), l.crashed.Load()
-}
-
-// Unclear returns how many workers' entries can't be understood.
-func (l *Leader) Unclear() int64 {
-	return l.unclears.Load()
-}
-
 // Fresh returns when the latest write that lasts was begun.
 func (l *Leader) Fresh() time.Time {
 	t, _ := l.Latest()
@@ -487,9 +474,7 @@
 	}
 	l.decided = now
 	l.state.Decide(now)
-	tasks, crashed := l.state.Suspects()
-	l.suspects.Store(int64(tasks))
-	l.crashed.Store(int64(crashed))
+	l.gauges.setSuspects(l.state.Suspects())
 	l.looking = l.config.Clock.Since(now)
 }
 
--- a/leader/load.go
+++ b/leader/load.go
@@ -96,7 +96,7 @@
 		l.unclear[id] = true
 		l.config.Log.WithError(err).WithField("worker", string(id)).Warn("worker's entry can't be understood")
 	}
-	l.unclears.Store(int64(len(l.unclear)))
+	l.gauges.unclear.Store(int64(len(l.unclear)))
 }
 
 func (l *Leader) takeJobs(now time.Time, rows []store.Row) {
--- /dev/null
+++ b/sched/crashmodel_test.go
@@ -0,0 +1,145 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// A crashModel plays a task that crashes its workers, with workers that go for other
+// causes, cuts, orders that are late and leaders that change, and counts its starts as
+// the platform does.
+type crashModel struct {
+	x       *cell
+	kept    []byte
+	next    int
+	workers []spoolsill.WorkerID
+	run     *sched.StartOrder // where the task runs, as far as the world knows
+	silent  map[spoolsill.WorkerID]bool
+	crashes int
+	after   int // its starts after three crashes
+}
+
+func (m *crashModel) add() {
+	m.workers = append(m.workers, m.x.listLife(m.next, 0))
+	m.next++
+}
+
+// round has workers answer, decides, writes, and has orders carried out.
+func (m *crashModel) round(t *rapid.T) {
+	for _, w := range m.workers {
+		if m.silent[w] {
+			continue
+		}
+		if m.run != nil && m.run.Worker == w {
+			m.x.renew(w, m.run.Run)
+			continue
+		}
+		m.x.renew(w)
+	}
+	m.x.state.Decide(m.x.now)
+	b, _, err := m.x.state.Batch(m.x.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range b.Rows {
+		m.kept = r.Value
+	}
+	for _, o := range m.x.state.Written(m.x.now, b) {
+		m.begin(t, o)
+	}
+}
+
+func (m *crashModel) begin(t *rapid.T, o sched.StartOrder) {
+	answer := rapid.SampledFrom([]sched.StartOutcome{sched.StartTaken, sched.StartUnknown}).Draw(t, "answer")
+	if m.crashes >= 3 {
+		m.after++
+	}
+	if m.after >= 3 {
+		t.Fatalf("%s#%d is the third start after %d crashes", o.Run.Task, o.Run.Number, m.crashes)
+	}
+	m.run = &o
+	m.x.answerStart(o, answer)
+}
+
+// crash ends the worker that runs the task; the leader learns of it in one of the
+// ways that there are, or not yet.
+func (m *crashModel) crash(t *rapid.T) {
+	if m.run == nil {
+		return
+	}
+	w := m.run.Worker
+	m.run = nil
+	m.crashes++
+	m.workers = remove(m.workers, w)
+	m.x.now = m.x.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "back_ms")) * time.Millisecond)
+	if rapid.Bool().Draw(t, "unlisted") {
+		m.x.state.UnlistWorker(m.x.now, w)
+	}
+	if rapid.Bool().Draw(t, "heard") {
+		m.x.state.WorkerDied(m.x.now, w)
+	}
+	m.add()
+}
+
+func remove(ws []spoolsill.WorkerID, w spoolsill.WorkerID) []spoolsill.WorkerID {
+	var kept []spoolsill.WorkerID
+	for _, o := range ws {
+		if o != w {
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
+
+// takeOver has another leader go on from what was written.
+func (m *crashModel) takeOver(t *rapid.T) {
+	m.x.state = m.x.newState()
+	p := sched.Progress{}
+	if m.kept != nil {
+		var err error
+		p, err = sched.DecodeProgress(m.kept)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.x.state.AddJob(m.x.now, job("j", "q", tasks(1, 1)), p)
+	for _, w := range m.workers {
+		m.x.list(w, false)
+	}
+}
+
+// In whatever order crashes, cuts, answers that are lost and changes of the leader
+// come, and whatever of them is heard: a task is never started a third time after
+// three workers have crashed under it.
+func TestNeverAThirdStartAfterThreeCrashes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &crashModel{
+			x:      newCell(t),
+			silent: map[spoolsill.WorkerID]bool{},
+		}
+		m.x.state.AddJob(m.x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+		for range 3 {
+			m.add()
+		}
+		for range rapid.IntRange(20, 60).Draw(rt, "moves") {
+			switch rapid.IntRange(0, 5).Draw(rt, "move") {
+			case 0, 1, 2:
+				m.crash(rt)
+			case 3:
+				w := rapid.SampledFrom(m.workers).Draw(rt, "worker")
+				m.silent[w] = !m.silent[w]
+			case 4:
+				m.takeOver(rt)
+			case 5:
+				m.x.now = m.x.now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(rt, "pass_ms")) * time.Millisecond)
+			}
+			m.x.now = m.x.now.Add(20 * time.Millisecond)
+			m.round(rt)
+		}
+	})
+}
--- /dev/null
+++ b/sched/crashrow_test.go
@@ -0,0 +1,83 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// A former release reads a row as if nothing stood behind the progress, and this one
+// reads rows without it.
+func TestRowsAreReadByBothReleases(t *testing.T) {
+	type former struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads it
+
+		State  sched.JobState
+		Stages []sched.StageProgress
+	}
+	c := qt.New(t)
+	p := running("kept")
+	plain, err := sched.EncodeProgress(p)
+	c.Assert(err, qt.IsNil)
+	old, err := msgpack.Marshal(&former{
+		State:  p.State,
+		Stages: p.Stages,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(plain, qt.DeepEquals, old)
+	p.Crashes = []sched.TaskCrashes{
+		{
+			Lived: 20 * time.Millisecond,
+			Losses: []sched.Loss{
+				{
+					Worker: "v",
+					Begun:  true,
+					Over:   true,
+				},
+			},
+		},
+	}
+	b, err := sched.EncodeProgress(p)
+	c.Assert(err, qt.IsNil)
+	var f former
+	c.Assert(msgpack.Unmarshal(b, &f), qt.IsNil)
+	c.Assert(f.Stages, qt.HasLen, 1)
+	c.Assert(f.Stages[0].Tasks[0].Worker, qt.Equals, spoolsill.WorkerID("kept"))
+	got, err := sched.DecodeProgress(b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Stages, qt.HasLen, 1)
+	c.Assert(got.Crashes, qt.HasLen, 1)
+	c.Assert(got.Crashes[0].Lived, qt.Equals, p.Crashes[0].Lived)
+	c.Assert(got.Crashes[0].Losses[0].Worker, qt.Equals, spoolsill.WorkerID("v"))
+	c.Assert(got.Crashes[0].Losses[0].Begun && got.Crashes[0].Losses[0].Over, qt.IsTrue)
+	got, err = sched.DecodeProgress(old)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Crashes, qt.HasLen, 0)
+}
+
+// What a row keeps of crashes is bounded: of a job whose thousand tasks went with their
+// workers, those with the most losses.
+func TestCrashesKeptAreBounded(t *testing.T) {
+	x := newCell(t)
+	j := job("j", "q", tasks(1000, 0))
+	x.state.AddJob(x.now, j, sched.Progress{})
+	for i := range 2 {
+		x.listLife(i, 0)
+		o := x.step()
+		x.take(o)
+		x.now = x.now.Add(3 * time.Second)
+		x.state.WorkerDied(x.now, life(i, 0))
+	}
+	x.listLife(2, 0)
+	b, err := x.rowOfJ()
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(len(b) < sched.ProgressBytes(j), qt.IsTrue)
+	p, err := sched.DecodeProgress(b)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(p.Crashes, qt.HasLen, 32)
+}
