spoolsill-host: signals are caught first of all, and to the end

The host began to listen to that signal only after it had read its settings, in a goroutine; until then, and again while it stopped as planned, the signal's default ended it, with all requests under way. Change: both signals are caught at the beginning of main, for the whole life. Left: until the runtime has come to main the default holds, as for any program.

--- a/cmd/spoolsill-host/main.go
+++ b/cmd/spoolsill-host/main.go
@@ -49,6 +49,12 @@
 }
 
 func run() int {
+	// First of all, and for the whole life: by default either signal ends the process,
+	// and they may come while it starts, and the one on settings while it stops.
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	var f flags
 	kong.Parse(&f,
 		kong.Name("spoolsill-host"),
@@ -64,19 +70,17 @@
 		return exitOK
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return serve(ctx, f, s)
+	return serve(ctx, changed, f, s)
 }
 
 // serve runs the host until ctx ends.
-func serve(ctx context.Context, f flags, s platform.Settings) int {
+func serve(ctx context.Context, changed <-chan os.Signal, f flags, s platform.Settings) int {
 	log := oplog.New(os.Stdout)
 	logging, stop := context.WithCancel(context.Background())
 	go log.Run(logging)
 	defer log.Wait()
 	defer stop()
-	go reload(ctx, f.Settings, s, log.Logger)
+	go reload(ctx, changed, f.Settings, s, log.Logger)
 	m := telemetry.New()
 	m.Gauge("spoolsill.log.left", "log lines left out", log.LeftOut)
 	err := node.New(node.Config{
@@ -105,16 +109,13 @@
 	debug.SetGCPercent(usualGC)
 }
 
-// reload checks the settings file at each SIGHUP and tells what it finds. What
-// the file says of addresses and limits holds from the next start on: a host
-// keeps the ones that it listens on.
-func reload(ctx context.Context, file string, now platform.Settings, log *logrus.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// reload checks the settings file whenever it is told that it changed, and tells what
+// it finds. What the file says of addresses and limits holds from the next start on: a
+// host keeps the ones that it listens on.
+func reload(ctx context.Context, changed <-chan os.Signal, file string, now platform.Settings, log *logrus.Logger) {
 	for {
 		select {
-		case <-hup:
+		case <-changed:
 		case <-ctx.Done():
 			return
 		}
