sched: a test that others keep away from a trial

Result: TestOthersKeepAwayFromATrial passes, and fails for single tasks and gangs with either cost at 0; sched passes with the race detector, the linter has no remark.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -328,6 +328,31 @@
 	x.c.Assert(at, qt.HasLen, 4)
 }
 
+// Single tasks and gangs that nothing speaks against start elsewhere while a suspect is on
+// trial at a worker, though they would fit more tightly there.
+func TestOthersKeepAwayFromATrial(t *testing.T) {
+	for name, step := range map[string]sched.Step{
+		"single tasks": tasks(2, 1),
+		"a gang":       gang(2, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newCell(t)
+			x.listLife(0, 0)
+			x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+			x.crash(startOf(x.c, "j", x.step()), 10*time.Millisecond)
+			tried := x.listLife(1, 0)
+			x.c.Assert(startOf(x.c, "j", x.step()).Worker, qt.Equals, tried)
+			other := x.listLife(2, 0)
+			x.state.AddJob(x.now, job("k", "q", step), sched.Progress{})
+			o := x.step()
+			x.c.Assert(o, qt.HasLen, 2)
+			for _, k := range o {
+				x.c.Check(k.Worker, qt.Equals, other)
+			}
+		})
+	}
+}
+
 // Where a task that two workers went under is tried, nothing else is started until it
 // has lived for a second.
 func TestNothingElseStartsBesideAStrongSuspect(t *testing.T) {
