team, platform, node: calls bear keys, and jobs are their team's

Cause: no host asked who calls. A job is its team's: its row and its progress say so, state and cancel with another team's key are 403. Rows of the former release are read, and it reads ours.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -109,13 +109,17 @@
 }
 
 // compare tells whether a kept job is the one that was handed in again; when
-// it was handed in does not matter.
+// it was handed in does not matter, nor whose it is where either does not say: hosts of
+// the release before teams keep and hand on jobs of nobody.
 func compare(j sched.Job, kept []byte) (Outcome, error) {
 	o, err := DecodeJob(kept)
 	if err != nil {
 		return Conflict, err
 	}
 	j.Received = o.Received
+	if j.Team == "" || o.Team == "" {
+		j.Team = o.Team
+	}
 	v, err := EncodeJob(j)
 	if err != nil {
 		return Conflict, err
@@ -165,20 +169,41 @@
 	if row.Version > 0 {
 		p, err := sched.DecodeProgress(row.Value)
 		st.State = p.State
+		st.Team = p.Team
 		return st, true, err
 	}
-	known, cancelled, err := find(ctx, s, id)
-	if cancelled {
+	f, err := find(ctx, s, id)
+	if err != nil || f.job.Version == 0 {
+		return st, false, err
+	}
+	j, err := DecodeJob(f.job.Value)
+	st.Team = j.Team
+	if f.cancelled {
 		st.State = sched.Cancelled
 	}
-	return st, known, err
+	return st, true, err
+}
+
+// found is what the partitions have of a job: the row that counts, of version 0 if
+// there is none, and whether any marks it as cancelled.
+type found struct {
+	job       store.Row
+	cancelled bool
+}
+
+func (f *found) take(r store.Row, id spoolsill.JobID) {
+	if r.Key.Name == string(id) && (f.job.Version == 0 || r.Version < f.job.Version) {
+		f.job = r
+	}
+	f.cancelled = f.cancelled || r.Key.Name == string(id)+cancelSuffix
 }
 
 // find looks for a job and its mark in all partitions.
-func find(ctx context.Context, s store.Store, id spoolsill.JobID) (known, cancelled bool, err error) {
+func find(ctx context.Context, s store.Store, id spoolsill.JobID) (found, error) {
+	var f found
 	parts, err := s.Partitions(ctx, JobsTable)
 	if err != nil {
-		return false, false, err
+		return f, err
 	}
 	var mu sync.Mutex
 	g, ctx := errgroup.WithContext(ctx)
@@ -192,14 +217,13 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for _, r := range p.Rows {
-				known = known || r.Key.Name == string(id)
-				cancelled = cancelled || r.Key.Name == string(id)+cancelSuffix
+				f.take(r, id)
 			}
 			return nil
 		})
 	}
 	err = g.Wait()
-	return known, cancelled, err
+	return f, err
 }
 
 // readsAtOnce bounds the reads that one look-up has under way.
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -154,3 +154,63 @@
 		c.Assert(x.State, qt.Equals, sched.Cancelled)
 	})
 }
+
+// Hosts of the release before teams keep jobs of nobody, and hand on jobs without the
+// team that another host has read from the key.
+func TestJobsOfBothReleasesAreTheSame(t *testing.T) {
+	for _, x := range []struct {
+		name        string
+		kept, again spoolsill.TeamID
+		want        jobstore.Outcome
+	}{
+		{"the same team", "a", "a", jobstore.Known},
+		{"kept by a host of the former release", "", "a", jobstore.Known},
+		{"handed on by a host of the former release", "a", "", jobstore.Known},
+		{"another team", "a", "b", jobstore.Conflict},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			with(t, func(ctx context.Context, c *qt.C, _ *cellfake.Store, w *jobstore.Writer) {
+				j := job("j", "s")
+				j.Team = x.kept
+				o, _ := w.Accept(ctx, j)
+				c.Assert(o, qt.Equals, jobstore.Accepted)
+				pause.For(ctx, time.Second)
+				j = job("j", "s")
+				j.Team = x.again
+				o, _ = w.Accept(ctx, j)
+				c.Assert(o, qt.Equals, x.want)
+			})
+		})
+	}
+}
+
+// Whose a job is can be read from the store as long as it can be asked about.
+func TestTeamFromTheStore(t *testing.T) {
+	with(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+		j := job("j", "s")
+		j.Team = "a"
+		_, err := w.Accept(ctx, j)
+		c.Assert(err, qt.IsNil)
+		x, _, err := jobstore.State(ctx, s, "j")
+		c.Assert(err, qt.IsNil)
+		c.Check(x.Team, qt.Equals, spoolsill.TeamID("a"))
+		v, err := sched.EncodeProgress(sched.Progress{
+			State: sched.Completed,
+			Team:  "a",
+		})
+		c.Assert(err, qt.IsNil)
+		_, err = s.Commit(ctx, store.Transaction{
+			Puts: []store.Put{
+				{
+					Key:   jobstore.ProgressKey("k"),
+					Value: v,
+				},
+			},
+		})
+		c.Assert(err, qt.IsNil)
+		x, _, err = jobstore.State(ctx, s, "k")
+		c.Assert(err, qt.IsNil)
+		c.Check(x.Team, qt.Equals, spoolsill.TeamID("a"))
+		c.Check(x.State, qt.Equals, sched.Completed)
+	})
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -134,7 +134,7 @@
 type event interface{}
 
 type (
-	queuesChanged struct {
+	configChanged struct {
 		version spoolsill.Version
 		queues  []sched.Queue
 	}
@@ -189,10 +189,10 @@
 	return l.config.Chain.Epoch()
 }
 
-// SetQueues takes in the queues of a configuration. An older one than the last
-// changes nothing, in whatever order they come.
-func (l *Leader) SetQueues(v spoolsill.Version, q []sched.Queue) {
-	l.send(queuesChanged{
+// SetConfig takes in the queues of a configuration. An older one than the
+// last changes nothing, in whatever order they come.
+func (l *Leader) SetConfig(v spoolsill.Version, q []sched.Queue) {
+	l.send(configChanged{
 		version: v,
 		queues:  q,
 	})
@@ -388,8 +388,8 @@
 func (l *Leader) take(e event) error {
 	now := l.config.Clock.Now()
 	switch e := e.(type) {
-	case queuesChanged:
-		l.takeQueues(e)
+	case configChanged:
+		l.takeConfig(e)
 	case progressLoaded:
 		l.takeProgress(e.rows)
 	case workersListed:
@@ -430,7 +430,7 @@
 	return nil
 }
 
-func (l *Leader) takeQueues(e queuesChanged) {
+func (l *Leader) takeConfig(e configChanged) {
 	if e.version <= l.version {
 		return
 	}
--- a/leader/load.go
+++ b/leader/load.go
@@ -137,7 +137,7 @@
 		l.config.Log.WithError(err).WithField("job", string(id)).WithField("state", p.State.String()).Error("progress without a job")
 		return
 	}
-	l.state.AddEnded(now, id, p.State)
+	l.state.AddEnded(now, id, p)
 }
 
 // takeJob takes in a row of the jobs table: a job or the mark of a cancelled
--- a/node/config.go
+++ b/node/config.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/platform"
@@ -127,7 +129,7 @@
 func (c *configs) tell(l *leader.Leader) {
 	k := c.get()
 	if k.config != nil {
-		l.SetQueues(k.version, k.config.Queues())
+		l.SetConfig(k.version, k.config.Queues())
 	}
 }
 
@@ -197,9 +199,25 @@
 	}, n.clock.Now()) {
 		return true
 	}
-	n.log.WithField("version", uint64(c.Version)).WithField("from", from).WithField("queues", len(c.Routes)).Info("configuration in force")
+	n.log.WithFields(logrus.Fields{
+		"version": uint64(c.Version),
+		"from":    from,
+		"queues":  len(c.Routes),
+		"teams":   len(c.Teams),
+	}).Info("configuration in force")
+	n.logFaults(&c)
 	if l := n.leaderHere(); l != nil {
 		n.configs.tell(l)
 	}
 	return true
 }
+
+// logFaults tells of what in a configuration is surely not meant so.
+func (n *Node) logFaults(c *platform.Config) {
+	if c.Keys == nil {
+		return
+	}
+	for _, f := range c.Keys.Faults() {
+		n.log.WithField("version", uint64(c.Version)).WithField("team", string(f.Team)).WithField("fault", f.Text).Warn("team's configuration is at fault")
+	}
+}
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -213,6 +213,7 @@
 	if r, err := n.askState(ctx, id); err == nil && (r.Known || r.Sure) {
 		return sched.JobStatus{
 			ID:    id,
+			Team:  r.Team,
 			State: r.State,
 		}, stateOutcome(r.Known), nil
 	}
@@ -259,16 +260,15 @@
 }
 
 // Cancel implements [platform.Jobs].
-func (n *Node) Cancel(ctx context.Context, id spoolsill.JobID) (platform.Outcome, error) {
+func (n *Node) Cancel(ctx context.Context, c platform.Caller, id spoolsill.JobID) (platform.Outcome, error) {
 	var last error
 	for ctx.Err() == nil {
-		known, err := n.cancelOnce(ctx, id)
-		if err == nil && !known {
-			return platform.NoSuch, nil
+		o, err := n.cancelOnce(ctx, c, id)
+		if err == nil && o == platform.Done {
+			n.log.WithField("request", platform.RequestOf(ctx)).WithField("job", string(id)).Info("job cancelled")
 		}
 		if err == nil {
-			n.log.WithField("request", platform.RequestOf(ctx)).WithField("job", string(id)).Info("job cancelled")
-			return platform.Done, nil
+			return o, nil
 		}
 		last = err
 		if !n.health.reachable(n.clock.Now()) {
@@ -279,43 +279,56 @@
 	return platform.Unknown, last
 }
 
-func (n *Node) cancelOnce(ctx context.Context, id spoolsill.JobID) (bool, error) {
+// cancelOnce returns Done, NoSuch, Foreign or an error.
+func (n *Node) cancelOnce(ctx context.Context, c platform.Caller, id spoolsill.JobID) (platform.Outcome, error) {
 	if n.health.tryable(n.clock.Now()) {
-		known, err := n.cancelHere(ctx, id)
+		o, err := n.cancelHere(ctx, c, id)
 		if err == nil {
-			return known, nil
+			return o, nil
 		}
 	}
 	h, ok := n.leaderHost()
 	if !ok {
-		return false, errNotLeading
+		return platform.Unknown, errNotLeading
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
 	defer cancel()
 	r, err := peer.Call[cancelReply](ctx, n.peers, h, methodCancel, cancelRequest{
-		Job: id,
+		Job:    id,
+		Caller: c,
 	})
-	return r.Known, err
+	switch {
+	case err != nil:
+		return platform.Unknown, err
+	case r.Foreign:
+		return platform.Foreign, nil
+	default:
+		return stateOutcome(r.Known), nil
+	}
 }
 
-// cancelHere marks a job as cancelled in the store, if there is such a job.
-func (n *Node) cancelHere(ctx context.Context, id spoolsill.JobID) (bool, error) {
-	_, o, err := n.State(ctx, id)
+// cancelHere marks a job as cancelled in the store, if there is such a job and a
+// caller may cancel it. The outcome is Done, NoSuch or Foreign if there is no error.
+func (n *Node) cancelHere(ctx context.Context, c platform.Caller, id spoolsill.JobID) (platform.Outcome, error) {
+	s, o, err := n.State(ctx, id)
 	if o != platform.Done {
-		return false, err
+		return o, err
+	}
+	if !c.Owns(s) {
+		return platform.Foreign, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.health.writeTimeout())
 	defer cancel()
 	if err := n.cancelling.Acquire(ctx, 1); err != nil {
-		return true, err
+		return platform.Unknown, err
 	}
 	defer n.cancelling.Release(1)
 	if err := jobstore.Cancel(ctx, n.store, n.partition(), id); err != nil {
-		return true, err
+		return platform.Unknown, err
 	}
 	// A feed may hear nothing for seconds, and the tasks would run on meanwhile.
 	n.tell(ctx, id, jobstore.CancelRow(n.partition(), id))
-	return true, nil
+	return platform.Done, nil
 }
 
 // Waiting implements [platform.Jobs].
--- a/node/peers.go
+++ b/node/peers.go
@@ -13,6 +13,7 @@
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
+	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
@@ -85,6 +86,8 @@
 	// Sure tells that a job that is not known was not accepted either.
 	Sure  bool
 	State sched.JobState
+	// Team is whose job it is; leaders of the release before teams do not say.
+	Team spoolsill.TeamID
 }
 
 type waitingRequest struct {
@@ -123,10 +126,15 @@
 
 type cancelRequest struct {
 	Job spoolsill.JobID
+	// Caller may cancel jobs of its own only. Hosts of the release before teams say
+	// nothing of callers, which may cancel any.
+	Caller platform.Caller
 }
 
 type cancelReply struct {
 	Known bool
+	// Foreign tells that it is another team's job.
+	Foreign bool
 }
 
 func (n *Node) handlePeers() {
@@ -192,6 +200,7 @@
 		Known: known,
 		Sure:  sure,
 		State: s.State,
+		Team:  s.Team,
 	}, nil
 }
 
@@ -276,9 +285,10 @@
 }
 
 func (n *Node) cancelAsked(ctx context.Context, _ peer.Caller, q cancelRequest) (cancelReply, error) {
-	known, err := n.cancelHere(ctx, q.Job)
+	o, err := n.cancelHere(ctx, q.Caller, q.Job)
 	return cancelReply{
-		Known: known,
+		Known:   o != platform.NoSuch,
+		Foreign: o == platform.Foreign,
 	}, err
 }
 
--- a/sched/crashrow_test.go
+++ b/sched/crashrow_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -81,3 +82,37 @@
 	x.c.Assert(err, qt.IsNil)
 	x.c.Assert(p.Crashes, qt.HasLen, 32)
 }
+
+// The release that knows of crashes and of no teams reads a row that has a team.
+func TestRowsWithATeamAreReadByTheFormerRelease(t *testing.T) {
+	c := qt.New(t)
+	for _, crashes := range [][]sched.TaskCrashes{
+		nil,
+		{
+			{
+				Losses: []sched.Loss{
+					{
+						Worker: "v",
+					},
+				},
+			},
+		},
+	} {
+		p := running("kept")
+		p.Crashes = crashes
+		p.Team = "a"
+		b, err := sched.EncodeProgress(p)
+		c.Assert(err, qt.IsNil)
+		d := msgpack.NewDecoder(bytes.NewReader(b))
+		var progress sched.Progress
+		c.Assert(d.Decode(&progress), qt.IsNil)
+		c.Assert(progress.Stages, qt.HasLen, 1)
+		var read []sched.TaskCrashes
+		c.Assert(d.Decode(&read), qt.IsNil)
+		c.Assert(read, qt.HasLen, len(crashes))
+		got, err := sched.DecodeProgress(b)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.Team, qt.Equals, spoolsill.TeamID("a"))
+		c.Assert(got.Crashes, qt.HasLen, len(crashes))
+	}
+}
--- a/sched/event.go
+++ b/sched/event.go
@@ -204,6 +204,7 @@
 type JobStatus struct {
 	ID    spoolsill.JobID
 	Queue QueueID
+	Team  spoolsill.TeamID // empty: nobody's, or not known any more
 	State JobState
 }
 
--- a/sched/job.go
+++ b/sched/job.go
@@ -54,6 +54,9 @@
 type Job struct {
 	ID    spoolsill.JobID
 	Queue QueueID
+	// Team is whose job it is; empty where nobody asked. Rows of jobs that no team has
+	// look as they did before there were teams.
+	Team spoolsill.TeamID `msgpack:",omitempty"`
 	// Spec is handed to the workers as it is.
 	Spec  string
 	Steps []Step
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -230,12 +230,13 @@
 	s.timed = rest
 }
 
-// AddEnded takes in a job of which only its final state is kept.
-func (s *State) AddEnded(now time.Time, id spoolsill.JobID, state JobState) {
+// AddEnded takes in a job of which only its progress is kept, which is final.
+func (s *State) AddEnded(now time.Time, id spoolsill.JobID, p Progress) {
 	s.AddJob(now, Job{
-		ID: id,
+		ID:   id,
+		Team: p.Team,
 	}, Progress{
-		State: state,
+		State: p.State,
 	})
 }
 
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -23,6 +23,9 @@
 	// takes nothing where there are none: programs that do not know of it read a row
 	// as if it was not there, and rows without it are read.
 	Crashes []TaskCrashes `msgpack:"-"`
+	// Team is whose job it is. The job's own row tells it too, but goes when the job
+	// has ended. It is kept behind Crashes, and takes nothing where there is none.
+	Team spoolsill.TeamID `msgpack:"-"`
 }
 
 // A TaskCrashes is what speaks for a task crashing the workers that start it.
@@ -64,12 +67,23 @@
 
 // EncodeProgress returns p as it is kept.
 func EncodeProgress(p Progress) ([]byte, error) {
-	b, err := msgpack.Marshal(&p)
-	if err != nil || len(p.Crashes) == 0 {
-		return b, err
+	values := []any{&p}
+	switch {
+	case p.Team != "":
+		// Programs that do not know of teams read the value before it as crashes.
+		values = append(values, p.Crashes, p.Team)
+	case len(p.Crashes) > 0:
+		values = append(values, p.Crashes)
 	}
-	c, err := msgpack.Marshal(p.Crashes)
-	return append(b, c...), err
+	var b []byte
+	for _, v := range values {
+		x, err := msgpack.Marshal(v)
+		if err != nil {
+			return nil, err
+		}
+		b = append(b, x...)
+	}
+	return b, nil
 }
 
 // DecodeProgress reads what [EncodeProgress] returned.
@@ -85,7 +99,11 @@
 	if len(rest) == 0 {
 		return p, nil
 	}
-	_, err = packed.Decode(rest, &p.Crashes)
+	rest, err = packed.Decode(rest, &p.Crashes)
+	if err != nil || len(rest) == 0 {
+		return p, err
+	}
+	_, err = packed.Decode(rest, &p.Team)
 	return p, err
 }
 
@@ -100,6 +118,8 @@
 	// task's only one, the task.
 	lossesKept = 64
 	lossBytes  = 48
+	// teamBytes is what the name of its team needs beside its bytes.
+	teamBytes = 8
 )
 
 // ProgressBytes returns how long the progress of a job may become.
@@ -108,13 +128,14 @@
 	for i := range j.Steps {
 		n += stageBytes + j.Steps[i].Tasks*taskBytes
 	}
-	return n*j.rounds() + lossesKept*lossBytes
+	return n*j.rounds() + lossesKept*lossBytes + teamBytes + len(j.Team)
 }
 
 // progress returns what is to be kept of j.
 func (j *job) progress() Progress {
 	p := Progress{
 		State: j.state,
+		Team:  j.Team,
 	}
 	if j.state.Final() && j.runs == 0 {
 		return p
--- a/sched/state.go
+++ b/sched/state.go
@@ -219,6 +219,7 @@
 	return JobStatus{
 		ID:    j.ID,
 		Queue: j.Queue,
+		Team:  j.Team,
 		State: j.state,
 	}
 }
