sched: teams have quotas, which count until an end is sure

Change: a team's account counts what is in the workers' accounts, from the moment an order may reach a worker until its end is certain, and runs that no record names. Tasks start up to the quota, gangs when all of them fit it; at it a stage holds no workers and asks no advice. Orders that a lowered quota overtakes do not leave; runs in doubt of a team over its quota are stopped, since they may begin when only the lower one is in force; what runs goes on. Jobs of a team that no configuration has named wait until theirs must be in force. losses tells what waited for its quota.

--- a/leader/fixture_test.go
+++ b/leader/fixture_test.go
@@ -136,7 +136,7 @@
 			Log:      logrus.NewEntry(log),
 			Observer: x.observer,
 		})
-		l.SetConfig(1, queues())
+		l.SetConfig(1, queues(), nil)
 		ctx, cancel := context.WithCancel(x.ctx)
 		x.leaders = append(x.leaders, l)
 		x.kills = append(x.kills, cancel)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -102,7 +102,7 @@
 	gauges   gauges
 	rows     map[spoolsill.JobID][]byte
 
-	version   spoolsill.Version // of the queues
+	version   spoolsill.Version // of the queues and teams
 	writing   bool
 	lastWrite time.Time // when the latest write that lasts was begun
 	decided   time.Time
@@ -137,6 +137,7 @@
 	configChanged struct {
 		version spoolsill.Version
 		queues  []sched.Queue
+		teams   []sched.Team
 	}
 	progressLoaded struct{ rows []store.Row }
 	workersListed  struct{ rows []store.Row }
@@ -189,12 +190,13 @@
 	return l.config.Chain.Epoch()
 }
 
-// SetConfig takes in the queues of a configuration. An older one than the
+// SetConfig takes in the queues and teams of a configuration. An older one than the
 // last changes nothing, in whatever order they come.
-func (l *Leader) SetConfig(v spoolsill.Version, q []sched.Queue) {
+func (l *Leader) SetConfig(v spoolsill.Version, q []sched.Queue, t []sched.Team) {
 	l.send(configChanged{
 		version: v,
 		queues:  q,
+		teams:   t,
 	})
 }
 
@@ -436,6 +438,7 @@
 	}
 	l.version = e.version
 	l.state.SetQueues(e.queues)
+	l.state.SetTeams(l.config.Clock.Now(), e.teams)
 }
 
 // act decides, and sends what may be sent.
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -29,8 +29,8 @@
 		l := x.lead("a")
 		moved := queues()
 		moved[0].Service = "elsewhere"
-		l.SetConfig(3, moved)
-		l.SetConfig(2, queues())
+		l.SetConfig(3, moved, nil)
+		l.SetConfig(2, queues(), nil)
 		x.submit(sched.Job{
 			ID:    "j",
 			Queue: "plain",
@@ -38,7 +38,7 @@
 		})
 		pause.For(x.ctx, 3*time.Second)
 		x.c.Assert(x.workers.Starts(), qt.Equals, 0)
-		l.SetConfig(4, queues())
+		l.SetConfig(4, queues(), nil)
 		pause.For(x.ctx, 3*time.Second)
 		x.assertCompleted(l, []spoolsill.JobID{"j"})
 	})
--- a/leader/log.go
+++ b/leader/log.go
@@ -83,6 +83,7 @@
 			f["objective_ms"] = a.Objective.Milliseconds()
 			f["waited_advice_ms"] = a.Advice.Milliseconds()
 			f["waited_room_ms"] = a.Room.Milliseconds()
+			f["waited_quota_ms"] = a.Quota.Milliseconds()
 			f["runs_failed"] = a.Failed
 			f["runs_lost"] = a.Lost
 		}
--- a/logloss/logloss.go
+++ b/logloss/logloss.go
@@ -31,6 +31,7 @@
 	RunFailed     Reason = "a run failed"
 	LeaderChanged Reason = "the leader changed"
 	StoreAway     Reason = "the store was away"
+	WaitedQuota   Reason = "waited for its team's quota"
 	WaitedAdvice  Reason = "waited for advice"
 	WaitedRoom    Reason = "waited for room"
 	RanLong       Reason = "ran"
@@ -62,8 +63,9 @@
 	ended    bool
 	state    string
 
-	took, objective, advice, room time.Duration
-	failed, lost                  int
+	took, objective     time.Duration
+	advice, room, quota time.Duration
+	failed, lost        int
 }
 
 // Of returns the queues of saved logs, in the order of their names. Jobs that no
@@ -152,6 +154,7 @@
 	j.objective = l.Millis("objective_ms")
 	j.advice = l.Millis("waited_advice_ms")
 	j.room = l.Millis("waited_room_ms")
+	j.quota = l.Millis("waited_quota_ms")
 	j.failed = int(l.Number("runs_failed"))
 	j.lost = int(l.Number("runs_lost"))
 }
@@ -188,6 +191,8 @@
 		return StoreAway
 	case during(leaders):
 		return LeaderChanged
+	case j.quota > long && j.quota >= j.room+j.advice:
+		return WaitedQuota
 	case j.advice > long && j.advice >= j.room:
 		return WaitedAdvice
 	case j.room > long:
--- a/node/config.go
+++ b/node/config.go
@@ -129,7 +129,7 @@
 func (c *configs) tell(l *leader.Leader) {
 	k := c.get()
 	if k.config != nil {
-		l.SetConfig(k.version, k.config.Queues())
+		l.SetConfig(k.version, k.config.Queues(), k.config.Teams)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -394,6 +395,8 @@
 			DrainTime:  b.DrainTime,
 			FarFactor:  b.FarFactor,
 			EntriesAge: max(b.RoomKnown-orderMargin, 0),
+
+			ConfigInForce: cmp.Or(b.ConfigInForce, configInForce),
 		},
 		Log:      n.log,
 		Observer: n.metrics,
--- a/sched/account.go
+++ b/sched/account.go
@@ -7,6 +7,7 @@
 	waitNothing waitKind = iota
 	waitAdvice
 	waitRoom
+	waitQuota
 )
 
 // charge adds the time since a stage was last looked at to its job's account.
@@ -17,6 +18,8 @@
 		g.job.account.Advice += t
 	case waitRoom:
 		g.job.account.Room += t
+	case waitQuota:
+		g.job.account.Quota += t
 	default:
 	}
 	g.waits = waitNothing
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -245,7 +245,7 @@
 }
 
 func (s *State) usable(r *run) bool {
-	return r.worker.takes(s.now) && r.worker.hasRoom() && r.task.stage.advice.valid(r.worker.id, s.now)
+	return r.worker.takes(s.now) && r.worker.hasRoom() && !r.task.stage.job.team.over() && r.task.stage.advice.valid(r.worker.id, s.now)
 }
 
 // plan takes room for a run while its ticket is renewed.
@@ -265,15 +265,11 @@
 }
 
 func (s *State) unplan(r *run) {
-	w := r.worker
-	if w.runs[r.id] != r {
+	if r.worker.runs[r.id] != r {
 		return
 	}
-	delete(w.runs, r.id)
-	w.used = w.used.Sub(r.need)
-	w.endTrial(r)
+	s.unbook(r)
 	r.task.run = nil
-	r.task.stage.job.runs--
 }
 
 // keepWarm renews the tickets of a gang that waits for room before they run
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -156,7 +156,7 @@
 func (s *State) mayLeave(r *run) bool {
 	g := r.task.stage
 	return !r.task.done && !g.job.state.Final() && !r.stopping &&
-		s.roomIsKnown() && r.worker.hasRoom() &&
+		s.roomIsKnown() && r.worker.hasRoom() && !g.job.team.over() &&
 		r.worker.present(s.now) && !r.worker.unclear && !r.worker.Draining
 }
 
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -18,6 +18,8 @@
 	s.stopStuck()
 	s.stopAgain()
 	s.keepSuspects()
+	s.countStrays()
+	s.stopDoubtful()
 	s.openDue()
 	if s.now.Sub(s.answeredFirst) < s.config.SettleTime || !s.roomIsKnown() {
 		return
@@ -137,6 +139,12 @@
 		return
 	}
 	d.charge(g)
+	if !d.underQuota(g) {
+		g.gathered = nil
+		g.lookedAt = d.now
+		g.waits = waitQuota
+		return
+	}
 	switch {
 	case q.Advisor != nil && !d.advised(g, q):
 	case g.step.Gang:
@@ -213,6 +221,9 @@
 		if t.done || t.run != nil {
 			continue
 		}
+		if !g.job.team.takes(g.step.room()) {
+			break
+		}
 		w := d.best(t, ws)
 		if w == nil {
 			waiting++
--- a/sched/event.go
+++ b/sched/event.go
@@ -260,10 +260,11 @@
 type Account struct {
 	// Objective is the time within which it should have ended.
 	Objective time.Duration
-	// Advice and Room are for how long its stages waited for the advisor and
-	// for room at a worker, added up.
+	// Advice, Room and Quota are for how long its stages waited for the advisor, for
+	// room at a worker, and for its team to have less running, added up.
 	Advice time.Duration
 	Room   time.Duration
+	Quota  time.Duration
 	// Failed counts its runs that failed, Lost those whose worker was lost.
 	Failed int
 	Lost   int
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -11,7 +11,10 @@
 	"github.com/spoolsill/spoolsill/sched"
 )
 
-const lease = 6 * time.Second
+const (
+	lease   = 6 * time.Second
+	inForce = 3 * time.Second
+)
 
 // A cell is a State under test with a clock of its own and workers that do as
 // they are told.
@@ -43,6 +46,7 @@
 		StopTime:       200 * time.Millisecond,
 		DrainTime:      2 * time.Second,
 		FarFactor:      2,
+		ConfigInForce:  inForce,
 	})
 	s.SetQueues([]sched.Queue{
 		{
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -14,7 +14,8 @@
 		return
 	}
 	x := &job{
-		Job: j,
+		Job:  j,
+		team: s.team(j.Team),
 	}
 	s.jobs[j.ID] = x
 	s.setState(x, p.State)
--- /dev/null
+++ b/sched/quota_test.go
@@ -0,0 +1,228 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
+)
+
+// teamJob returns a job of a team that was handed in at x's time.
+func (x *cell) teamJob(id spoolsill.JobID, t spoolsill.TeamID, steps ...sched.Step) sched.Job {
+	j := job(id, "q", steps...)
+	j.Team = t
+	j.Received = x.now
+	return j
+}
+
+// quota sets what the team "a" may have at once, in cores.
+func (x *cell) quota(n int) {
+	x.state.SetTeams(x.now, []sched.Team{
+		{
+			ID:     "a",
+			Weight: 1,
+			Most:   cores(n),
+		},
+	})
+}
+
+// endAll has the workers list the ends of runs.
+func (x *cell) endAll(orders []sched.StartOrder, k sched.EndKind) {
+	for _, o := range orders {
+		x.end(o, k)
+	}
+}
+
+func TestQuota(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []sched.Step
+		want  []int // tasks that start in each round, all of which end then
+	}{
+		{"tasks in waves", []sched.Step{tasks(10, 2)}, []int{4, 4, 2}},
+		{"gang that fits", []sched.Step{gang(4, 2)}, []int{4}},
+		{"gang after tasks", []sched.Step{tasks(1, 1), gang(4, 2)}, []int{1, 4}},
+		{"gang that never fits", []sched.Step{gang(5, 2)}, []int{0, 0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newCell(t)
+			for i := range 4 {
+				x.worker(spoolsill.WorkerID(fmt.Sprint("w", i)))
+			}
+			x.quota(8)
+			x.state.AddJob(x.now, x.teamJob("j", "a", c.steps...), sched.Progress{})
+			for i, n := range c.want {
+				out := x.step()
+				x.c.Check(out, qt.HasLen, n, qt.Commentf("round %d", i))
+				x.take(out)
+				x.endAll(out, sched.EndDone)
+			}
+		})
+	}
+}
+
+func TestQuotaOfOneTeamLeavesOthersAlone(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.quota(1)
+	x.state.AddJob(x.now, x.teamJob("j", "a", tasks(5, 1)), sched.Progress{})
+	x.state.AddJob(x.now, x.teamJob("k", "", tasks(5, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 6)
+}
+
+// What may yet begin, and what may still run, counts.
+func TestQuotaCountsUntilTheEndIsSure(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(x *cell, o sched.StartOrder)
+		left int // cores of ten that the team may have besides
+	}{
+		{"order under way", func(*cell, sched.StartOrder) {}, 4},
+		{"order without an answer", func(x *cell, o sched.StartOrder) { x.answerStart(o, sched.StartUnknown) }, 4},
+		{"order that was rejected", func(x *cell, o sched.StartOrder) { x.answerStart(o, sched.StartRejected) }, 10},
+		{"run", func(x *cell, o sched.StartOrder) { x.answerStart(o, sched.StartTaken) }, 4},
+		{"run that is being stopped", func(x *cell, o sched.StartOrder) {
+			x.answerStart(o, sched.StartTaken)
+			x.state.CancelJob(x.now, "j")
+		}, 4},
+		{"run that has ended", func(x *cell, o sched.StartOrder) {
+			x.answerStart(o, sched.StartTaken)
+			x.end(o, sched.EndDone)
+		}, 10},
+		{"run at a worker that is silent", func(x *cell, o sched.StartOrder) {
+			x.answerStart(o, sched.StartTaken)
+			x.pass(3*time.Second, map[spoolsill.WorkerID][]sched.RunID{"other": nil})
+		}, 4},
+		{"run at a worker that has died", func(x *cell, o sched.StartOrder) {
+			x.answerStart(o, sched.StartTaken)
+			x.state.CancelJob(x.now, "j")
+			x.state.WorkerDied(x.now, o.Worker)
+		}, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newCell(t)
+			x.worker("w")
+			x.quota(10)
+			x.state.AddJob(x.now, x.teamJob("j", "a", tasks(1, 6)), sched.Progress{})
+			out := x.step()
+			x.c.Assert(out, qt.HasLen, 1)
+			x.worker("other")
+			c.do(x, out[0])
+			x.state.AddJob(x.now, x.teamJob("k", "a", tasks(10, 1)), sched.Progress{})
+			n := 0
+			for range 3 {
+				for _, o := range x.step() {
+					if o.Run.Task.Stage.Job == "k" {
+						n++
+					}
+				}
+			}
+			x.c.Check(n, qt.Equals, c.left)
+		})
+	}
+}
+
+func TestQuotaCountsRunsOfAFormerLeader(t *testing.T) {
+	x := newCell(t)
+	x.quota(10)
+	x.worker("w")
+	x.state.AddJob(x.now, x.teamJob("j", "a", tasks(1, 6)), running("never-seen"))
+	x.state.AddJob(x.now, x.teamJob("k", "a", tasks(10, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 4)
+}
+
+func TestQuotaCountsUnknownRunsOfKnownJobs(t *testing.T) {
+	x := newCell(t)
+	x.quota(10)
+	x.worker("w")
+	x.worker("other")
+	j := x.teamJob("j", "a", tasks(1, 6))
+	x.state.AddJob(x.now, j, sched.Progress{
+		State: sched.Cancelled,
+	})
+	x.state.AddJob(x.now, x.teamJob("k", "a", tasks(1, 6)), sched.Progress{})
+	x.state.AddJob(x.now, x.teamJob("l", "a", tasks(10, 1)), sched.Progress{})
+	x.answer("other", sched.RunID{
+		Task: sched.TaskID{
+			Stage: sched.StageID{
+				Job: "k",
+			},
+		},
+		Number: 7,
+	})
+	x.c.Assert(x.step(), qt.HasLen, 4)
+}
+
+// Jobs may come before the configuration that tells of their team.
+func TestUnknownTeamWaitsForTheConfiguration(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, x.teamJob("j", "a", tasks(5, 1)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.quota(2)
+	x.c.Assert(x.step(), qt.HasLen, 2)
+}
+
+// A team that no configuration names any more does not wait for ever.
+func TestTeamThatIsNotNamedIsServedInTheEnd(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, x.teamJob("j", "a", tasks(5, 1)), sched.Progress{})
+	x.pass(inForce+time.Second, map[spoolsill.WorkerID][]sched.RunID{"w": nil})
+	x.c.Assert(x.step(), qt.HasLen, 5)
+}
+
+func TestLoweredQuota(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.worker("other")
+	x.quota(10)
+	x.state.AddJob(x.now, x.teamJob("j", "a", tasks(20, 1)), sched.Progress{})
+	first := x.step()
+	x.c.Assert(first, qt.HasLen, 10)
+	x.take(first[1:])
+	x.answerStart(first[0], sched.StartUnknown)
+	x.quota(4)
+	x.c.Check(x.step(), qt.HasLen, 0)
+	stops := x.state.Stops()
+	x.c.Assert(stops, qt.HasLen, 1, qt.Commentf("the run in doubt may begin when the lower quota is in force; others go on"))
+	x.c.Check(stops[0].Run, qt.Equals, first[0].Run)
+	x.endAll(first[1:7], sched.EndDone)
+	x.c.Check(x.step(), qt.HasLen, 0)
+	x.endAll(first[7:9], sched.EndDone)
+	x.c.Check(x.step(), qt.HasLen, 2, qt.Commentf("one runs and one is in doubt"))
+	x.quota(0)
+	x.c.Check(x.step(), qt.HasLen, 8, qt.Commentf("a quota of 0 is none: all the others start"))
+}
+
+// Orders that wait for their rows do not leave over a quota that was lowered meanwhile.
+func TestOrdersDoNotLeaveOverALoweredQuota(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.quota(10)
+	x.state.AddJob(x.now, x.teamJob("j", "a", tasks(6, 1)), sched.Progress{})
+	x.state.Decide(x.now)
+	b, _, err := x.state.Batch(x.now)
+	x.c.Assert(err, qt.IsNil)
+	x.c.Assert(b.Starts, qt.HasLen, 6)
+	x.quota(2)
+	x.c.Assert(x.state.Written(x.now, b), qt.HasLen, 2)
+}
+
+// A team that has its quota asks the advisor nothing, and keeps no workers.
+func TestTeamAtItsQuotaHoldsNothing(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.quota(4)
+	j := x.teamJob("j", "a", gang(5, 1))
+	j.Queue = "advised"
+	x.state.AddJob(x.now, j, sched.Progress{})
+	x.c.Check(x.step(), qt.HasLen, 0)
+	x.c.Check(x.state.Advices(), qt.HasLen, 0)
+	x.state.AddJob(x.now, x.teamJob("k", "", tasks(10, 1)), sched.Progress{})
+	x.c.Check(x.step(), qt.HasLen, 10)
+}
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -23,7 +23,20 @@
 	r.worker.used = r.worker.used.Add(r.need)
 	r.task.run = r
 	r.worker.beginTrial(r)
-	r.task.stage.job.runs++
+	j := r.task.stage.job
+	j.runs++
+	j.team.used = j.team.used.Add(r.need)
+}
+
+// unbook takes a run out of its worker's account, and out of its team's.
+func (s *State) unbook(r *run) {
+	w := r.worker
+	delete(w.runs, r.id)
+	w.used = w.used.Sub(r.need)
+	w.endTrial(r)
+	j := r.task.stage.job
+	j.runs--
+	j.team.used = j.team.used.Sub(r.need)
 }
 
 // release takes a run out of its worker's account: it is certainly not there.
@@ -32,13 +45,10 @@
 	if w.runs[r.id] != r {
 		return
 	}
-	delete(w.runs, r.id)
-	w.used = w.used.Sub(r.need)
-	w.endTrial(r)
+	s.unbook(r)
 	if r.task.run == r {
 		r.task.run = nil
 	}
-	r.task.stage.job.runs--
 	s.touch(r.task.stage.job)
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -30,6 +30,8 @@
 	// each stage that waits asks the advisor about the first worker alone, and
 	// about the rest only once that has had no room.
 	SettleTime time.Duration
+	// ConfigInForce is within how long a configuration is in force everywhere.
+	ConfigInForce time.Duration
 	// KeepEnded is how long the state of a job that ended is kept.
 	KeepEnded time.Duration
 	// StopTime is how long a worker needs to stop a run.
@@ -54,6 +56,7 @@
 	open   []*stage // stages that may have tasks to place
 	timed  []*stage // stages that wait for their time
 	learnt map[QueueID]*experience
+	teams  map[spoolsill.TeamID]*teamAccount
 
 	dirty []*job
 	acks  map[spoolsill.WorkerID]uint64
@@ -91,6 +94,7 @@
 		workers: map[spoolsill.WorkerID]*worker{},
 		lives:   map[string][]*worker{},
 		learnt:  map[QueueID]*experience{},
+		teams:   map[spoolsill.TeamID]*teamAccount{},
 		acks:    map[spoolsill.WorkerID]uint64{},
 
 		crashedAt: map[string]time.Time{},
@@ -107,6 +111,7 @@
 // A job is a job with its progress.
 type job struct {
 	Job
+	team   *teamAccount
 	state  JobState
 	stages []*stage
 	// runs counts the runs in the workers' accounts.
