--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -68,8 +68,43 @@
 	Advised bool
 }
 
-// PutConfig writes a configuration as the operators do.
+// A Team is a team of a stand-in's configuration.
+type Team struct {
+	ID    spoolsill.TeamID
+	Keys  []string
+	Quota spoolsill.Resources
+}
+
+// PutConfig writes a configuration as the operators do, of a deployment without teams.
 func PutConfig(s *cellfake.Store, version int, routes []Route) error {
+	return putConfig(s, configOf(version, routes))
+}
+
+// PutTeams writes a configuration as the operators do, of a deployment with teams.
+func PutTeams(s *cellfake.Store, version int, routes []Route, teams []Team) error {
+	list := []any{}
+	for _, t := range teams {
+		list = append(list, map[string]any{
+			"name":    t.ID,
+			"apiKeys": t.Keys,
+			"weight":  10,
+			"maxCount": map[string]int64{
+				"cpu":   int64(t.Quota.Processors),
+				"memMb": int64(t.Quota.Memory / spoolsill.MiB),
+				"gpu":   int64(t.Quota.Accelerators),
+			},
+		})
+	}
+	c := configOf(version, routes)
+	c["tenants"] = list
+	return putConfig(s, c)
+}
+
+func putConfig(s *cellfake.Store, c map[string]any) error {
+	return put(s, platform.OperatorTable, platform.ConfigRow, c)
+}
+
+func configOf(version int, routes []Route) map[string]any {
 	var list []any
 	for _, r := range routes {
 		x := map[string]any{
@@ -91,13 +126,13 @@
 		}
 		list = append(list, x)
 	}
-	return put(s, platform.OperatorTable, platform.ConfigRow, map[string]any{
+	return map[string]any{
 		"version": version,
 		"routes":  list,
 		"limits": map[string]int{
 			"maxBodyBytes": 10_000,
 		},
-	})
+	}
 }
 
 func put(s *cellfake.Store, table, name string, v any) error {
