--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -90,11 +90,17 @@
 }
 
 func (c *client) callAt(ctx context.Context, host, method, path, body string) (int, string) {
+	return c.callAs(ctx, clientKey, host, method, path, body)
+}
+
+// callAs makes one call at a host with a key.
+func (c *client) callAs(ctx context.Context, key, host, method, path, body string) (int, string) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+host+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
 	r.Host = wire.Domain
+	r.Header.Set("Authorization", "Bearer "+key)
 	p, err := c.http.Do(r)
 	if err != nil {
 		return 0, err.Error()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -286,6 +286,13 @@
 	j.breach("host %s had configuration %d in force and shows %d", host, version, shows)
 }
 
+// ServedUnknown breaks a promise: a host served a call with a key that was never held.
+func (j *Judge) ServedUnknown(host string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breach("host %s served a call with a key that no configuration ever held", host)
+}
+
 // Ended breaks a promise for a host that ended by itself.
 func (j *Judge) Ended(err error) {
 	j.mu.Lock()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -142,7 +142,7 @@
 			Priority: 1,
 		})
 	}
-	return wire.PutConfig(x.store, version, routes)
+	return wire.PutTeams(x.store, version, routes, teamsOf(version))
 }
 
 func versionPath(v int) string {
@@ -200,7 +200,7 @@
 	for wait(ctx, settleStep) {
 		newest := x.newestVersion()
 		sent := time.Now()
-		if v, ok := inForce(ctx, c, p); ok && v < newest || x.refuses(ctx, c, p, newest) {
+		if v, ok := inForce(ctx, c, p); ok && v < newest || x.refuses(ctx, c, p, newest) || x.errsOnKeys(ctx, c, p, newest) {
 			x.judge.Misses(p.Settings.Host, newest, sent)
 		}
 	}
