node, leader: delegates have long specs from the hosts that accepted the jobs

Cause: each start carried its job's spec over the leader's link. Change: a host keeps the specs of the jobs that it accepts; the leader names it in orders of jobs whose spec is over 100 bytes, and a delegate fetches the spec from there once. Hosts of the former release get orders with specs as before.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -43,6 +43,9 @@
 	// Delay returns how long an answer of a worker is under way before its beginning
 	// arrives; nil means no time. It is called by many goroutines.
 	Delay func(w spoolsill.WorkerID) time.Duration
+	// Ordered is told of each order to start something, while the worker is locked; nil
+	// means that nobody is.
+	Ordered func(o sched.StartOrder)
 	// Room is how many runs a worker has room for; more are a broken promise.
 	// 0 means that this is not judged.
 	Room int
@@ -381,6 +384,9 @@
 }
 
 func (f *Workers) start(w *worker, o leader.Start) leader.Reply {
+	if f.Ordered != nil {
+		f.Ordered(o.Order)
+	}
 	k := f.startKind(w, o)
 	if k == leader.Fenced {
 		return f.fenced(w)
--- a/leader/order.go
+++ b/leader/order.go
@@ -37,15 +37,16 @@
 		return
 	}
 	ctx := l.ctx
+	keeper := l.sweeper.keeper(o.Run.Task.Stage.Job)
 	l.spawn(func() {
-		a := h.start(ctx, o)
+		a := h.start(ctx, o, keeper)
 		l.send(startAnswered{
 			answer: a,
 		})
 	})
 }
 
-func (h *renewer) start(ctx context.Context, o sched.StartOrder) sched.StartAnswer {
+func (h *renewer) start(ctx context.Context, o sched.StartOrder, keeper string) sched.StartAnswer {
 	a := sched.StartAnswer{
 		Worker:  o.Worker,
 		Run:     o.Run,
@@ -62,7 +63,7 @@
 			break
 		}
 		begun := h.leader.config.Clock.Now()
-		r, deadline := h.startOnce(ctx, o, timeout)
+		r, deadline := h.startOnce(ctx, o, keeper, timeout)
 		switch r.Kind {
 		case NoAnswer:
 			a.Doubt = true
@@ -95,7 +96,7 @@
 	}
 }
 
-func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder, timeout time.Duration) (Reply, sched.ClockMillis) {
+func (h *renewer) startOnce(ctx context.Context, o sched.StartOrder, keeper string, timeout time.Duration) (Reply, sched.ClockMillis) {
 	deadline := h.workerTime(h.leader.config.Clock.Now()) + sched.ClockMillis(startWindow.Milliseconds())
 	if h.leader.suspended() {
 		return unsent(), deadline
@@ -105,6 +106,7 @@
 		Fence:    h.leader.Epoch(),
 		Deadline: deadline,
 		Order:    o,
+		Keeper:   keeper,
 		Within:   timeout,
 	})
 	h.setClock(r.Clock, h.leader.config.Clock.Now())
--- a/leader/sweeper.go
+++ b/leader/sweeper.go
@@ -51,6 +51,16 @@
 	s.keys[id] = append(s.keys[id], k)
 }
 
+// keeper returns the partition that keeps a job; empty when none is known.
+func (s *sweeper) keeper(id spoolsill.JobID) string {
+	for _, k := range s.keys[id] {
+		if _, mark := jobstore.Cancelled(k.Name); !mark {
+			return k.Partition
+		}
+	}
+	return ""
+}
+
 // add has the rows of jobs deleted.
 func (s *sweeper) add(ids []spoolsill.JobID) {
 	for _, id := range ids {
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -41,6 +41,9 @@
 	// Deadline is when the order loses its force, on the worker's clock.
 	Deadline sched.ClockMillis
 	Order    sched.StartOrder
+	// Keeper names the partition of the jobs table that keeps the job; empty when it is
+	// not known.
+	Keeper string
 	// Within is how long the answer is waited for; 0 is as for [Renewal].
 	Within time.Duration
 }
--- a/node/delegated.go
+++ b/node/delegated.go
@@ -34,6 +34,8 @@
 	listed    time.Time // when directory took in the hosts last
 	// unanswered counts the calls to a worker in a row that had no answer.
 	unanswered map[spoolsill.WorkerID]int
+
+	specs specHosts
 }
 
 // delegateOf returns the host that carries out the next call to a worker.
@@ -85,6 +87,11 @@
 	if !ok {
 		return r, false, nil
 	}
+	return passTo[R](ctx, d, h, t, method, q)
+}
+
+// passTo is passOn with a delegate that is known.
+func passTo[R, Q any](ctx context.Context, d *delegatedWorkers, h spoolsill.HostID, t leader.Target, method string, q Q) (r R, made bool, err error) {
 	r, err = peer.Call[R](ctx, d.node.peers, h, method, q)
 	if err == nil || errors.Is(ctx.Err(), context.Canceled) {
 		return r, true, err
@@ -127,9 +134,25 @@
 
 // Start implements [leader.Workers].
 func (d *delegatedWorkers) Start(ctx context.Context, o leader.Start) leader.Reply {
+	h, ok := d.delegateOf(o.Target)
+	if !ok {
+		return d.direct.Start(ctx, o)
+	}
+	if q, ok := d.startOf(o); ok && d.node.hosts.fetchesSpecs(h) {
+		limited, cancel := context.WithTimeout(ctx, o.Within+delegateSlack+specTimeout)
+		defer cancel()
+		r, made, err := passTo[startOfReply](limited, d, h, o.Target, methodStartOf, q)
+		switch {
+		case !made:
+			return d.direct.Start(ctx, o)
+		case err != nil || !r.NoSpec:
+			return d.replyTo(o.Target, r.Reply, err)
+		}
+		d.specs.fail(q.Host, d.node.clock.Now())
+	}
 	limited, cancel := context.WithTimeout(ctx, o.Within+delegateSlack)
 	defer cancel()
-	r, made, err := passOn[orderReply](limited, d, o.Target, methodStart, startRequestOf(o))
+	r, made, err := passTo[orderReply](limited, d, h, o.Target, methodStart, startRequestOf(o))
 	if !made {
 		return d.direct.Start(ctx, o)
 	}
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -35,6 +35,7 @@
 		Hall:    n.settings.Hall,
 		// One that stops takes on nothing new.
 		Delegate: !n.closing.Load(),
+		Specs:    true,
 	})
 	if err == nil && r.Leads {
 		n.mu.Lock()
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -73,6 +73,7 @@
 				"outcome": o.String(),
 			}).Info("job accepted")
 			if o == jobstore.Accepted {
+				n.keepSpec(j)
 				n.tellJob(ctx, j)
 			}
 			return platform.Done, nil
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
 	"github.com/spoolsill/spoolsill"
@@ -104,7 +105,10 @@
 
 	configs *configs
 	hosts   hostList
-	closing atomic.Bool
+	// specs are those of jobs that this host accepted, and that it starts as a delegate.
+	specs    specCache
+	fetching singleflight.Group // of specs, by job
+	closing  atomic.Bool
 
 	mu      sync.Mutex
 	leading *leader.Leader
--- a/node/peers.go
+++ b/node/peers.go
@@ -32,6 +32,8 @@
 	methodRenew   = "renew"
 	methodStart   = "start"
 	methodStop    = "stop"
+	methodStartOf = "startof"
+	methodSpec    = "spec"
 )
 
 // hostSilent is how long ago a host may have greeted the leader to be asked for
@@ -56,6 +58,9 @@
 	// Delegate tells that the caller carries out calls to workers. Hosts of an
 	// earlier release can't.
 	Delegate bool
+	// Specs tells that the caller keeps the specs of jobs that it accepts, and as a
+	// delegate fetches those of others. Hosts of an earlier release do neither.
+	Specs bool
 }
 
 type greetReply struct {
@@ -150,6 +155,8 @@
 	peer.Handle(n.peers, methodRenew, n.renewAsked)
 	peer.Handle(n.peers, methodStart, n.startAsked)
 	peer.Handle(n.peers, methodStop, n.stopAsked)
+	peer.Handle(n.peers, methodStartOf, n.startOfAsked)
+	peer.Handle(n.peers, methodSpec, n.specAsked)
 }
 
 func (n *Node) greeted(_ context.Context, c peer.Caller, q greetRequest) (greetReply, error) {
@@ -160,6 +167,8 @@
 		cores:    q.Cores,
 		hall:     q.Hall,
 		delegate: q.Delegate,
+		specs:    q.Specs,
+		address:  q.Address,
 	})
 	n.configs.offeredBy(c.Host, q.Held, now)
 	r := greetReply{
@@ -268,6 +277,7 @@
 		n.log.WithError(err).WithField("job", string(j.ID)).Warn("job handed on by a host was not written")
 	}
 	if o == jobstore.Accepted {
+		n.keepSpec(j)
 		n.tellJob(ctx, j)
 	}
 	return submitReply{
@@ -333,6 +343,8 @@
 	cores    float64
 	hall     spoolsill.HallID
 	delegate bool
+	specs    bool
+	address  string
 }
 
 func (l *hostList) greeted(h spoolsill.HostID, g greetedHost) {
@@ -363,6 +375,22 @@
 	return hosts
 }
 
+// specsAt returns where a host is reached that keeps specs and has greeted at or after
+// a time.
+func (l *hostList) specsAt(h spoolsill.HostID, since time.Time) (address string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.seen[h]
+	return g.address, g.specs && !g.at.Before(since)
+}
+
+// fetchesSpecs reports whether a host fetches specs as a delegate.
+func (l *hostList) fetchesSpecs(h spoolsill.HostID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen[h].specs
+}
+
 func (l *hostList) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
