sched, node: writes no longer than the link carries in time, few finds at once

Cause: a batch of rows took up to 600 KB, 3 s of a link of 2 Mbit/s; the leader's own row is in it, and others take over when that does not change for 0.35 s. While no leader was known each state that a client asked was read from every host's partition, half of what the next leader had to read. Change: a batch takes no more rows than the link carries in 80 ms; a host looks for four jobs at once in the store, others are answered 502.

--- a/node/jobs.go
+++ b/node/jobs.go
@@ -37,6 +37,10 @@
 	// store that loses answers each holds a connection for a second, which the
 	// leader's own writes need.
 	cancelsMost = 8
+	// findsMost bounds the jobs that a host looks for in the store at once, while the
+	// leader does not say: each takes a read of all hosts' partitions. On links of 2
+	// Mbit/s such reads took half of what the next leader needs to begin.
+	findsMost = 4
 	// tellingMost bounds the calls that tell the leader of jobs.
 	tellingMost = 128
 	// handOnTimeout is for a job that the leader is to keep.
@@ -208,6 +212,9 @@
 // errStoreAway is returned for what only the store knows while it is away.
 var errStoreAway = errors.New("node: the store can't be reached")
 
+// errManyFinds is returned for what would take too many reads just now.
+var errManyFinds = errors.New("node: too many jobs are being looked for in the store")
+
 // State implements [platform.Jobs]: the leader knows, and the store does when
 // the leader does not or is not there.
 func (n *Node) State(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, platform.Outcome, error) {
@@ -221,6 +228,10 @@
 	if !n.health.tryable(n.clock.Now()) {
 		return sched.JobStatus{}, platform.Unable, errStoreAway
 	}
+	if !n.finding.TryAcquire(1) {
+		return sched.JobStatus{}, platform.Unable, errManyFinds
+	}
+	defer n.finding.Release(1)
 	s, known, err := jobstore.State(ctx, n.store, id)
 	switch {
 	case err != nil:
--- a/node/node.go
+++ b/node/node.go
@@ -101,6 +101,7 @@
 
 	telling    *semaphore.Weighted
 	cancelling *semaphore.Weighted
+	finding    *semaphore.Weighted
 	pieces     *rate.Limiter // of the configuration, told to other hosts
 
 	configs *configs
@@ -155,6 +156,7 @@
 		configs:    newConfigs(),
 		telling:    semaphore.NewWeighted(tellingMost),
 		cancelling: semaphore.NewWeighted(cancelsMost),
+		finding:    semaphore.NewWeighted(findsMost),
 		pieces:     newPieceLimiter(s.LinkRate),
 	}
 	if n.leads == nil {
@@ -380,6 +382,16 @@
 // two tries of a start on a calm day, see answers of package leader.
 const orderMargin = 500 * time.Millisecond
 
+const (
+	// batchTime is how long the leader's link may be busy with one write: its own row is
+	// in it, and others take over when that does not change for 0.35 s. With all rows
+	// that wait in one write, a link of 2 Mbit/s was busy for three seconds, and each
+	// next leader as well.
+	batchTime = 80 * time.Millisecond
+	// rowShare is the part of a write's bytes that rows are, before base64 and JSON.
+	rowShare = 0.6
+)
+
 // newLeader returns a leader for a chain that was just won.
 func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
 	b := n.settings.Bounds
@@ -400,6 +412,8 @@
 			FarFactor:  b.FarFactor,
 			EntriesAge: max(b.RoomKnown-orderMargin, 0),
 
+			BatchBytes: int(batchTime.Seconds() * float64(n.settings.LinkRate) * rowShare),
+
 			ConfigInForce: cmp.Or(b.ConfigInForce, configInForce),
 		},
 		Log:      n.log,
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -13,17 +13,22 @@
 // entries in a transaction, and one is the leader's.
 const MaxRows = 90
 
-// maxBytes is from where on a batch takes no more rows: the store takes 1 MB, of
-// which base64 takes a quarter, and one more row has 64 KB.
+// maxBytes is from where on a batch takes no more rows, if the configuration does not
+// say less: the store takes 1 MB, of which base64 takes a quarter, and one more row has
+// 64 KB.
 const maxBytes = 600 << 10
 
 // Batch returns what is to be written next, and whether there is anything.
 func (s *State) Batch(now time.Time) (Batch, bool, error) {
 	s.now = now
 	var b Batch
+	most := maxBytes
+	if s.config.BatchBytes > 0 {
+		most = min(most, s.config.BatchBytes)
+	}
 	n, size := 0, 0
 	for _, j := range s.dirty {
-		if n == MaxRows || size > maxBytes {
+		if n == MaxRows || size > most {
 			break
 		}
 		n++
--- a/sched/state.go
+++ b/sched/state.go
@@ -30,6 +30,9 @@
 	// each stage that waits asks the advisor about the first worker alone, and
 	// about the rest only once that has had no room.
 	SettleTime time.Duration
+	// BatchBytes is from how many bytes of rows on a batch takes no more; 0 means what
+	// the store takes.
+	BatchBytes int
 	// ConfigInForce is within how long a configuration is in force everywhere.
 	ConfigInForce time.Duration
 	// KeepEnded is how long the state of a job that ended is kept.
