admit, node: a cell that is too full takes a part of the jobs, and keeps its leader

Cause: on links of 2 Mbit/s the leader's link is full with a third of what clients hand in. Change: package admit (pure) has hosts take a share of the jobs, which falls while workers' answers are under way for over 0.12 s and rises else; refused jobs have not run and are told to come back. Hosts wait for a leader by how long its answers take; one that stops answering is given no more time. Jobs are not told twice while the leader is busy, tickets travel as arrays. A small leader yields to a host with twice its cores, a link no smaller, and the store in reach: whichever host started first led before.

--- a/leader/answers.go
+++ b/leader/answers.go
@@ -63,3 +63,10 @@
 	defer a.mu.Unlock()
 	return max(answerFactor*a.usual, answerLeast)
 }
+
+// usualTime returns for how long answers are under way at present.
+func (a *answers) usualTime() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.usual
+}
--- a/node/elect.go
+++ b/node/elect.go
@@ -109,7 +109,7 @@
 	if h.Host == "" || h.Released || h.Host == n.settings.Host {
 		return false
 	}
-	r, err := n.greetLeader(ctx, h, greetSoon)
+	r, err := n.greetLeader(ctx, h, n.patience.most(greetSoon))
 	if errors.Is(err, context.DeadlineExceeded) {
 		return false // it may just be slow, which the watch will tell
 	}
@@ -217,6 +217,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	changed := h.Epoch != n.head.Epoch
+	if changed {
+		n.patience.forget()
+	}
 	if changed || h.Released != n.head.Released {
 		n.log.WithField("leader", string(h.Host)).WithField("epoch", uint64(h.Epoch)).WithField("released", h.Released).Info("leader changed")
 	}
@@ -239,7 +242,7 @@
 	if g.last.answers && n.health.losing(n.clock.Now()) {
 		least = lapseLosing
 	}
-	return backoff(least, h) + max(lapseWrites*n.health.usualWrite(), lapseReads*read)
+	return backoff(least, h) + max(lapseWrites*n.health.usualWrite(), lapseReads*read, n.patience.slack())
 }
 
 // backoff returns how long is waited for a leadership instead of d: twice as long for
@@ -305,6 +308,7 @@
 	defer n.mu.Unlock()
 	n.leading = l
 	if l != nil {
+		n.fitness.larger = time.Time{}
 		n.head = leader.Head{
 			Epoch:   e,
 			Host:    n.settings.Host,
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -36,11 +36,15 @@
 		// One that stops takes on nothing new.
 		Delegate: !n.closing.Load(),
 		Specs:    true,
+		MayLead:  n.mayTakeOver(),
+		Link:     n.settings.LinkRate,
 	})
 	if err == nil && r.Leads {
+		n.patience.take(n.clock.Since(sent))
 		n.mu.Lock()
 		n.mostCores = r.MostCores
 		n.hostCount = r.Hosts
+		n.refused = r.Refuse
 		n.heard = ledWrite{
 			epoch:  r.Epoch,
 			writes: r.Writes,
@@ -118,7 +122,7 @@
 const greetAtOnce = 15 * time.Millisecond
 
 func (n *Node) greetResult(ctx context.Context, h leader.Head) greetResult {
-	r, err := n.greetLeader(ctx, h, greetTimeout)
+	r, err := n.greetLeader(ctx, h, n.patience.most(greetTimeout))
 	answers := err == nil && r.Leads && r.Epoch == h.Epoch
 	return greetResult{
 		well:       err == nil && r.leads(h),
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -58,6 +58,9 @@
 // Submit implements [platform.Jobs]: it keeps a job in the store, or has the
 // leader keep it when the store turns this host away.
 func (n *Node) Submit(ctx context.Context, j sched.Job) (platform.Outcome, error) {
+	if n.refusesNow() {
+		return platform.Unable, errFull
+	}
 	ctx, cancel := shareOf(ctx, submitShare)
 	defer cancel()
 	maybe := false
@@ -78,7 +81,9 @@
 			}).Info("job accepted")
 			if o == jobstore.Accepted {
 				n.keepSpec(j)
-				n.tellJob(ctx, j)
+				if !n.busy() {
+					n.tellJob(ctx, j)
+				}
 			}
 			return platform.Done, nil
 		case jobstore.Conflict:
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/admit"
 	"github.com/spoolsill/spoolsill/internal/clock"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
@@ -104,8 +105,9 @@
 	finding    *semaphore.Weighted
 	pieces     *rate.Limiter // of the configuration, told to other hosts
 
-	configs *configs
-	hosts   hostList
+	patience patience
+	configs  *configs
+	hosts    hostList
 	// specs are those of jobs that this host accepted, and that it starts as a delegate.
 	specs    specCache
 	fetching singleflight.Group // of specs, by job
@@ -123,10 +125,16 @@
 	yielded ledWrite
 	// mostCores is that of the largest host, as a leader told.
 	mostCores float64
+	// admission decides, while this host leads, what share of the jobs is taken;
+	// refused is the rest, as a leader told.
+	admission admit.Controller
+	refused   float64
 	// hostCount is how many hosts there are, as a leader told; 0 if none has.
 	hostCount int
 	// resignedAt is when this host led last and could not keep up.
 	resignedAt time.Time
+	// fitness tells whether this host should go on leading.
+	fitness leadingHost
 }
 
 // New returns a node that has not begun.
@@ -159,6 +167,10 @@
 		finding:    semaphore.NewWeighted(findsMost),
 		pieces:     newPieceLimiter(s.LinkRate),
 	}
+	n.fitness = leadingHost{
+		cores: s.Cores,
+		link:  s.LinkRate,
+	}
 	if n.leads == nil {
 		n.leads = func(bool) {}
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -61,6 +61,10 @@
 	// Specs tells that the caller keeps the specs of jobs that it accepts, and as a
 	// delegate fetches those of others. Hosts of an earlier release do neither.
 	Specs bool
+	// MayLead tells that the caller could lead at once, Link what its link carries in
+	// bytes a second. Hosts of an earlier release tell neither.
+	MayLead bool
+	Link    spoolsill.Bytes
 }
 
 type greetReply struct {
@@ -78,6 +82,9 @@
 	MostCores float64
 	// Hosts is how many hosts there are.
 	Hosts int
+	// Refuse is the share of the jobs that hosts should not take now; leaders of an
+	// earlier release have all of them taken.
+	Refuse float64
 	// Held is the configuration that the replying host has.
 	Held heldConfig
 }
@@ -110,10 +117,30 @@
 }
 
 type adviseReply struct {
-	Tickets []sched.Ticket
+	Tickets []wireTicket
 	Valid   time.Duration
 }
 
+// A wireTicket is a [sched.Ticket] as an array, which hosts of the former release read as
+// well: an answer has dozens, and names of fields would be a third of it.
+type wireTicket struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads it
+
+	Worker spoolsill.WorkerID
+	Text   string
+}
+
+func (r adviseReply) tickets() []sched.Ticket {
+	ts := make([]sched.Ticket, len(r.Tickets))
+	for i, t := range r.Tickets {
+		ts[i] = sched.Ticket{
+			Worker: t.Worker,
+			Text:   t.Text,
+		}
+	}
+	return ts
+}
+
 type submitRequest struct {
 	Job []byte
 }
@@ -175,6 +202,7 @@
 		Held: n.configs.held(now),
 	}
 	if l := n.leaderHere(); l != nil {
+		n.yieldTo(now, l, c.Host, q)
 		r.Leads = true
 		r.Epoch = l.Epoch()
 		begun, writes := l.Latest()
@@ -185,6 +213,7 @@
 		n.noteYield(r)
 		r.MostCores = max(n.hosts.mostCores(), n.settings.Cores)
 		r.Hosts = n.hosts.count() + 1
+		r.Refuse = 1 - n.admitted(now, l)
 	}
 	return r, nil
 }
@@ -258,11 +287,17 @@
 	if n.advisor == nil {
 		return adviseReply{}, errors.New("node: no advisor")
 	}
-	t, valid, err := n.advisor.Advise(ctx, q.Stage, q.Workers)
-	return adviseReply{
-		Tickets: t,
-		Valid:   valid,
-	}, err
+	ts, valid, err := n.advisor.Advise(ctx, q.Stage, q.Workers)
+	r := adviseReply{
+		Valid: valid,
+	}
+	for _, t := range ts {
+		r.Tickets = append(r.Tickets, wireTicket{
+			Worker: t.Worker,
+			Text:   t.Text,
+		})
+	}
+	return r, err
 }
 
 func (n *Node) submitAsked(ctx context.Context, _ peer.Caller, q submitRequest) (submitReply, error) {
@@ -320,10 +355,10 @@
 	}
 	if h == n.settings.Host {
 		r, err := n.adviceAsked(ctx, peer.Caller{}, q)
-		return r.Tickets, r.Valid, err
+		return r.tickets(), r.Valid, err
 	}
 	r, err := peer.Call[adviseReply](ctx, n.peers, h, methodAdvise, q)
-	return r.Tickets, r.Valid, err
+	return r.tickets(), r.Valid, err
 }
 
 // refused reports whether a call failed because nothing listens at the other
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -38,7 +38,8 @@
 	mu      sync.Mutex
 	failing time.Time // since when every call has failed; zero if the last one did not
 	tried   time.Time
-	away    bool // as last told
+	heard   time.Time // when a call last succeeded
+	away    bool      // as last told
 	// usual is a moving average of how long writes take or are waited for in
 	// vain, answered of how long those take that are answered.
 	usual    time.Duration
@@ -132,11 +133,21 @@
 	return min(max(writeFactor*h.usual, writeLeast), writeMost)
 }
 
+// heardWithin reports whether a call has succeeded within a time.
+func (h *storeHealth) heardWithin(now time.Time, d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.heard.IsZero() && now.Sub(h.heard) <= d
+}
+
 // take takes in the end of a call, and reports whether the store's being
 // reachable has changed.
 func (h *storeHealth) take(now time.Time, ok bool) (changed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if ok {
+		h.heard = now
+	}
 	was := h.away
 	if ok {
 		h.failing = time.Time{}
