sched: what a team sends beyond its share waits behind what all have within theirs

Cause: a team that sends many times its usual took, up to its quota, what other teams' work waited for, whose own load was as usual. Change: of the jobs that a team hands in within five seconds those beyond its weight in jobs a second are ranked behind all that is within a share, and before what earns nothing any more. Nothing is refused for it.

--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -26,6 +26,7 @@
 		s.keepEnded(j.ID)
 		return
 	}
+	x.beyond = x.team.share.take(j.Received, x.team.Weight)
 	s.makeStages(x)
 	for _, sp := range p.Stages {
 		s.restoreStage(x, sp)
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -21,6 +21,7 @@
 // being stopped is still there.
 type teamAccount struct {
 	Team
+	share shareAccount
 	// named tells that a configuration has told of the team.
 	named bool
 	// used is what the runs in the workers' accounts need; strays is the same of runs
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -13,6 +13,7 @@
 	tierUrgent tier = iota // of the first priority, and can be in time
 	tierTimely             // can be in time
 	tierLate               // can't be in time, still earns a part
+	tierBeyond             // could be in time or earn a part, and is beyond its team's share
 	tierLost               // earns nothing any more
 )
 
@@ -61,6 +62,9 @@
 	case q.Priority == 0:
 		r.tier = tierUrgent
 	}
+	if g.job.beyond {
+		r.tier = max(r.tier, tierBeyond)
+	}
 	return r
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -115,6 +115,7 @@
 type job struct {
 	Job
 	team   *teamAccount
+	beyond bool // its team's share
 	state  JobState
 	stages []*stage
 	// runs counts the runs in the workers' accounts.
