--- a/node/specs_test.go
+++ b/node/specs_test.go
@@ -44,12 +44,10 @@
 
 // handInWide hands a gang in whose spec takes a link of 2 Mbit/s a second if it is sent
 // with each start.
-func (x *cell) handInWide(host, i int) spoolsill.JobID {
-	id := jobID(i)
+func (x *cell) handInWide(host, i int) {
 	b := fmt.Sprintf(`{"spec":%q,"steps":[{"count":60,"cpu":1000,"estMs":900,"gang":true}]}`, longSpec(i))
-	r := x.call(host, http.MethodPost, "/q/"+id, b)
+	r := x.call(host, http.MethodPost, "/q/"+jobID(i), b)
 	x.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
-	return spoolsill.JobID(id)
 }
 
 // What happened: wide gangs with long specs were started through hosts with links of
