--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -134,6 +135,8 @@
 	Config   []string         `help:"Configuration files." type:"existingfile"`
 	Platform []string         `help:"Settings files that the users' platform writes for a host." type:"existingfile"`
 	Deploy   []string         `help:"Deploy files of the users' platform." type:"existingfile"`
+	// Operators are documents as operators write them into the platform's store.
+	Operators []string `help:"Configurations (JSON) for the users' platform, with queues, teams and quotas." type:"existingfile"`
 }
 
 type checked struct {
@@ -174,8 +177,11 @@
 		v, err := platform.LoadDeploy(f)
 		note(f, fmt.Sprintf("deploy file with %d roles", len(v.Roles)), err)
 	}
+	for _, f := range c.Operators {
+		note(checkOperators(f))
+	}
 	if len(out) == 0 {
-		return exitWith(ExitUsage, "name a file with --settings, --job, --config, --platform or --deploy")
+		return exitWith(ExitUsage, "name a file with --settings, --job, --config, --platform, --deploy or --operators")
 	}
 	return s.reportChecked(out)
 }
@@ -198,6 +204,32 @@
 	return file, fmt.Sprintf("configuration with %d teams and %d callers", len(d.Teams), len(d.Callers)), err
 }
 
+// checkOperators checks a configuration for the users' platform. What it tells has no key.
+func checkOperators(file string) (string, string, error) {
+	text, err := readFile(file)
+	if err != nil {
+		return file, "", err
+	}
+	c, err := platform.DecodeConfig([]byte(text))
+	if err != nil {
+		return file, "", err
+	}
+	fine := fmt.Sprintf("configuration %d with %d queues", c.Version, len(c.Routes))
+	if c.Keys == nil {
+		return file, fine + ", no teams: callers need no keys", nil
+	}
+	var faults []error
+	for _, f := range c.Keys.Faults() {
+		faults = append(faults, fmt.Errorf("%s: %s", file, f))
+	}
+	for _, t := range c.Teams {
+		if t.Most.Negative() || t.Weight < 0 {
+			faults = append(faults, fmt.Errorf("%s: team %q: quota and weight must not be negative", file, string(t.ID)))
+		}
+	}
+	return file, fmt.Sprintf("%s, %d teams and %d keys", fine, len(c.Teams), c.Keys.Keys()), errors.Join(faults...)
+}
+
 func (s *session) reportChecked(list []checked) error {
 	bad := 0
 	err := s.print(list, func(w io.Writer) {
