--- a/leader/answers.go
+++ b/leader/answers.go
@@ -70,3 +70,8 @@
 	defer a.mu.Unlock()
 	return a.usual
 }
+
+// UsualAnswer returns for how long answers of workers are under way at present.
+func (l *Leader) UsualAnswer() time.Duration {
+	return l.answers.usualTime()
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -190,16 +190,6 @@
 	return l.config.Chain.Epoch()
 }
 
-// ErrYielded is returned by a leader that gave up for a host that is better fit to lead.
-var ErrYielded = errors.New("leader: another host is better fit to lead")
-
-// Yield has the leader give the leadership up.
-func (l *Leader) Yield() {
-	l.send(leadershipEnded{
-		err: ErrYielded,
-	})
-}
-
 // SetConfig takes in the queues and teams of a configuration. An older one than the
 // last changes nothing, in whatever order they come.
 func (l *Leader) SetConfig(v spoolsill.Version, q []sched.Queue, t []sched.Team) {
@@ -286,11 +276,6 @@
 	l.hears = make(chan struct{})
 }
 
-// UsualAnswer returns for how long answers of workers are under way at present.
-func (l *Leader) UsualAnswer() time.Duration {
-	return l.answers.usualTime()
-}
-
 // Fresh returns when the latest write that lasts was begun.
 func (l *Leader) Fresh() time.Time {
 	t, _ := l.Latest()
--- a/node/keys_test.go
+++ b/node/keys_test.go
@@ -1,9 +1,7 @@
 package node_test
 
 import (
-	"io"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -44,23 +42,7 @@
 
 // callWith makes a call with a key.
 func (x *cell) callWith(key string, host int, method, path, body string) result {
-	r, err := http.NewRequestWithContext(x.ctx, method, "http://"+x.hosts[host].Settings.ClientAddress+path, strings.NewReader(body))
-	x.c.Assert(err, qt.IsNil)
-	r.Host = wire.Domain
-	r.Header.Set("Authorization", "Bearer "+key)
-	p, err := x.client.Do(r)
-	if err != nil {
-		return result{
-			body: err.Error(),
-		}
-	}
-	defer func() { _ = p.Body.Close() }()
-	b, err := io.ReadAll(p.Body)
-	x.c.Assert(err, qt.IsNil)
-	return result{
-		status: p.StatusCode,
-		body:   string(b),
-	}
+	return x.callAs(x.client, key, host, method, path, body)
 }
 
 // count asks a host for the jobs that wait, and returns the status.
--- a/node/node.go
+++ b/node/node.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -25,7 +24,6 @@
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
-	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 	"github.com/spoolsill/spoolsill/telemetry"
 )
@@ -166,10 +164,10 @@
 		cancelling: semaphore.NewWeighted(cancelsMost),
 		finding:    semaphore.NewWeighted(findsMost),
 		pieces:     newPieceLimiter(s.LinkRate),
-	}
-	n.fitness = leadingHost{
-		cores: s.Cores,
-		link:  s.LinkRate,
+		fitness: leadingHost{
+			cores: s.Cores,
+			link:  s.LinkRate,
+		},
 	}
 	if n.leads == nil {
 		n.leads = func(bool) {}
@@ -180,14 +178,7 @@
 	if s.AdvisorAddress != "" {
 		n.advisor = platform.NewAdvisor(s.AdvisorAddress, c.Dial)
 	}
-	n.peers = peer.NewNode(peer.Config{
-		Host:        s.Host,
-		Incarnation: life,
-		Dial:        peerDial(c.Dial),
-		Report: func(remote string, err error) {
-			log.WithError(err).WithField("address", remote).Info("connection to a host ended")
-		},
-	})
+	n.peers = n.newPeers(c.Dial)
 	n.jobs = jobstore.NewWriter(jobstore.Writer{
 		Store:     n.store,
 		Partition: n.partition(),
@@ -203,6 +194,18 @@
 	return n
 }
 
+// newPeers returns what calls the other hosts and answers them.
+func (n *Node) newPeers(d platform.Dialer) *peer.Node {
+	return peer.NewNode(peer.Config{
+		Host:        n.settings.Host,
+		Incarnation: n.life,
+		Dial:        peerDial(d),
+		Report: func(remote string, err error) {
+			n.log.WithError(err).WithField("address", remote).Info("connection to a host ended")
+		},
+	})
+}
+
 // partition is where this host keeps the jobs that it accepts.
 func (n *Node) partition() string {
 	return string(n.settings.Host)
@@ -390,49 +393,6 @@
 	return h.Host, h.Host != "" && !h.Released && h.Host != n.settings.Host
 }
 
-// orderMargin is how long an order is under way from the last look at its worker's room:
-// two tries of a start on a calm day, see answers of package leader.
-const orderMargin = 500 * time.Millisecond
-
-const (
-	// batchTime is how long the leader's link may be busy with one write: its own row is
-	// in it, and others take over when that does not change for 0.35 s. With all rows
-	// that wait in one write, a link of 2 Mbit/s was busy for three seconds, and each
-	// next leader as well.
-	batchTime = 80 * time.Millisecond
-	// rowShare is the part of a write's bytes that rows are, before base64 and JSON.
-	rowShare = 0.6
-)
-
-// newLeader returns a leader for a chain that was just won.
-func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
-	b := n.settings.Bounds
-	return leader.New(leader.Config{
-		Store:        n.store,
-		Chain:        c,
-		Workers:      n.delegated,
-		Advisor:      n,
-		WorkersTable: platform.WorkersTable,
-		DecodeWorker: platform.DecodeWorker,
-		Clock:        n.clock,
-		Sched: sched.Config{
-			Lease:      min(b.Lease, leaseMost),
-			SettleTime: settleTime,
-			KeepEnded:  keepFactor * b.StatusKept,
-			StopTime:   b.StopTime,
-			DrainTime:  b.DrainTime,
-			FarFactor:  b.FarFactor,
-			EntriesAge: max(b.RoomKnown-orderMargin, 0),
-
-			BatchBytes: int(batchTime.Seconds() * float64(n.settings.LinkRate) * rowShare),
-
-			ConfigInForce: cmp.Or(b.ConfigInForce, configInForce),
-		},
-		Log:      n.log,
-		Observer: n.metrics,
-	})
-}
-
 // serveMetrics serves the metrics until ctx ends. A port that is taken costs
 // the metrics only.
 func (n *Node) serveMetrics(ctx context.Context) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -240,9 +240,17 @@
 }
 
 func (x *cell) callBy(c *http.Client, host int, method, path, body string) result {
+	return x.callAs(c, "", host, method, path, body)
+}
+
+// callAs makes a call with a key, or without one if that is empty.
+func (x *cell) callAs(c *http.Client, key string, host int, method, path, body string) result {
 	r, err := http.NewRequestWithContext(x.ctx, method, "http://"+x.hosts[host].Settings.ClientAddress+path, strings.NewReader(body))
 	x.c.Assert(err, qt.IsNil)
 	r.Host = wire.Domain
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
 	p, err := c.Do(r)
 	if err != nil {
 		return result{
