--- a/node/yield.go
+++ b/node/yield.go
@@ -25,8 +25,8 @@
 // A leadingHost is what decides whether a host should go on leading. The load that it
 // answers: hosts are of unlike size, and whichever comes first after a start of all leads.
 // With a fifth of a core and 10 Mbit/s, of which the work needs most, nearly all of it
-// was late until another host led (a day of the shifted work that began so earned 0.54 to
-// 0.66, others 0.74 to 0.78).
+// was late until another host led: a day that began so earned 0.66 of its worth, two plays
+// of it that a large host led 0.75 and 0.78.
 type leadingHost struct {
 	cores float64
 	link  spoolsill.Bytes // a second; 0 when not told
