--- a/internal/fault/schedule_test.go
+++ b/internal/fault/schedule_test.go
@@ -111,3 +111,15 @@
 func TestConfirmedJobsOutlastAStopAfterAnOutage(t *testing.T) {
 	playMoved(t, "confirmed-then-lost")
 }
+
+// The only host that has copies of the last confirmed jobs can't be reached
+// when the host that stopped is back: it takes the hall's lease at once, since
+// the lease was given back, and goes on without them.
+func TestAHostThatIsBackHearsWhatOthersKeep(t *testing.T) {
+	playMoved(t, "stopped-then-cut")
+}
+
+// Both hosts stop as planned, each hands the other its copies, both are gone.
+func TestTwoHostsThatStopDoNotHandToEachOther(t *testing.T) {
+	playMoved(t, "both-stop")
+}
