recordlog: a copy that a former life of a host took does not count

Symptom, by reading: entries count as lasting of which no other host has a copy; a holder that dies then takes confirmed jobs along. Cause: when a host had restarted, the next copying began while the answer to the last was still out, and either answer was taken for that of the newer one. Change: one copying at a time, voided by a restart.

--- a/recordlog/recordlog_test.go
+++ b/recordlog/recordlog_test.go
@@ -213,3 +213,32 @@
 	}}), qt.IsTrue)
 	c.Assert(x.After(0, 4), qt.HasLen, 0)
 }
+
+// A copy that a host answered in its former life counts for nothing: the host
+// has forgotten it. The answer used to be taken for that of the call that was
+// made after the restart was heard of, so that entries counted as lasting of
+// which the other host had no copy; a holder that died then took jobs along
+// that were confirmed. The calls have no number: while one is out, no other is
+// made, and a restart voids it.
+func TestCopiesTakenByAFormerLifeDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	w := recordlog.NewWriter(recordlog.Config{
+		Epoch:  1,
+		Copies: true,
+	})
+	w.Append([]place.Record{{
+		Kind: place.PlanApplied,
+	}})
+	w.Cut()
+	c.Assert(w.NextCopy().Kind, qt.Equals, recordlog.Copy)
+	w.Forgot()
+	again := w.NextCopy()
+	w.Copied(1, true) // the former life's answer
+	c.Assert(w.Lasting(), qt.Equals, spoolsill.Sequence(0))
+	if again.Kind == recordlog.Copy {
+		w.Copied(1, false)
+	}
+	c.Assert(w.NextCopy().Kind, qt.Equals, recordlog.Copy)
+	w.Copied(1, true)
+	c.Assert(w.Lasting(), qt.Equals, spoolsill.Sequence(1))
+}
--- a/recordlog/writer.go
+++ b/recordlog/writer.go
@@ -47,7 +47,11 @@
 	stored  spoolsill.Sequence // the last entry in the table
 	writing bool
 	copying bool
-	group   []Entry // of the write under way, or that may have taken effect
+	// void says that a host has restarted since the copying began: what it has
+	// answered may be gone with its former life. No other copying begins before
+	// the answer, which would be taken for the wrong one.
+	void  bool
+	group []Entry // of the write under way, or that may have taken effect
 }
 
 // NewWriter returns a writer that goes on after Config.Last.
@@ -96,7 +100,7 @@
 func (w *Writer) Forgot() {
 	w.Lasting()
 	w.copied = w.stored
-	w.copying = false
+	w.void = w.copying
 }
 
 // Stored returns the number of the newest entry that stands in the table.
@@ -171,13 +175,12 @@
 }
 
 // Copied takes in whether every other host of the hall has taken copies up to
-// an entry.
+// an entry: the answer to the last [Writer.NextCopy].
 func (w *Writer) Copied(upTo spoolsill.Sequence, all bool) {
-	if !w.copying {
-		return // a host has restarted meanwhile
-	}
+	valid := w.copying && !w.void
 	w.copying = false
-	if all && upTo > w.copied {
+	w.void = false
+	if valid && all && upTo > w.copied {
 		w.copied = upTo
 	}
 }
