store, leader: rows that a take-over reads leave room on the link for its writes

Cause: a new leader read eight partitions at once in whole pages; the answers to its writes waited seconds behind them, its row did not change, the next host took over and read anew. Change: store.Pace bounds what the listings of a take-over have under way by 0.15 s of the link; hosts that do not know their link read as before.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -57,6 +57,9 @@
 	// DecodeWorker reads a row of WorkersTable.
 	WorkersTable string
 	DecodeWorker func(store.Row) (sched.Worker, error)
+	// ReadBytes is about how much may be under way from the store while all is
+	// read at a take-over; 0 bounds nothing.
+	ReadBytes int
 	// Sched configures the decisions; its times of taking over are set here.
 	Sched sched.Config
 	Log   *logrus.Entry
@@ -100,6 +103,7 @@
 	inTouch  atomic.Int64                // workers that are kept in touch with
 	unclear  map[spoolsill.WorkerID]bool // entries that can't be understood
 	gauges   gauges
+	pace     *store.Pace
 	rows     map[spoolsill.JobID][]byte
 
 	version   spoolsill.Version // of the queues and teams
@@ -172,6 +176,7 @@
 	}
 	l := &Leader{
 		config:   c,
+		pace:     store.NewPace(c.ReadBytes),
 		events:   make(chan event, eventBuffer),
 		renewers: map[spoolsill.WorkerID]*renewer{},
 		wanted:   map[spoolsill.WorkerID]bool{},
--- a/leader/load.go
+++ b/leader/load.go
@@ -22,6 +22,7 @@
 		Store:     l.config.Store,
 		Table:     jobstore.ProgressTable,
 		Partition: jobstore.CellPartition,
+		Pace:      l.pace,
 	}
 	delay := tryPause
 	for ctx.Err() == nil {
@@ -241,6 +242,7 @@
 	}
 	for _, f := range l.feeds {
 		f.Clock = l.config.Clock
+		f.Pace = l.pace
 		l.spawn(func() { f.Run(ctx) })
 	}
 }
--- a/node/leading.go
+++ b/node/leading.go
@@ -19,6 +19,11 @@
 	// that wait in one write, a link of 2 Mbit/s was busy for three seconds, and each
 	// next leader as well.
 	batchTime = 80 * time.Millisecond
+	// readTime is how long the leader's link may be busy with rows that it has asked the
+	// store for. With eight whole pages at once, the answers to its writes waited behind
+	// them for two seconds on a link of 2 Mbit/s, others took over before it had read all
+	// jobs, and so with each next one.
+	readTime = 150 * time.Millisecond
 	// rowShare is the part of a write's bytes that rows are, before base64 and JSON.
 	rowShare = 0.6
 )
@@ -34,6 +39,7 @@
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
 		Clock:        n.clock,
+		ReadBytes:    int(readTime.Seconds() * float64(n.settings.LinkRate)),
 		Sched: sched.Config{
 			Lease:      min(b.Lease, leaseMost),
 			SettleTime: settleTime,
--- a/store/follow.go
+++ b/store/follow.go
@@ -35,6 +35,8 @@
 	Wait time.Duration
 	// Pause is between two calls that tell of changes; 0 means DefaultPause.
 	Pause time.Duration
+	// Pace bounds what a listing reads at once; nil bounds nothing.
+	Pace *Pace
 	// Listed takes in all rows of the partitions.
 	Listed func(rows []Row)
 	// Changed takes in one changed row. A row may come more than once.
@@ -87,7 +89,7 @@
 	begun := f.Clock.Now()
 	f.answered.Store(&begun)
 	p := &pursuit{
-		listing: newTableListing(f.Store, f.Table, f.Clock),
+		listing: newTableListing(f.Store, f.Table, f.Clock, f.Pace),
 		delay:   retryFirst,
 	}
 	for ctx.Err() == nil {
@@ -98,7 +100,7 @@
 			f.succeed(p, o)
 		case errors.Is(err, ErrHistoryGone):
 			pause.For(ctx, listEvery-f.Clock.Since(p.listed))
-			p.listing = newTableListing(f.Store, f.Table, f.Clock)
+			p.listing = newTableListing(f.Store, f.Table, f.Clock, f.Pace)
 		case ctx.Err() == nil:
 			f.fail(ctx, p, err)
 		}
--- a/store/list.go
+++ b/store/list.go
@@ -20,6 +20,8 @@
 	Store     Store
 	Table     string
 	Partition string
+	// Pace bounds what is read at once; nil bounds nothing.
+	Pace *Pace
 
 	rows  []Row
 	least Version // of the pages
@@ -34,7 +36,7 @@
 // an error, not by several goroutines at once.
 func (l *Listing) ReadAll(ctx context.Context) ([]Row, Version, error) {
 	for !l.done {
-		p, err := l.Store.List(ctx, l.Table, l.Partition, l.from, 0)
+		p, err := l.page(ctx)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -43,6 +45,17 @@
 	return l.rows, l.least, nil
 }
 
+// page reads the next page.
+func (l *Listing) page(ctx context.Context) (Page, error) {
+	limit, err := l.Pace.enter(ctx)
+	if err != nil {
+		return Page{}, err
+	}
+	p, err := l.Store.List(ctx, l.Table, l.Partition, l.from, limit)
+	l.Pace.leave(p.Rows)
+	return p, err
+}
+
 func (l *Listing) take(p Page) {
 	if !l.begun {
 		l.begun = true
@@ -63,6 +76,7 @@
 	store Store
 	table string
 	clock *clock.Clock
+	pace  *Pace
 	// first was read before all rows, so that a feed that goes on from it
 	// misses no change of partitions that are made meanwhile.
 	first Version
@@ -71,11 +85,12 @@
 	parts map[string]*Listing
 }
 
-func newTableListing(s Store, table string, c *clock.Clock) *tableListing {
+func newTableListing(s Store, table string, c *clock.Clock, p *Pace) *tableListing {
 	return &tableListing{
 		store: s,
 		table: table,
 		clock: c,
+		pace:  p,
 		parts: map[string]*Listing{},
 	}
 }
@@ -131,6 +146,7 @@
 			Store:     t.store,
 			Table:     t.table,
 			Partition: name,
+			Pace:      t.pace,
 		}
 		t.parts[name] = l
 	}
