node: a leader that loads is neither asked for jobs nor told of them

Symptom: states are told 0.2 to 0.3 s late while a new leader reads the jobs; a tenth and more of its link goes to calls that can bring nothing. Cause: hosts did not know that a leader was loading. Change: the answer to a greeting says so; hosts ask the store at once, and leave new jobs to the leader's listing and feed. The word counts for a second.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -242,6 +242,13 @@
 	}
 }
 
+// Loaded reports whether all jobs have been read from the store.
+func (l *Leader) Loaded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
+}
+
 // hearing returns when the latest answer of the jobs' feed was asked for, and a
 // channel that is closed with the next one.
 func (l *Leader) hearing() (time.Time, <-chan struct{}) {
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -45,6 +45,7 @@
 		n.mostCores = r.MostCores
 		n.hostCount = r.Hosts
 		n.refused = r.Refuse
+		n.loading = loadingOf(r, n.clock.Now())
 		n.heard = ledWrite{
 			epoch:  r.Epoch,
 			writes: r.Writes,
@@ -59,6 +60,34 @@
 	return r, err
 }
 
+// loadingFor is how long a leader that has said that it is loading is taken for it without
+// another word: a few greetings.
+const loadingFor = time.Second
+
+// leaderLoads reports whether the leader has just said that it is loading: to ask it for
+// jobs, or to tell it of them, would only keep its link from what it reads.
+func (n *Node) leaderLoads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.loading.epoch == n.head.Epoch && !n.loading.at.IsZero() && n.clock.Since(n.loading.at) < loadingFor
+}
+
+// A loadingLeader is one that has said at a time that it is loading.
+type loadingLeader struct {
+	epoch spoolsill.Epoch
+	at    time.Time // zero when the last greeting said no such thing
+}
+
+func loadingOf(r greetReply, now time.Time) loadingLeader {
+	if !r.Loading {
+		return loadingLeader{}
+	}
+	return loadingLeader{
+		epoch: r.Epoch,
+		at:    now,
+	}
+}
+
 // A ledWrite names the latest write of a leadership that lasts: the one with so
 // many of them.
 type ledWrite struct {
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -105,6 +105,9 @@
 
 // tellJob tells the leader of a job that lasts.
 func (n *Node) tellJob(ctx context.Context, j sched.Job) {
+	if n.leaderLoads() {
+		return // its listing has the job, or the feed after it
+	}
 	row, err := jobstore.Row(n.partition(), j)
 	if err != nil {
 		n.log.WithError(err).WithField("job", string(j.ID)).Error("job can't be told of")
@@ -264,7 +267,7 @@
 		return n.stateAsked(ctx, peer.Caller{}, q)
 	}
 	h, ok := n.leaderHost()
-	if !ok {
+	if !ok || n.leaderLoads() {
 		return stateReply{}, errNotLeading
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/node/node.go
+++ b/node/node.go
@@ -127,6 +127,7 @@
 	// refused is the rest, as a leader told.
 	admission admit.Controller
 	refused   float64
+	loading   loadingLeader
 	// hostCount is how many hosts there are, as a leader told; 0 if none has.
 	hostCount int
 	// resignedAt is when this host led last and could not keep up.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -51,6 +51,7 @@
 	workers *cellfake.Workers
 	hosts   []*host
 	cores   map[int]float64 // of hosts that are not of the usual size
+	link    spoolsill.Bytes // of the hosts that start, a second; 0: smallLink
 	cancel  context.CancelFunc
 	running sync.WaitGroup // hosts
 	serving sync.WaitGroup // stand-ins
@@ -190,7 +191,7 @@
 				Peers:          peers,
 				Cores:          cmp.Or(x.cores[i], 0.4),
 				Memory:         256 * spoolsill.MiB,
-				LinkRate:       smallLink,
+				LinkRate:       cmp.Or(x.link, smallLink),
 				MaxRow:         64 << 10,
 				Bounds: platform.Bounds{
 					Lease:      lease,
--- a/node/peers.go
+++ b/node/peers.go
@@ -82,6 +82,9 @@
 	MostCores float64
 	// Hosts is how many hosts there are.
 	Hosts int
+	// Loading tells that the leader reads what a former one left: it can say of no job
+	// yet, and hears of each from the store. Leaders of an earlier release don't say.
+	Loading bool
 	// Refuse is the share of the jobs that hosts should not take now; leaders of an
 	// earlier release have all of them taken.
 	Refuse float64
@@ -213,6 +216,7 @@
 		n.noteYield(r)
 		r.MostCores = max(n.hosts.mostCores(), n.settings.Cores)
 		r.Hosts = n.hosts.count() + 1
+		r.Loading = !l.Loaded()
 		r.Refuse = 1 - n.admitted(now, l)
 	}
 	return r, nil
