bench fault: it stops when it is told to, shows progress, uses the processors, plays schedules

Symptom: spoolsill bench fault went on for five minutes with no output on one processor of five, and ended only by SIGKILL. Cause: the command takes the signals into a context that the runs did not look at.

--- a/internal/bench/faultbench/run.go
+++ b/internal/bench/faultbench/run.go
@@ -3,7 +3,9 @@
 package faultbench
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/spoolsill/spoolsill/entry"
@@ -14,14 +16,32 @@
 	"github.com/spoolsill/spoolsill/internal/standin"
 )
 
+// A Config says which sequences to run.
+type Config struct {
+	// Seed is that of the first sequence, Runs how many there are.
+	Seed uint64
+	Runs int
+	// Break names a mechanism to switch off; empty means none.
+	Break string
+	// Schedule is what each sequence plays, with each of its times moved by up to
+	// Move; without steps each seed has its own.
+	Schedule fault.Schedule
+	Move     time.Duration
+	// Progress is told of each sequence that has ended; nil means nobody is.
+	Progress func(done, failed int)
+}
+
 // A Result is what the sequences came to.
 type Result struct {
-	Seed         uint64                     `json:"seed"`
+	Seed uint64 `json:"seed"`
+	// Runs is how many have ended: fewer than asked for when they were stopped.
 	Runs         int                        `json:"runs"`
+	Failed       int                        `json:"failed"`
 	Break        string                     `json:"break,omitempty"`
 	Faults       map[string]int             `json:"faults"`
 	Violations   map[standin.Promise]int    `json:"violations"`
 	Cases        []string                   `json:"cases,omitempty"`
+	Schedules    []string                   `json:"schedules,omitempty"` // of the first that failed
 	UnknownShare float64                    `json:"unknown_share"`
 	NotRunShare  float64                    `json:"not_run_share"`
 	Requests     int64                      `json:"requests"`
@@ -74,56 +94,107 @@
 	},
 }
 
-// Run runs sequences, in [bubble.Main], with the seeds from seed on, one mechanism switched off
-// when broken names it.
-func Run(seed uint64, runs int, broken string) (Result, error) {
-	b, ok := breaks[broken]
+// Run runs sequences, in [bubble.Main] and as many at once as there are
+// processors. When ctx ends it begins no other one and returns what those came
+// to that have ended.
+func Run(ctx context.Context, c Config) (Result, error) {
+	b, ok := breaks[c.Break]
 	if !ok {
-		return Result{}, fmt.Errorf("mechanism %q is not known: want promise, fence, settle, record, lapse, claim or drain", broken)
+		return Result{}, fmt.Errorf("mechanism %q is not known: want promise, fence, settle, record, lapse, claim or drain", c.Break)
 	}
-	out := Result{
-		Seed:       seed,
-		Runs:       runs,
-		Break:      broken,
-		Faults:     map[string]int{},
-		Violations: map[standin.Promise]int{},
-		RecoveryMS: map[string]event.Quantiles{},
+	var mu sync.Mutex
+	s := sum{
+		config: c,
 	}
-	recovery := map[string][]time.Duration{}
-	var notRun, unknown int64
-	for i := range runs {
-		var r fault.Result
-		bubble.Run(func() {
-			r = fault.Run(fault.Config{
-				Seed:  seed + uint64(i),
-				Break: b,
-			})
-		})
-		if r.Err != nil {
-			out.Unfinished++
-		}
-		for k, n := range r.Faults {
-			out.Faults[k] += n
-		}
-		for k, n := range r.Broken {
-			out.Violations[k] += n
+	bubble.Each(c.Runs, func(i int) {
+		if ctx.Err() != nil {
+			return
 		}
-		for k, d := range r.Recovery {
-			recovery[k] = append(recovery[k], d...)
-		}
-		const shown = 10
-		if len(out.Cases) < shown {
-			out.Cases = append(out.Cases, r.Cases...)
-		}
-		out.LostWithHall += r.LostWithHall
-		out.Requests += r.Done + r.NotRun + r.Unknown
-		notRun += r.NotRun
-		unknown += r.Unknown
+		r := fault.Run(c.sequence(i, b))
+		mu.Lock()
+		defer mu.Unlock()
+		s.add(r)
+	})
+	return s.result(), nil
+}
+
+// sequence returns the sequence with a number.
+func (c Config) sequence(i int, b entry.Breaks) fault.Config {
+	f := fault.Config{
+		Seed:  c.Seed + uint64(i),
+		Break: b,
+	}
+	if len(c.Schedule.Steps) > 0 {
+		f.Schedule = c.Schedule.Moved(f.Seed, c.Move)
+	}
+	return f
+}
+
+// What a result shows of all cases and of the schedules that failed.
+const (
+	shownCases     = 10
+	shownSchedules = 2
+)
+
+// A sum adds sequences up.
+type sum struct {
+	config          Config
+	out             Result
+	recovery        map[string][]time.Duration
+	notRun, unknown int64
+}
+
+func (s *sum) add(r fault.Result) {
+	if s.recovery == nil {
+		s.recovery = map[string][]time.Duration{}
+		s.out.Faults = map[string]int{}
+		s.out.Violations = map[standin.Promise]int{}
+	}
+	s.out.Runs++
+	if r.Err != nil {
+		s.out.Unfinished++
+	}
+	if r.Err != nil || len(r.Cases) > 0 {
+		s.out.Failed++
+		s.show(r)
+	}
+	for k, n := range r.Faults {
+		s.out.Faults[k] += n
+	}
+	for k, n := range r.Broken {
+		s.out.Violations[k] += n
+	}
+	for k, d := range r.Recovery {
+		s.recovery[k] = append(s.recovery[k], d...)
 	}
-	for k, d := range recovery {
-		out.RecoveryMS[k] = event.QuantilesOf(d)
+	s.out.LostWithHall += r.LostWithHall
+	s.out.Requests += r.Done + r.NotRun + r.Unknown
+	s.notRun += r.NotRun
+	s.unknown += r.Unknown
+	if s.config.Progress != nil {
+		s.config.Progress(s.out.Runs, s.out.Failed)
+	}
+}
+
+// show keeps what a sequence that failed tells.
+func (s *sum) show(r fault.Result) {
+	if len(s.out.Cases) < shownCases {
+		s.out.Cases = append(s.out.Cases, r.Cases...)
+	}
+	if len(s.out.Schedules) < shownSchedules {
+		s.out.Schedules = append(s.out.Schedules, r.Schedule.String())
+	}
+}
+
+func (s *sum) result() Result {
+	r := s.out
+	r.Seed = s.config.Seed
+	r.Break = s.config.Break
+	r.RecoveryMS = map[string]event.Quantiles{}
+	for k, d := range s.recovery {
+		r.RecoveryMS[k] = event.QuantilesOf(d)
 	}
-	out.UnknownShare = float64(unknown) / float64(max(out.Requests, 1))
-	out.NotRunShare = float64(notRun) / float64(max(out.Requests, 1))
-	return out, nil
+	r.UnknownShare = float64(s.unknown) / float64(max(r.Requests, 1))
+	r.NotRunShare = float64(s.notRun) / float64(max(r.Requests, 1))
+	return r
 }
--- a/internal/bubble/bubble.go
+++ b/internal/bubble/bubble.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"regexp"
+	"strconv"
 	"testing"
 	"testing/synctest"
 )
@@ -36,3 +37,20 @@
 	}
 	synctest.Test(current, func(*testing.T) { f() })
 }
+
+// Each runs f for each number below n, each on a virtual time of its own and as
+// many at once as there are processors. It returns when all have ended, and
+// panics outside of [Main].
+func Each(n int, f func(i int)) {
+	if current == nil {
+		panic("bubble: Each outside of Main")
+	}
+	current.Run("each", func(t *testing.T) {
+		for i := range n {
+			t.Run(strconv.Itoa(i), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(*testing.T) { f(i) })
+			})
+		}
+	})
+}
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"sort"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/spoolsill/spoolsill/internal/bench/routebench"
 	"github.com/spoolsill/spoolsill/internal/bench/storebench"
 	"github.com/spoolsill/spoolsill/internal/bubble"
+	"github.com/spoolsill/spoolsill/internal/fault"
 	"github.com/spoolsill/spoolsill/internal/standin"
 )
 
@@ -102,6 +104,9 @@
 	Seed  uint64 `help:"Seed of the first sequence." default:"1000"`
 	Runs  int    `help:"Sequences." default:"20"`
 	Break string `help:"Switch a mechanism off: promise, fence, settle, record, lapse, claim or drain."`
+
+	Schedule string        `help:"File with the failures of each sequence, as a failed one tells them." type:"existingfile"`
+	Move     time.Duration `help:"By how much each time of the schedule is moved at most." default:"1.5s"`
 }
 
 // Run runs sequences of failures. It fails when a promise was broken.
@@ -123,12 +128,23 @@
 }
 
 func (c *benchFault) run(s *session) error {
-	r, err := faultbench.Run(c.Seed, c.Runs, c.Break)
+	plays, err := c.schedule()
+	if err != nil {
+		return exitWith(ExitUsage, "%w", err)
+	}
+	r, err := faultbench.Run(s.ctx(), faultbench.Config{
+		Seed:     c.Seed,
+		Runs:     c.Runs,
+		Break:    c.Break,
+		Schedule: plays,
+		Move:     c.Move,
+		Progress: c.progress(s),
+	})
 	if err != nil {
 		return exitWith(ExitUsage, "%w", err)
 	}
 	err = s.print(r, func(w io.Writer) {
-		fmt.Fprintf(w, "%d sequences from seed %d, %d requests: %.4f not run, %.4f unknown; %d jobs lost with all hosts of a hall; %d unfinished\n\n", r.Runs, r.Seed, r.Requests, r.NotRunShare, r.UnknownShare, r.LostWithHall, r.Unfinished)
+		fmt.Fprintf(w, "%d of %d sequences from seed %d, %d failed, %d requests: %.4f not run, %.4f unknown; %d jobs lost with all hosts of a hall; %d unfinished\n\n", r.Runs, c.Runs, r.Seed, r.Failed, r.Requests, r.NotRunShare, r.UnknownShare, r.LostWithHall, r.Unfinished)
 		t := newTable(w, "promise", "broken")
 		for _, p := range standin.Promises() {
 			t.row(string(p), fmt.Sprint(r.Violations[p]))
@@ -140,7 +156,7 @@
 			t.row(k, fmt.Sprint(q.Count), fmt.Sprintf("%.0f", q.P50), fmt.Sprintf("%.0f", q.P99))
 		}
 		t.flush()
-		for _, x := range r.Cases {
+		for _, x := range append(r.Cases, r.Schedules...) {
 			fmt.Fprintln(w, x)
 		}
 	})
@@ -150,6 +166,30 @@
 	return err
 }
 
+// schedule reads the schedule to play; it has no steps when none is named.
+func (c *benchFault) schedule() (fault.Schedule, error) {
+	if c.Schedule == "" {
+		return fault.Schedule{}, nil
+	}
+	b, err := os.ReadFile(c.Schedule)
+	if err != nil {
+		return fault.Schedule{}, err
+	}
+	return fault.Parse(b)
+}
+
+// progressEvery is how many sequences end between two lines of progress.
+const progressEvery = 50
+
+// progress tells of a long run on the error stream.
+func (c *benchFault) progress(s *session) func(done, failed int) {
+	return func(done, failed int) {
+		if done%progressEvery == 0 && done < c.Runs {
+			fmt.Fprintf(s.env.Err, "%d of %d sequences, %d failed\n", done, c.Runs, failed)
+		}
+	}
+}
+
 type benchStore struct {
 	Halls    int           `help:"Halls." default:"3"`
 	Rate     int           `help:"Placements a second in each hall." default:"1000"`
