node: a host that is alone does not go on refusing jobs

Symptom: 40 of 40 jobs refused by a host that was told to refuse some, and is the only one left, with the cell idle and all answers in time for fifteen seconds. Cause: the share was worked out only when another host greeted the leader, and what was told counted for ever.

--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -54,3 +54,35 @@
 		x.c.Check(refused, qt.Equals, 0)
 	})
 }
+
+// A host that had been told to turn a part of the jobs away went on doing so when it
+// heard of no other host any more: it leads by itself then, and the share was worked out
+// anew only when another host greeted the leader. Each of 40 jobs was refused ("the cell
+// can't take more now"), fifteen seconds after all answers were in time again.
+func TestTheRefusedShareEndsAtAHostThatIsAlone(t *testing.T) {
+	run(t, 3, 4, func(x *cell) {
+		var late atomic.Bool
+		x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
+			if late.Load() {
+				return 300 * time.Millisecond
+			}
+			return time.Millisecond
+		}
+		host := (x.leader() + 1) % 3
+		late.Store(true)
+		x.handInFor(4*time.Second, host, 100)
+		_, refused := x.handInFor(time.Second, host, 200)
+		x.c.Assert(refused > 0, qt.IsTrue)
+		for i := range x.hosts {
+			x.network.SetPaused(hostName(i), i != host)
+		}
+		late.Store(false)
+		pause.For(x.ctx, 15*time.Second)
+		x.c.Assert(x.leader(), qt.Equals, host)
+		_, refused = x.handInFor(2*time.Second, host, 300)
+		x.c.Check(refused, qt.Equals, 0)
+		for i := range x.hosts {
+			x.network.SetPaused(hostName(i), false)
+		}
+	})
+}
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -44,7 +44,10 @@
 		n.mu.Lock()
 		n.mostCores = r.MostCores
 		n.hostCount = r.Hosts
-		n.refused = r.Refuse
+		n.refused = refusal{
+			share: r.Refuse,
+			told:  n.clock.Now(),
+		}
 		n.loading = loadingOf(r, n.clock.Now())
 		n.heard = ledWrite{
 			epoch:  r.Epoch,
--- a/node/node.go
+++ b/node/node.go
@@ -126,7 +126,7 @@
 	// admission decides, while this host leads, what share of the jobs is taken;
 	// refused is the rest, as a leader told.
 	admission admit.Controller
-	refused   float64
+	refused   refusal
 	loading   loadingLeader
 	// hostCount is how many hosts there are, as a leader told; 0 if none has.
 	hostCount int
