--- a/holder/commit.go
+++ b/holder/commit.go
@@ -268,6 +268,7 @@
 	if err := t.adopt(s, w, last); err != nil {
 		return err
 	}
+	t.h.stored(last)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.state = s
