platform, sched: what a worker says of its birth is read and told

Cause: a worker may start again under its id, and only born tells its lives apart. Nothing read it, and nothing that was logged named the life that answered, or an end that was taken for one seen before, so that hypotheses on a worker that is back could not be told apart. The leader notes when a worker's word names another life than the one before, with what is believed there, and an end that is not counted though its run is believed there. No decision changes.

--- a/id.go
+++ b/id.go
@@ -15,6 +15,26 @@
 // WorkerID names a worker, a machine that runs tasks.
 type WorkerID string
 
+// A Birth is when a life of a worker began, in milliseconds since 1970 by the worker's
+// own time of day. It tells the lives of one id apart, and not which of them was first:
+// a time of day may jump. Zero means that it is not told.
+type Birth uint64
+
+// A Life is one life of a worker. A worker that starts again may keep its id: then it
+// knows nothing of before, and nothing that was believed of the former life holds for it.
+type Life struct {
+	Worker WorkerID
+	Born   Birth
+}
+
+// String returns the worker's id, and its birth if that is told.
+func (l Life) String() string {
+	if l.Born == 0 {
+		return string(l.Worker)
+	}
+	return string(l.Worker) + "@" + strconv.FormatUint(uint64(l.Born), 10)
+}
+
 // RunnerID names a runner, an upstream process that answers requests.
 type RunnerID string
 
--- a/internal/bench/cellbench/cell.go
+++ b/internal/bench/cellbench/cell.go
@@ -425,10 +425,12 @@
 	now := x.loop.Time()
 	x.state.LeaseAsked(w.ID, sched.LeaseEnd(now, lease))
 	h := sched.Heartbeat{
-		Worker: w.ID,
-		Sent:   now.Add(-callTime),
-		Clock:  sched.ClockMillis(x.loop.Now().Milliseconds()) + 1,
-		Ended:  slices.Clone(w.ends),
+		Life: spoolsill.Life{
+			Worker: w.ID,
+		},
+		Sent:  now.Add(-callTime),
+		Clock: sched.ClockMillis(x.loop.Now().Milliseconds()) + 1,
+		Ended: slices.Clone(w.ends),
 	}
 	for _, r := range w.runs {
 		h.Running = append(h.Running, sched.RunningTask{
--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -69,6 +69,7 @@
 
 type worker struct {
 	id       spoolsill.WorkerID
+	born     spoolsill.Birth
 	began    time.Time
 	cut      bool
 	room     movingRoom
@@ -104,15 +105,29 @@
 func (f *Workers) Add(id spoolsill.WorkerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id] = &worker{
+	f.workers[id] = newWorker(id, time.Duration(1+len(f.workers))*clockStep)
+}
+
+// newWorker returns a worker whose clock shows a time.
+func newWorker(id spoolsill.WorkerID, clock time.Duration) *worker {
+	now := time.Now()
+	return &worker{
 		id:      id,
-		began:   time.Now().Add(-time.Duration(1+len(f.workers)) * clockStep),
+		born:    spoolsill.Birth(now.UnixMilli()),
+		began:   now.Add(-clock),
 		running: map[sched.RunID]progress{},
 		highest: map[sched.TaskID]sched.RunNumber{},
 		changed: make(chan struct{}),
 	}
 }
 
+func (w *worker) life() spoolsill.Life {
+	return spoolsill.Life{
+		Worker: w.id,
+		Born:   w.born,
+	}
+}
+
 // clockStep is how far the workers' clocks are apart.
 const clockStep = 17 * time.Minute
 
@@ -318,10 +333,10 @@
 	}
 	f.lapse(w)
 	h := sched.Heartbeat{
-		Worker: w.id,
-		Sent:   sent,
-		Clock:  w.clock(),
-		Ended:  append([]sched.End(nil), w.ended...),
+		Life:  w.life(),
+		Sent:  sent,
+		Clock: w.clock(),
+		Ended: append([]sched.End(nil), w.ended...),
 	}
 	for x, p := range w.running {
 		h.Running = append(h.Running, sched.RunningTask{
--- a/node/delegatewire.go
+++ b/node/delegatewire.go
@@ -249,7 +249,9 @@
 // heartbeat returns what a worker answered to a call that was sent at some time.
 func (r renewReply) heartbeat(w spoolsill.WorkerID, sent time.Time) sched.Heartbeat {
 	h := sched.Heartbeat{
-		Worker:  w,
+		Life: spoolsill.Life{
+			Worker: w,
+		},
 		Sent:    sent,
 		Clock:   r.Reply.Clock,
 		Partial: r.Partial,
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -37,9 +37,11 @@
 		})
 		s.LeaseAsked(id, sched.LeaseEnd(now, lease))
 		s.Heartbeat(now, sched.Heartbeat{
-			Worker: id,
-			Sent:   now,
-			Clock:  1,
+			Life: spoolsill.Life{
+				Worker: id,
+			},
+			Sent:  now,
+			Clock: 1,
 		})
 	}
 	for i := range n {
@@ -82,8 +84,10 @@
 	for b.Loop() {
 		n++
 		s.Heartbeat(now, sched.Heartbeat{
-			Worker: id,
-			Sent:   now,
+			Life: spoolsill.Life{
+				Worker: id,
+			},
+			Sent: now,
 		})
 		s.AddJob(now, job(spoolsill.JobID(fmt.Sprintf("job-%d", n)), "q", tasks(2, 1)), sched.Progress{})
 		s.Decide(now)
@@ -98,8 +102,10 @@
 			})
 			sequence++
 			s.Heartbeat(now, sched.Heartbeat{
-				Worker: o.Worker,
-				Sent:   now,
+				Life: spoolsill.Life{
+					Worker: o.Worker,
+				},
+				Sent: now,
 				Ended: []sched.End{
 					{
 						Sequence: sequence,
--- a/sched/event.go
+++ b/sched/event.go
@@ -9,6 +9,7 @@
 // A Worker is one life of a machine that runs tasks, as the platform lists it.
 type Worker struct {
 	ID       spoolsill.WorkerID
+	Born     spoolsill.Birth
 	Machine  string
 	Service  spoolsill.ServiceID
 	Hall     spoolsill.HallID
@@ -21,6 +22,14 @@
 	Remaining time.Duration
 }
 
+// Life returns the life that the entry speaks of.
+func (w Worker) Life() spoolsill.Life {
+	return spoolsill.Life{
+		Worker: w.ID,
+		Born:   w.Born,
+	}
+}
+
 // EndKind tells how a run ended.
 type EndKind uint8
 
@@ -65,7 +74,8 @@
 
 // A Heartbeat is a worker's answer to a lease renewal.
 type Heartbeat struct {
-	Worker spoolsill.WorkerID
+	// Life is the one that answered, by its own word.
+	spoolsill.Life
 	// Sent is when the call was sent. What the answer does not list was not
 	// there at that time or later, until something else was started.
 	Sent    time.Time
@@ -230,6 +240,7 @@
 	NoteStarted    NoteKind = "task started"
 	NoteNotStarted NoteKind = "task not started"
 	NoteEnded      NoteKind = "task ended"
+	NoteUncounted  NoteKind = "end not counted"
 	NoteGone       NoteKind = "run is gone"
 	NoteStop       NoteKind = "task stop ordered"
 	NoteNotStopped NoteKind = "task stop not taken"
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -122,9 +122,11 @@
 // answer has a worker answer without renewing its lease.
 func (x *cell) answer(id spoolsill.WorkerID, running ...sched.RunID) {
 	h := sched.Heartbeat{
-		Worker: id,
-		Sent:   x.now,
-		Clock:  sched.ClockMillis(x.now.UnixMilli()),
+		Life: spoolsill.Life{
+			Worker: id,
+		},
+		Sent:  x.now,
+		Clock: sched.ClockMillis(x.now.UnixMilli()),
 	}
 	for _, r := range running {
 		h.Running = append(h.Running, sched.RunningTask{
@@ -138,8 +140,10 @@
 func (x *cell) end(o sched.StartOrder, k sched.EndKind) {
 	x.ends[o.Worker]++
 	x.state.Heartbeat(x.now, sched.Heartbeat{
-		Worker: o.Worker,
-		Sent:   x.now,
+		Life: spoolsill.Life{
+			Worker: o.Worker,
+		},
+		Sent: x.now,
 		Ended: []sched.End{
 			{
 				Sequence: x.ends[o.Worker],
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -201,6 +201,7 @@
 	if now.Sub(w.answered) > silentAfter {
 		s.noteWorker(w, "answers", now.Sub(w.answered))
 	}
+	s.noteLife(w, h.Born, "its answer")
 	w.answered = now
 	w.silent = false
 	for _, e := range h.Ended {
@@ -270,6 +271,7 @@
 	if e.Sequence <= w.seen {
 		// The worker still lists it, so it has not heard the acknowledgement.
 		s.acks[w.id] = w.seen
+		s.noteUncounted(w, e)
 		return
 	}
 	w.seen = e.Sequence
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -326,8 +326,10 @@
 	x.step()
 	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
 	x.state.Heartbeat(x.now, sched.Heartbeat{
-		Worker: "a",
-		Sent:   x.now,
+		Life: spoolsill.Life{
+			Worker: "a",
+		},
+		Sent: x.now,
 		Ended: []sched.End{
 			{
 				Sequence: 1,
@@ -369,8 +371,10 @@
 		x.now = x.now.Add(500 * time.Millisecond)
 		x.state.LeaseAsked("a", sched.LeaseEnd(x.now, lease))
 		x.state.Heartbeat(x.now, sched.Heartbeat{
-			Worker: "a",
-			Sent:   x.now,
+			Life: spoolsill.Life{
+				Worker: "a",
+			},
+			Sent: x.now,
 			Running: []sched.RunningTask{
 				{
 					Run:     o[0].Run,
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -33,6 +33,7 @@
 type worker struct {
 	Worker
 	id     spoolsill.WorkerID
+	born   spoolsill.Birth // as last told
 	listed bool
 	dead   bool
 	// closed tells that the account is not looked at: the worker is not listed
@@ -118,6 +119,7 @@
 	if w.unclear {
 		s.noteWorker(w, "its entry is whole again", 0)
 	}
+	s.noteLife(w, l.Born, "its entry")
 	w.listed = true
 	w.unclear = false
 	w.lapsed = time.Time{}
