--- a/internal/cellfake/crash.go
+++ b/internal/cellfake/crash.go
@@ -42,7 +42,7 @@
 }
 
 // Crash ends a worker's life without a word: what it runs is gone with it, and
-// nobody answers at its address until [Workers.Replace].
+// nobody answers at its address until [Workers.Replace] or [Workers.Restart].
 func (f *Workers) Crash(id spoolsill.WorkerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -67,6 +67,27 @@
 	f.workers[id].replaced = true
 }
 
+// Restart has a worker that crashed start again under its id, at its address. It knows
+// nothing of before; its counts and its clock start anew. Orders for the former life that
+// are still on their way reach it.
+func (f *Workers) Restart(id spoolsill.WorkerID) spoolsill.Life {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	former := f.workers[id]
+	w := newWorker(id, 0)
+	w.born = max(w.born, former.born+1)
+	w.room = former.room
+	f.workers[id] = w
+	return w.life()
+}
+
+// LifeOf returns the life of a worker that is its latest.
+func (f *Workers) LifeOf(id spoolsill.WorkerID) spoolsill.Life {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].life()
+}
+
 // crashLater has a run that crashes its worker do so.
 func (f *Workers) crashLater(w *worker, r sched.RunID) {
 	if f.Crashes == nil {
--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -214,7 +214,7 @@
 	case OrderLose:
 		f.locked(w, carryOut)
 	case OrderLate:
-		time.AfterFunc(orderLateBy, func() { f.locked(w, carryOut) })
+		time.AfterFunc(orderLateBy, func() { f.lockedLatest(id, carryOut) })
 	case OrderDrop:
 	}
 	<-ctx.Done()
@@ -231,6 +231,14 @@
 	g(w)
 }
 
+// lockedLatest is locked with the life that a worker has then.
+func (f *Workers) lockedLatest(id spoolsill.WorkerID, g func(*worker)) {
+	f.mu.Lock()
+	w := f.workers[id]
+	f.mu.Unlock()
+	f.locked(w, g)
+}
+
 // lapse ends what runs when the lease is over.
 func (f *Workers) lapse(w *worker) {
 	if w.clock() <= w.deadline {
--- a/leader/fixture_test.go
+++ b/leader/fixture_test.go
@@ -80,6 +80,7 @@
 func (x *cell) list(id spoolsill.WorkerID) {
 	b, err := json.Marshal(sched.Worker{
 		ID:      id,
+		Born:    x.workers.LifeOf(id).Born,
 		Service: "work",
 		Address: string(id),
 		Capacity: spoolsill.Resources{
