--- a/id.go
+++ b/id.go
@@ -27,6 +27,11 @@
 	Born   Birth
 }
 
+// MayBe reports whether a birth may be l's. One that is not told may be any.
+func (l Life) MayBe(b Birth) bool {
+	return l.Born == 0 || b == 0 || l.Born == b
+}
+
 // String returns the worker's id, and its birth if that is told.
 func (l Life) String() string {
 	if l.Born == 0 {
--- a/internal/bench/cellbench/cell.go
+++ b/internal/bench/cellbench/cell.go
@@ -259,10 +259,10 @@
 		Received: x.loop.Time(),
 		Valid:    ticketValid,
 	}
-	for _, id := range o.Workers {
-		if x.good(o.Stage, id) {
+	for _, l := range o.Workers {
+		if x.good(o.Stage, l.Worker) {
 			a.Tickets = append(a.Tickets, sched.Ticket{
-				Worker: id,
+				Worker: l.Worker,
 				Text:   "t",
 			})
 		}
@@ -287,8 +287,8 @@
 	a := x.jobs[o.Run.Task.Stage.Job]
 	x.starts++
 	x.state.StartAnswered(x.loop.Time(), sched.StartAnswer{
-		Worker: o.Worker,
-		Run:    o.Run,
+		Life: o.Life,
+		Run:  o.Run,
 	})
 	if a == nil {
 		return
@@ -423,7 +423,7 @@
 
 func (x *cell) answer(w *worker) {
 	now := x.loop.Time()
-	x.state.LeaseAsked(w.ID, sched.LeaseEnd(now, lease))
+	x.state.LeaseAsked(w.Life(), sched.LeaseEnd(now, lease))
 	h := sched.Heartbeat{
 		Life: spoolsill.Life{
 			Worker: w.ID,
--- a/internal/standin/wire/workers.go
+++ b/internal/standin/wire/workers.go
@@ -37,7 +37,9 @@
 // Worker serves the orders of one worker.
 func Worker(f *cellfake.Workers, id spoolsill.WorkerID) http.Handler {
 	t := leader.Target{
-		Worker: id,
+		Life: spoolsill.Life{
+			Worker: id,
+		},
 	}
 	m := chi.NewRouter()
 	m.Use(func(next http.Handler) http.Handler { return onlyLife(id, next) })
@@ -144,6 +146,7 @@
 	}
 	return map[string]any{
 		"clockMs": h.Clock,
+		"born":    h.Born,
 		"running": running,
 		"ended":   ended,
 	}
--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -179,7 +179,7 @@
 		c, cancel := context.WithTimeout(ctx, o.Cost+askSlack)
 		defer cancel()
 		begun := l.config.Clock.Now()
-		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, o.Workers)
+		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, workersOf(o.Workers))
 		l.config.Observer.Asked(outcome(err), l.config.Clock.Since(begun))
 		if err != nil {
 			l.config.Log.WithError(err).WithField("host", string(h)).WithField("stage", o.Stage.String()).Warn("advice failed")
@@ -200,6 +200,15 @@
 	})
 }
 
+// workersOf returns the ids by which the advisor knows lives.
+func workersOf(lives []spoolsill.Life) []spoolsill.WorkerID {
+	ids := make([]spoolsill.WorkerID, len(lives))
+	for i, l := range lives {
+		ids[i] = l.Worker
+	}
+	return ids
+}
+
 func outcome(err error) string {
 	if err != nil {
 		return "failed"
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -94,8 +94,8 @@
 	written  sync.WaitGroup
 	ctx      context.Context //nolint:containedctx // calls outlive the functions that order them, not the leadership
 
-	renewers map[spoolsill.WorkerID]*renewer
-	wanted   map[spoolsill.WorkerID]bool // used by keepRenewers, each time anew
+	renewers map[spoolsill.Life]*renewer
+	wanted   map[spoolsill.Life]bool // used by keepRenewers, each time anew
 	advising *adviser
 	sweeper  *sweeper
 	losses   losses
@@ -151,12 +151,12 @@
 	jobsHeard      struct{ sent time.Time }
 	workersHeard   struct{ sent time.Time }
 	heartbeatTaken struct{ heartbeat sched.Heartbeat }
-	workerReplaced struct{ worker spoolsill.WorkerID }
-	workerRefused  struct{ worker spoolsill.WorkerID }
-	workerSilent   struct{ worker spoolsill.WorkerID }
+	workerReplaced struct{ life spoolsill.Life }
+	workerRefused  struct{ life spoolsill.Life }
+	workerSilent   struct{ life spoolsill.Life }
 	leaseAsked     struct {
-		worker spoolsill.WorkerID
-		until  time.Time
+		life  spoolsill.Life
+		until time.Time
 	}
 	startAnswered struct{ answer sched.StartAnswer }
 	stopAnswered  struct{ answer sched.StopAnswer }
@@ -178,8 +178,8 @@
 		config:   c,
 		pace:     store.NewPace(c.ReadBytes),
 		events:   make(chan event, eventBuffer),
-		renewers: map[spoolsill.WorkerID]*renewer{},
-		wanted:   map[spoolsill.WorkerID]bool{},
+		renewers: map[spoolsill.Life]*renewer{},
+		wanted:   map[spoolsill.Life]bool{},
 		unclear:  map[spoolsill.WorkerID]bool{},
 		statuses: map[spoolsill.JobID]sched.JobStatus{},
 		waiting:  map[sched.QueueID]int{},
@@ -421,13 +421,13 @@
 	case heartbeatTaken:
 		l.state.Heartbeat(now, e.heartbeat)
 	case workerReplaced:
-		l.state.WorkerDied(now, e.worker)
+		l.state.WorkerDied(now, e.life)
 	case workerRefused:
-		l.state.WorkerRefused(now, e.worker)
+		l.state.WorkerRefused(now, e.life)
 	case workerSilent:
-		l.state.WorkerSilent(now, e.worker)
+		l.state.WorkerSilent(now, e.life)
 	case leaseAsked:
-		l.state.LeaseAsked(e.worker, e.until)
+		l.state.LeaseAsked(e.life, e.until)
 	case startAnswered:
 		l.state.StartAnswered(now, e.answer)
 	case stopAnswered:
--- a/leader/lives_test.go
+++ b/leader/lives_test.go
@@ -54,6 +54,10 @@
 //
 //	9.034 task ended, done, run 1 of one task
 //	9.034 run is gone, worker does not have it, run 4 of another
+//
+// A worker counts the ends of each of its lives from 1. The leader took those up to the
+// highest number of the former life for ends that it had counted, acknowledged them, and
+// found the runs neither running nor ended.
 func TestEndsOfAWorkerThatStartedAgainCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newCell(t.Context(), t, 1)
--- a/leader/order.go
+++ b/leader/order.go
@@ -27,10 +27,10 @@
 // sendStart sends a start order, and again to the letter when it is not
 // answered: a run that is there already is not started twice.
 func (l *Leader) sendStart(o sched.StartOrder) {
-	h := l.renewers[o.Worker]
+	h := l.renewers[o.Life]
 	if h == nil {
 		l.state.StartAnswered(l.config.Clock.Now(), sched.StartAnswer{
-			Worker:  o.Worker,
+			Life:    o.Life,
 			Run:     o.Run,
 			Outcome: sched.StartRejected,
 		})
@@ -48,7 +48,7 @@
 
 func (h *renewer) start(ctx context.Context, o sched.StartOrder, keeper string) sched.StartAnswer {
 	a := sched.StartAnswer{
-		Worker:  o.Worker,
+		Life:    o.Life,
 		Run:     o.Run,
 		Outcome: sched.StartUnknown,
 	}
@@ -91,7 +91,7 @@
 func (h *renewer) reportSilence(since time.Time) {
 	if _, _, at := h.read(); at.Before(since) {
 		h.leader.send(workerSilent{
-			worker: h.target.Worker,
+			life: h.target.Life,
 		})
 	}
 }
@@ -133,7 +133,7 @@
 // sendStop sends a stop order until it is answered, for as long as its tries
 // last. Whatever becomes of it is reported.
 func (l *Leader) sendStop(ctx context.Context, o sched.StopOrder) {
-	h := l.renewers[o.Worker]
+	h := l.renewers[o.Life]
 	if h == nil {
 		l.state.StopAnswered(l.config.Clock.Now(), sched.StopAnswer{
 			Order:  o,
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -31,7 +31,7 @@
 	ackWait = time.Second
 )
 
-// A renewer keeps one worker's lease renewed.
+// A renewer keeps the lease of one life of a worker renewed.
 type renewer struct {
 	leader *Leader
 	target Target
@@ -57,34 +57,34 @@
 	l.state.SetAskers(len(l.config.Advisor.Hosts()))
 	wanted := l.wanted
 	clear(wanted)
-	for _, id := range l.state.Workers() {
-		wanted[id] = true
-		if l.renewers[id] == nil {
-			l.startRenewer(ctx, id)
+	for _, life := range l.state.Workers() {
+		wanted[life] = true
+		if l.renewers[life] == nil {
+			l.startRenewer(ctx, life)
 		}
 	}
 	l.inTouch.Store(int64(len(wanted)))
-	for id, h := range l.renewers {
-		if !wanted[id] {
+	for life, h := range l.renewers {
+		if !wanted[life] {
 			h.cancel()
-			delete(l.renewers, id)
+			delete(l.renewers, life)
 		}
 	}
 }
 
-func (l *Leader) startRenewer(ctx context.Context, id spoolsill.WorkerID) {
+func (l *Leader) startRenewer(ctx context.Context, life spoolsill.Life) {
 	ctx, cancel := context.WithCancel(ctx)
 	h := &renewer{
 		leader: l,
 		target: Target{
-			Worker:  id,
-			Address: l.state.Address(id),
-			Hall:    l.state.Hall(id),
+			Life:    life,
+			Address: l.state.Address(life.Worker),
+			Hall:    l.state.Hall(life.Worker),
 		},
 		cancel: cancel,
 		wake:   make(chan struct{}, 1),
 	}
-	l.renewers[id] = h
+	l.renewers[life] = h
 	l.spawn(func() { h.run(ctx) })
 }
 
@@ -140,6 +140,15 @@
 		}
 		b, r := h.renew(ctx, acked, wait, unanswered)
 		unanswered++
+		if r.Kind == Taken && !h.target.MayBe(b.Born) {
+			// Of the next life, or on its way since the one before: the account tells, and
+			// whoever renews the lease of the next one begins anew.
+			h.leader.send(heartbeatTaken{
+				heartbeat: b,
+			})
+			pause.For(ctx, renewRetry)
+			continue
+		}
 		if r.Kind == Taken {
 			unanswered = 0
 		}
@@ -159,12 +168,12 @@
 			return
 		case OtherLife:
 			h.leader.send(workerReplaced{
-				worker: h.target.Worker,
+				life: h.target.Life,
 			})
 			return
 		case NobodyThere:
 			h.leader.send(workerRefused{
-				worker: h.target.Worker,
+				life: h.target.Life,
 			})
 			pause.For(ctx, renewRetry)
 		default:
@@ -212,7 +221,9 @@
 		Within:   h.leader.answers.heartbeat(unanswered),
 	})
 	now := h.leader.config.Clock.Now()
-	h.setClock(r.Clock, now)
+	if h.target.MayBe(b.Born) {
+		h.setClock(r.Clock, now)
+	}
 	if r.Kind == Taken && (wait == 0 || len(b.Ended) == 0) {
 		// A worker that has an end to tell of has waited for some shorter time.
 		h.leader.answers.take(max(now.Sub(begun)-wait, 0))
@@ -270,8 +281,8 @@
 		return 0
 	}
 	h.leader.send(leaseAsked{
-		worker: h.target.Worker,
-		until:  sched.LeaseEnd(now, left),
+		life:  h.target.Life,
+		until: sched.LeaseEnd(now, left),
 	})
 	return c + sched.ClockMillis(left.Milliseconds())
 }
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -8,9 +8,10 @@
 	"github.com/spoolsill/spoolsill/sched"
 )
 
-// A Target is one life of a worker and where it is reached.
+// A Target is one life of a worker and where it is reached. A call names the worker by its
+// id alone: the next life under that id takes it for its own.
 type Target struct {
-	Worker  spoolsill.WorkerID
+	spoolsill.Life
 	Address string
 	Hall    spoolsill.HallID
 }
--- a/leader/write.go
+++ b/leader/write.go
@@ -76,7 +76,7 @@
 	l.sweeper.add(e.batch.Ended)
 	l.forget(e.batch.Forgotten)
 	for _, a := range e.batch.Acks {
-		if h := l.renewers[a.Worker]; h != nil {
+		if h := l.renewers[a.Life]; h != nil {
 			h.ack(a.Sequence)
 		}
 	}
--- a/node/delegatewire.go
+++ b/node/delegatewire.go
@@ -30,7 +30,9 @@
 
 func (t wireTarget) target() leader.Target {
 	return leader.Target{
-		Worker:  t.Worker,
+		Life: spoolsill.Life{
+			Worker: t.Worker,
+		},
 		Address: t.Address,
 	}
 }
@@ -130,7 +132,9 @@
 		Fence:    q.Target.Fence,
 		Deadline: q.Deadline,
 		Order: sched.StartOrder{
-			Worker: q.Target.Worker,
+			Life: spoolsill.Life{
+				Worker: q.Target.Worker,
+			},
 			Run:    q.Run.run(),
 			Spec:   q.Spec,
 			Saved:  q.Saved,
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -38,8 +38,9 @@
 
 // advice is what a stage knows of the workers that may run it.
 type advice struct {
-	asked   map[spoolsill.WorkerID]bool // and answered: good or never
-	tickets map[spoolsill.WorkerID]ticket
+	// asked and tickets are by account: what the advisor says holds for one life.
+	asked   map[*worker]bool // and answered: good or never
+	tickets map[*worker]ticket
 	good    []*worker // those with a ticket, valid or not
 	// learning counts the questions under way about workers that are not
 	// known yet; warming tells that one renews the tickets of a gang that
@@ -56,23 +57,23 @@
 
 // valid reports whether the ticket for a worker can be used for a start that is
 // decided now.
-func (a *advice) valid(id spoolsill.WorkerID, now time.Time) bool {
-	return a.validFor(id, now, ticketMargin)
+func (a *advice) valid(w *worker, now time.Time) bool {
+	return a.validFor(w, now, ticketMargin)
 }
 
 // validFor reports whether the ticket for a worker holds for longer than margin.
-func (a *advice) validFor(id spoolsill.WorkerID, now time.Time, margin time.Duration) bool {
-	return a.tickets[id].until.Sub(now) > margin
+func (a *advice) validFor(w *worker, now time.Time, margin time.Duration) bool {
+	return a.tickets[w].until.Sub(now) > margin
 }
 
-func (a *advice) expire(id spoolsill.WorkerID) {
-	t := a.tickets[id]
+func (a *advice) expire(w *worker) {
+	t := a.tickets[w]
 	t.until = time.Time{}
-	a.tickets[id] = t
+	a.tickets[w] = t
 }
 
 // ask orders a question about workers.
-func (s *State) ask(g *stage, q *Queue, workers []spoolsill.WorkerID, p Purpose) {
+func (s *State) ask(g *stage, q *Queue, workers []spoolsill.Life, p Purpose) {
 	if len(workers) == 0 {
 		return
 	}
@@ -97,7 +98,7 @@
 
 // learnMore asks about workers that are not known yet: of a gang, which needs many,
 // in parts, as far as hosts are free to ask.
-func (d *decider) learnMore(g *stage, q *Queue, workers []spoolsill.WorkerID) {
+func (d *decider) learnMore(g *stage, q *Queue, workers []spoolsill.Life) {
 	parts := 1
 	if g.step.Gang {
 		width := q.Advisor.width()
@@ -133,7 +134,7 @@
 // unasked returns workers that g may use now and was not told about, those with
 // most free processors first. Workers that can't be reached have the most, as
 // far as is known, and are of no use.
-func (d *decider) unasked(g *stage, q *Queue) []spoolsill.WorkerID {
+func (d *decider) unasked(g *stage, q *Queue) []spoolsill.Life {
 	r := d.ready[q.Service]
 	if r == nil {
 		return nil
@@ -142,16 +143,16 @@
 	if !g.step.Gang {
 		most = q.Advisor.width()
 	}
-	var ids []spoolsill.WorkerID
+	var lives []spoolsill.Life
 	for _, w := range r.freest() {
-		if len(ids) == most {
+		if len(lives) == most {
 			break
 		}
-		if g.allows(w) && !g.advice.asked[w.id] {
-			ids = append(ids, w.id)
+		if g.allows(w) && !g.advice.asked[w] {
+			lives = append(lives, w.life())
 		}
 	}
-	return ids
+	return lives
 }
 
 // Advised takes in an answer of the advisor.
@@ -202,21 +203,28 @@
 func (s *State) takeTickets(g *stage, a Advice) {
 	x := &g.advice
 	if x.asked == nil {
-		x.asked = map[spoolsill.WorkerID]bool{}
-		x.tickets = map[spoolsill.WorkerID]ticket{}
+		x.asked = map[*worker]bool{}
+		x.tickets = map[*worker]ticket{}
 	}
 	if a.Order.Purpose == Learn {
 		x.last = s.now
 	}
-	for _, id := range a.Order.Workers {
-		x.asked[id] = true
+	about := make(map[spoolsill.WorkerID]*worker, len(a.Order.Workers))
+	for _, l := range a.Order.Workers {
+		if w := s.account(l); w != nil {
+			x.asked[w] = true
+			about[l.Worker] = w
+		}
 	}
 	for _, t := range a.Tickets {
-		w := s.workers[t.Worker]
-		if _, known := x.tickets[t.Worker]; !known && w != nil {
+		w := about[t.Worker]
+		if w == nil {
+			continue
+		}
+		if _, known := x.tickets[w]; !known {
 			x.good = append(x.good, w)
 		}
-		x.tickets[t.Worker] = ticket{
+		x.tickets[w] = ticket{
 			text:  t.Text,
 			until: a.Received.Add(a.Valid),
 		}
@@ -245,7 +253,7 @@
 }
 
 func (s *State) usable(r *run) bool {
-	return r.worker.takes(s.now) && r.worker.hasRoom() && !r.task.stage.job.team.over() && r.task.stage.advice.valid(r.worker.id, s.now)
+	return r.worker.takes(s.now) && r.worker.hasRoom() && !r.task.stage.job.team.over() && r.task.stage.advice.valid(r.worker, s.now)
 }
 
 // plan takes room for a run while its ticket is renewed.
@@ -257,6 +265,7 @@
 		},
 		task:   t,
 		worker: w,
+		born:   w.born,
 		need:   t.stage.step.room(),
 		phase:  phasePlanned,
 	}
@@ -280,18 +289,17 @@
 	if q.Advisor == nil || a.warming || d.warming >= max(d.askers/warmShare, 1) {
 		return
 	}
-	var ids []spoolsill.WorkerID
+	var ready []*worker
+	var lives []spoolsill.Life
 	for _, w := range a.good {
-		if w.ready && len(ids) < maxAsked {
-			ids = append(ids, w.id)
+		if w.ready && len(ready) < maxAsked {
+			ready = append(ready, w)
+			lives = append(lives, w.life())
 		}
 	}
-	soon := d.now.Add(q.Advisor.cost(len(ids)) + ticketMargin)
-	for _, id := range ids {
-		if !a.valid(id, soon) {
-			d.ask(g, q, ids, Warm)
-			return
-		}
+	soon := d.now.Add(q.Advisor.cost(len(ready)) + ticketMargin)
+	if slices.ContainsFunc(ready, func(w *worker) bool { return !a.valid(w, soon) }) {
+		d.ask(g, q, lives, Warm)
 	}
 }
 
--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -168,7 +168,7 @@
 	x.take(x.step())
 	x.state.AddJob(x.now, job("j", "advised", tasks(1, 1)), sched.Progress{})
 	x.step()
-	x.c.Assert(x.question().Workers, qt.DeepEquals, []spoolsill.WorkerID{"busy"})
+	x.c.Assert(x.question().Workers, qt.DeepEquals, []spoolsill.Life{lifeOf("busy")})
 }
 
 // A gang that waits for room has its tickets renewed meanwhile, so that the
@@ -206,14 +206,14 @@
 		asked := map[spoolsill.WorkerID]bool{}
 		questions := x.state.Advices()
 		for _, q := range questions {
-			for _, id := range q.Workers {
-				asked[id] = true
+			for _, l := range q.Workers {
+				asked[l.Worker] = true
 			}
 		}
 		x.c.Assert(questions, qt.HasLen, parts)
 		x.c.Assert(asked, qt.HasLen, 60)
 		// The first answer is enough to start.
-		x.advise(questions[0], questions[0].Workers[0])
+		x.advise(questions[0], questions[0].Workers[0].Worker)
 		x.c.Assert(x.step(), qt.HasLen, 2)
 	}
 }
@@ -235,7 +235,7 @@
 	x.state.CancelJob(x.now, "big")
 	x.step()
 	q := x.question()
-	x.c.Assert(q.Workers, qt.DeepEquals, []spoolsill.WorkerID{"w"})
+	x.c.Assert(q.Workers, qt.DeepEquals, []spoolsill.Life{lifeOf("w")})
 	x.advise(q, "w")
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1", "j.0.0.1#1"})
 }
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -99,9 +99,9 @@
 // takeAcks returns the ends whose rows are all in this batch or earlier ones.
 func (s *State) takeAcks() []Ack {
 	var acks []Ack
-	for id, n := range s.acks {
+	for l, n := range s.acks {
 		acks = append(acks, Ack{
-			Worker:   id,
+			Life:     l,
 			Sequence: n,
 		})
 	}
@@ -136,7 +136,7 @@
 
 // recorded returns the run of an order that has not left, or nil.
 func (s *State) recorded(o StartOrder) *run {
-	w := s.workers[o.Worker]
+	w := s.account(o.Life)
 	if w == nil {
 		return nil
 	}
@@ -152,8 +152,8 @@
 	r.phase = phaseSent
 	r.begun = s.now
 	// A start renews the lease as well.
-	s.LeaseAsked(o.Worker, LeaseEnd(s.now, s.config.StartLease))
-	o.Ticket = r.task.stage.advice.tickets[o.Worker].text
+	s.LeaseAsked(o.Life, LeaseEnd(s.now, s.config.StartLease))
+	o.Ticket = r.task.stage.advice.tickets[r.worker].text
 	return o
 }
 
@@ -165,21 +165,21 @@
 		r.worker.present(s.now) && !r.worker.unclear && !r.worker.Draining
 }
 
-// Workers returns the ids of the workers that are to be kept in touch with:
+// Workers returns the lives of the workers that are to be kept in touch with:
 // those that are listed, and those that may have runs, known or not. A start without
 // an answer may be carried out at a worker whose entry has gone: with a lease of 6 s
 // it went on there for 5.6 s, and for 0.12 s if the worker is looked at.
-func (s *State) Workers() []spoolsill.WorkerID {
-	ids := make([]spoolsill.WorkerID, 0, len(s.order))
+func (s *State) Workers() []spoolsill.Life {
+	lives := make([]spoolsill.Life, 0, len(s.order))
 	for _, w := range s.order {
 		if w.dead || w.Address == "" || !s.concerns(w) {
 			continue
 		}
 		if w.present(s.now) || len(w.runs) > 0 || s.now.Sub(w.unlisted) < lateMost {
-			ids = append(ids, w.id)
+			lives = append(lives, w.life())
 		}
 	}
-	return ids
+	return lives
 }
 
 // Listed returns the ids of the workers that the platform lists.
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -35,11 +35,9 @@
 			Address:  string(id),
 			Capacity: cores(64),
 		})
-		s.LeaseAsked(id, sched.LeaseEnd(now, lease))
+		s.LeaseAsked(lifeOf(id), sched.LeaseEnd(now, lease))
 		s.Heartbeat(now, sched.Heartbeat{
-			Life: spoolsill.Life{
-				Worker: id,
-			},
+			Life:  lifeOf(id),
 			Sent:  now,
 			Clock: 1,
 		})
@@ -77,16 +75,14 @@
 		Address:  "fast",
 		Capacity: cores(64),
 	})
-	s.LeaseAsked(id, sched.LeaseEnd(now, lease))
+	s.LeaseAsked(lifeOf(id), sched.LeaseEnd(now, lease))
 	var sequence uint64
 	n := 0
 	b.ReportAllocs()
 	for b.Loop() {
 		n++
 		s.Heartbeat(now, sched.Heartbeat{
-			Life: spoolsill.Life{
-				Worker: id,
-			},
+			Life: lifeOf(id),
 			Sent: now,
 		})
 		s.AddJob(now, job(spoolsill.JobID(fmt.Sprintf("job-%d", n)), "q", tasks(2, 1)), sched.Progress{})
@@ -97,14 +93,12 @@
 		}
 		for _, o := range s.Written(now, x) {
 			s.StartAnswered(now, sched.StartAnswer{
-				Worker: o.Worker,
-				Run:    o.Run,
+				Life: o.Life,
+				Run:  o.Run,
 			})
 			sequence++
 			s.Heartbeat(now, sched.Heartbeat{
-				Life: spoolsill.Life{
-					Worker: o.Worker,
-				},
+				Life: lifeOf(o.Worker),
 				Sent: now,
 				Ended: []sched.End{
 					{
@@ -154,7 +148,7 @@
 			}
 			for i := 0; i < len(q.Workers); i += 4 {
 				a.Tickets = append(a.Tickets, sched.Ticket{
-					Worker: q.Workers[i],
+					Worker: q.Workers[i].Worker,
 				})
 			}
 			s.Advised(now, a)
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -63,7 +63,7 @@
 			end: func(x *cell, o sched.StartOrder) {
 				confirm(x, o)
 				x.now = x.now.Add(3 * time.Second)
-				x.state.WorkerDied(x.now, o.Worker)
+				x.state.WorkerDied(x.now, o.Life)
 			},
 			held: true,
 		},
@@ -74,7 +74,7 @@
 				x.now = x.now.Add(3 * time.Second)
 				x.state.UnlistWorker(x.now, o.Worker)
 				x.list(o.Worker+"x", false)
-				x.state.WorkerDied(x.now, o.Worker)
+				x.state.WorkerDied(x.now, o.Life)
 			},
 			held: true,
 		},
@@ -102,7 +102,7 @@
 				x.now = x.now.Add(3 * time.Second)
 				x.renew(o.Worker, o.Run)
 				x.state.UnlistWorker(x.now, o.Worker)
-				x.state.WorkerRefused(x.now, o.Worker)
+				x.state.WorkerRefused(x.now, o.Life)
 			},
 		},
 		{
@@ -154,7 +154,7 @@
 	b, _, err := x.state.Batch(x.now)
 	x.c.Assert(err, qt.IsNil)
 	x.c.Assert(b.Starts, qt.HasLen, 1)
-	x.state.WorkerDied(x.now, life(0, 0))
+	x.state.WorkerDied(x.now, lifeOf(life(0, 0)))
 	x.listLife(1, 0)
 	v, err := x.rowOfJ()
 	x.c.Assert(err, qt.IsNil)
@@ -193,7 +193,7 @@
 		x.now = x.now.Add(50 * time.Millisecond)
 		x.renew(id, o[0].Run)
 		x.now = x.now.Add(time.Second)
-		x.state.WorkerDied(x.now, id)
+		x.state.WorkerDied(x.now, lifeOf(id))
 	}
 	x.c.Assert(starts, qt.Equals, 5)
 	x.c.Assert(x.jobState(), qt.Equals, sched.Failed)
@@ -208,7 +208,7 @@
 		x.renew(o.Worker, o.Run)
 	}
 	x.now = x.now.Add(3 * time.Second)
-	x.state.WorkerDied(x.now, o.Worker)
+	x.state.WorkerDied(x.now, o.Life)
 }
 
 // Three workers that crash soon after the start of a task are enough; of three that
@@ -247,7 +247,7 @@
 		x.pass(lease+2*time.Second, nil)
 	}
 	for i := range 3 {
-		x.state.WorkerDied(x.now, life(i, 0))
+		x.state.WorkerDied(x.now, lifeOf(life(i, 0)))
 	}
 	x.c.Assert(x.jobState(), qt.Equals, sched.Failed)
 }
@@ -281,7 +281,7 @@
 		x.take(o)
 		x.now = x.now.Add(3 * time.Second)
 		x.renew(o[1].Worker, o[1].Run)
-		x.state.WorkerDied(x.now, o[0].Worker)
+		x.state.WorkerDied(x.now, o[0].Life)
 		x.end(o[1], sched.EndStopped)
 		x.renew(o[1].Worker)
 		v, err := x.rowOfJ()
@@ -320,7 +320,7 @@
 		x.take(k)
 	}
 	x.listLife(4, 0)
-	x.state.WorkerDied(x.now, life(0, 0))
+	x.state.WorkerDied(x.now, lifeOf(life(0, 0)))
 	at := map[spoolsill.WorkerID]int{}
 	for _, o := range x.step() {
 		at[o.Worker]++
--- a/sched/crashmodel_test.go
+++ b/sched/crashmodel_test.go
@@ -81,7 +81,7 @@
 		m.x.state.UnlistWorker(m.x.now, w)
 	}
 	if rapid.Bool().Draw(t, "heard") {
-		m.x.state.WorkerDied(m.x.now, w)
+		m.x.state.WorkerDied(m.x.now, lifeOf(w))
 	}
 	m.add()
 }
--- a/sched/crashrow_test.go
+++ b/sched/crashrow_test.go
@@ -72,7 +72,7 @@
 		o := x.step()
 		x.take(o)
 		x.now = x.now.Add(3 * time.Second)
-		x.state.WorkerDied(x.now, life(i, 0))
+		x.state.WorkerDied(x.now, lifeOf(life(i, 0)))
 	}
 	x.listLife(2, 0)
 	b, err := x.rowOfJ()
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -215,7 +215,7 @@
 // placeEach starts the waiting tasks one by one.
 func (d *decider) placeEach(g *stage, q *Queue) {
 	ws := d.candidates(g, q)
-	var renew []spoolsill.WorkerID
+	var renew []spoolsill.Life
 	waiting := 0
 	for _, t := range g.tasks {
 		if t.done || t.run != nil {
@@ -229,13 +229,13 @@
 			waiting++
 			continue
 		}
-		if q.Advisor == nil || g.advice.valid(w.id, d.now) {
+		if q.Advisor == nil || g.advice.valid(w, d.now) {
 			d.start(t, w)
 			continue
 		}
 		d.plan(t, w)
-		if !slices.Contains(renew, w.id) {
-			renew = append(renew, w.id)
+		if !slices.Contains(renew, w.life()) {
+			renew = append(renew, w.life())
 		}
 	}
 	if len(renew) > 0 {
@@ -271,7 +271,7 @@
 			continue
 		}
 		c := d.cost(g, w, free.Sub(need)) + d.trialCost(t, w)
-		if slices.Contains(t.failedAt, w.id) {
+		if slices.Contains(t.failedAt, w.life()) {
 			c += failedCost
 		}
 		if c < least {
@@ -325,11 +325,11 @@
 	t.lastRun = number
 	r.phase = phaseRecorded
 	g.job.starts = append(g.job.starts, StartOrder{
-		Worker: r.worker.id,
+		Life:   r.worker.life(),
 		Run:    r.id,
 		Spec:   g.job.Spec,
 		Saved:  t.startFrom(),
-		Ticket: g.advice.tickets[r.worker.id].text,
+		Ticket: g.advice.tickets[r.worker].text,
 	})
 	s.touch(g.job)
 	s.note(Note{
--- a/sched/event.go
+++ b/sched/event.go
@@ -110,9 +110,10 @@
 	return startOutcomeNames[o]
 }
 
-// A StartAnswer reports on a start order.
+// A StartAnswer reports on a start order. Life is the one that the order was for: which
+// one carried it out is told by lists of runs alone.
 type StartAnswer struct {
-	Worker  spoolsill.WorkerID
+	spoolsill.Life
 	Run     RunID
 	Outcome StartOutcome
 	// Doubt tells that an earlier try of the same order was not answered.
@@ -124,7 +125,7 @@
 
 // A StartOrder tells a worker to start a run.
 type StartOrder struct {
-	Worker spoolsill.WorkerID
+	spoolsill.Life
 	Run    RunID
 	Spec   string
 	Saved  string
@@ -133,8 +134,8 @@
 
 // A StopOrder tells a worker to stop a run.
 type StopOrder struct {
-	Worker spoolsill.WorkerID
-	Run    RunID
+	spoolsill.Life
+	Run RunID
 }
 
 // A StopAnswer reports on a stop order.
@@ -149,7 +150,7 @@
 // An AdviceOrder asks the advisor which workers may run a stage.
 type AdviceOrder struct {
 	Stage    StageID
-	Workers  []spoolsill.WorkerID
+	Workers  []spoolsill.Life
 	Priority int
 	// Urgent tells that the stage is of the first priority and can be in time.
 	Urgent  bool
@@ -198,9 +199,9 @@
 	Lost bool
 }
 
-// An Ack is the highest end of a worker that lasts in the store.
+// An Ack is the highest end of a worker's life that lasts in the store.
 type Ack struct {
-	Worker   spoolsill.WorkerID
+	spoolsill.Life
 	Sequence uint64
 }
 
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -115,16 +115,14 @@
 
 // renew has a worker renew its lease and answer with what it runs.
 func (x *cell) renew(id spoolsill.WorkerID, running ...sched.RunID) {
-	x.state.LeaseAsked(id, sched.LeaseEnd(x.now, lease))
+	x.state.LeaseAsked(lifeOf(id), sched.LeaseEnd(x.now, lease))
 	x.answer(id, running...)
 }
 
 // answer has a worker answer without renewing its lease.
 func (x *cell) answer(id spoolsill.WorkerID, running ...sched.RunID) {
 	h := sched.Heartbeat{
-		Life: spoolsill.Life{
-			Worker: id,
-		},
+		Life:  lifeOf(id),
 		Sent:  x.now,
 		Clock: sched.ClockMillis(x.now.UnixMilli()),
 	}
@@ -140,9 +138,7 @@
 func (x *cell) end(o sched.StartOrder, k sched.EndKind) {
 	x.ends[o.Worker]++
 	x.state.Heartbeat(x.now, sched.Heartbeat{
-		Life: spoolsill.Life{
-			Worker: o.Worker,
-		},
+		Life: lifeOf(o.Worker),
 		Sent: x.now,
 		Ended: []sched.End{
 			{
@@ -179,7 +175,7 @@
 
 func (x *cell) answerStart(o sched.StartOrder, k sched.StartOutcome) {
 	x.state.StartAnswered(x.now, sched.StartAnswer{
-		Worker:   o.Worker,
+		Life:     o.Life,
 		Run:      o.Run,
 		Outcome:  k,
 		Doubt:    k == sched.StartUnknown,
@@ -241,3 +237,10 @@
 	}
 	return names
 }
+
+// lifeOf returns the life of a worker whose platform tells no births.
+func lifeOf(id spoolsill.WorkerID) spoolsill.Life {
+	return spoolsill.Life{
+		Worker: id,
+	}
+}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -77,22 +77,22 @@
 }
 
 // stale returns the workers of seats whose tickets must be renewed first.
-func (d *decider) stale(g *stage, q *Queue, seats []*worker) []spoolsill.WorkerID {
+func (d *decider) stale(g *stage, q *Queue, seats []*worker) []spoolsill.Life {
 	if q.Advisor == nil {
 		return nil
 	}
-	var ids []spoolsill.WorkerID
+	var lives []spoolsill.Life
 	fresh := true
 	for _, w := range seats {
-		if !slices.Contains(ids, w.id) {
-			ids = append(ids, w.id)
+		if !slices.Contains(lives, w.life()) {
+			lives = append(lives, w.life())
 		}
-		fresh = fresh && g.advice.valid(w.id, d.now)
+		fresh = fresh && g.advice.valid(w, d.now)
 	}
 	if fresh {
 		return nil
 	}
-	return ids
+	return lives
 }
 
 // seats returns a worker for each task of a gang, or nil. A gang that should be
--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -101,8 +101,8 @@
 	x.end(g[0], sched.EndFailed)
 	x.c.Assert(x.state.Stops(), qt.DeepEquals, []sched.StopOrder{
 		{
-			Worker: "w",
-			Run:    g[1].Run,
+			Life: lifeOf("w"),
+			Run:  g[1].Run,
 		},
 	})
 	x.c.Assert(x.step(), qt.HasLen, 0)
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -171,6 +171,7 @@
 		},
 		task:   t,
 		worker: w,
+		born:   p.Born,
 		need:   t.stage.step.room(),
 		phase:  phaseInherited,
 	}
--- a/sched/lives.go
+++ b/sched/lives.go
@@ -2,20 +2,126 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/spoolsill/spoolsill"
 )
 
-// noteLife notes when a worker's word is of another life than its last one.
-func (s *State) noteLife(w *worker, b spoolsill.Birth, word string) {
-	if b == 0 || b == w.born {
-		return
+// An account is that of one life of a worker: what is believed of a life, its ends, its
+// clock, its tickets and its health, does not hold for the next one. The id, the machine
+// and the address may stay, and so may orders that are on their way: what was ordered for
+// the life before is moved to the new account, until the new life's answers tell that it
+// is not there.
+
+// formerKept bounds how many births of former lives are known. A word of an older one
+// would have to have been on its way for as long as so many lives lasted.
+const formerKept = 16
+
+// life returns the life that an account is of.
+func (w *worker) life() spoolsill.Life {
+	return spoolsill.Life{
+		Worker: w.id,
+		Born:   w.born,
 	}
-	if w.born != 0 {
-		s.noteWorker(w, fmt.Sprintf("%s names another life, born %d, before that %d; %d runs are believed there, ends are seen up to %d",
-			word, b, w.born, len(w.runs), w.seen), s.now.Sub(w.answered))
+}
+
+// account returns the account of a life, or nil when its worker has another one now. A
+// birth that is not told is taken for the latest: platforms that tell none give each life
+// an id of its own.
+func (s *State) account(l spoolsill.Life) *worker {
+	w := s.workers[l.Worker]
+	if w == nil || !w.life().MayBe(l.Born) {
+		return nil
 	}
+	return w
+}
+
+// meet returns the account of the life that a worker's own word is of, or nil when that
+// is a former one. Of a life that is not known it begins the account: births are compared
+// for being equal only, since the next life's time of day may be behind.
+func (s *State) meet(l spoolsill.Life, word string) *worker {
+	w := s.worker(l.Worker)
+	switch {
+	case l.Born == 0 || l.Born == w.born || w.dead:
+		return w
+	case slices.Contains(w.former, l.Born):
+		return nil
+	case w.born == 0:
+		w.born = l.Born
+		w.renewed = w.answered // whoever renews its lease begins anew
+		return w
+	default:
+		return s.startAgain(w, l.Born, word)
+	}
+}
+
+// startAgain begins the account of a worker's next life, which has the place of the one
+// before. Until its entry tells more it is taken to be where that one was.
+func (s *State) startAgain(old *worker, b spoolsill.Birth, word string) *worker {
+	w := newWorker(old.id)
 	w.born = b
+	w.former = append(old.former, old.born)
+	w.former = w.former[max(len(w.former)-formerKept, 0):]
+	w.Worker = old.Worker
+	w.Draining = false
+	w.unlisted = s.now
+	w.leaves = s.now.Add(s.config.DrainTime)
+	w.leased = LeaseEnd(s.now, s.config.Lease)
+	s.workers[w.id] = w
+	i := slices.Index(s.order, old)
+	if i < 0 {
+		s.order = append(s.order, w)
+	} else {
+		s.order[i] = w
+	}
+	delete(s.acks, old.life())
+	s.noteStartedAgain(old, w, word)
+	s.endFormer(old)
+	for _, r := range sortedRuns(old) {
+		s.move(r, w)
+	}
+	return w
+}
+
+func (s *State) noteStartedAgain(old, w *worker, word string) {
+	s.noteWorker(w, fmt.Sprintf("started again: %s names a life born %d, before that %d; %d runs were believed there, ends were seen up to %d",
+		word, w.born, old.born, len(old.runs), old.seen), s.now.Sub(old.answered))
+}
+
+// endFormer takes in that a life is over since the next one has begun.
+func (s *State) endFormer(old *worker) {
+	old.dead = true
+	old.listed = false
+	old.ready = false
+	s.endLife(old)
+}
+
+// move moves a run to the account of its worker's next life, where its order may arrive
+// yet. One whose order has not left never will.
+func (s *State) move(r *run, w *worker) {
+	switch r.phase {
+	case phasePlanned:
+		s.unplan(r)
+	case phaseRecorded:
+		s.lose(r, "its worker started again before the order left")
+	default:
+		s.unbook(r)
+		r.worker = w
+		s.book(r)
+	}
+}
+
+// former reports whether a run was ordered for a former life of its worker, and is not
+// known to be there now.
+func (r *run) former() bool {
+	return !r.worker.life().MayBe(r.born)
+}
+
+// loseAbsent takes in that a worker's answer proves that it has not got some runs.
+func (s *State) loseAbsent(w *worker, rs []*run) {
+	for _, r := range rs {
+		s.lose(r, "worker does not have it")
+	}
 }
 
 // noteUncounted notes an end that is taken for one that was seen, though its run is
--- a/sched/overdue.go
+++ b/sched/overdue.go
@@ -20,10 +20,10 @@
 		return false
 	}
 	if !g.step.Gang {
-		return !g.advice.validFor(r.worker.id, s.now, callMargin)
+		return !g.advice.validFor(r.worker, s.now, callMargin)
 	}
 	return slices.ContainsFunc(g.tasks, func(t *task) bool {
-		return t.run != nil && t.run.id.Number == r.id.Number && !g.advice.validFor(t.run.worker.id, s.now, callMargin)
+		return t.run != nil && t.run.id.Number == r.id.Number && !g.advice.validFor(t.run.worker, s.now, callMargin)
 	})
 }
 
@@ -31,7 +31,7 @@
 // them, a question for each stage.
 func (s *State) renewOverdue(orders []StartOrder) {
 	var stages []*stage
-	ids := map[*stage][]spoolsill.WorkerID{}
+	lives := map[*stage][]spoolsill.Life{}
 	for _, o := range orders {
 		r := s.recorded(o)
 		if r == nil {
@@ -39,22 +39,22 @@
 		}
 		g := r.task.stage
 		g.overdue = append(g.overdue, o)
-		if ids[g] == nil {
+		if lives[g] == nil {
 			stages = append(stages, g)
 		}
-		if !slices.Contains(ids[g], o.Worker) {
-			ids[g] = append(ids[g], o.Worker)
+		if !slices.Contains(lives[g], o.Life) {
+			lives[g] = append(lives[g], o.Life)
 		}
 	}
 	for _, g := range stages {
-		s.ask(g, s.queue(g.job), ids[g], Renew)
+		s.ask(g, s.queue(g.job), lives[g], Renew)
 	}
 }
 
 // sendOverdue sends the orders of a stage that waited for an answer, or drops them
 // when it did not come or is no ticket. Of a gang all leave or none.
 func (s *State) sendOverdue(g *stage, a Advice) {
-	waits := func(o StartOrder) bool { return slices.Contains(a.Order.Workers, o.Worker) }
+	waits := func(o StartOrder) bool { return slices.Contains(a.Order.Workers, o.Life) }
 	var orders, rest []StartOrder
 	for _, o := range g.overdue {
 		if waits(o) {
--- a/sched/overdue_test.go
+++ b/sched/overdue_test.go
@@ -37,7 +37,7 @@
 		x.c.Assert(x.slowly(), qt.HasLen, 0, qt.Commentf("%s", name))
 		q := x.question()
 		x.c.Assert(q.Purpose, qt.Equals, sched.Renew)
-		x.c.Assert(q.Workers, qt.DeepEquals, []spoolsill.WorkerID{"w"})
+		x.c.Assert(q.Workers, qt.DeepEquals, []spoolsill.Life{lifeOf("w")})
 		x.c.Assert(x.state.Starts(), qt.HasLen, 0)
 		x.renew("w")
 		x.advise(q, "w")
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -63,6 +63,8 @@
 	// Worker is where the latest run may be; empty when it is over.
 	Worker spoolsill.WorkerID
 	Saved  string
+	// Born is of the worker's life that the latest run was for. It is kept in Births.
+	Born spoolsill.Birth `msgpack:"-"`
 }
 
 // EncodeProgress returns p as it is kept.
--- a/sched/quotamodel_test.go
+++ b/sched/quotamodel_test.go
@@ -120,7 +120,7 @@
 	if lost && rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
 		until := m.x.now.Add(lateAfterAll)
 		m.x.state.StartAnswered(m.x.now, sched.StartAnswer{
-			Worker:   o.Worker,
+			Life:     o.Life,
 			Run:      o.Run,
 			Outcome:  sched.StartUnknown,
 			Doubt:    true,
@@ -151,8 +151,8 @@
 func (m *quotaModel) endRun(w spoolsill.WorkerID, r sched.RunID, k sched.EndKind) {
 	delete(m.runs[w], r)
 	m.x.end(sched.StartOrder{
-		Worker: w,
-		Run:    r,
+		Life: lifeOf(w),
+		Run:  r,
 	}, k)
 }
 
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -112,7 +112,7 @@
 			// It surely never began there: what ended that life is something else.
 			s.lose(r, "start: "+a.Outcome.String())
 		}
-		s.WorkerDied(now, a.Worker)
+		s.WorkerDied(now, a.Life)
 		return
 	}
 	if r == nil {
@@ -128,7 +128,7 @@
 	default:
 		s.reject(r, a.Outcome)
 	}
-	if a.Outcome == StartUnhealthy || a.Outcome == StartUnknown {
+	if (a.Outcome == StartUnhealthy || a.Outcome == StartUnknown) && w.life().MayBe(a.Born) {
 		w.unwell = now.Add(unwellFor)
 		w.health.reject(now)
 	}
@@ -171,7 +171,7 @@
 func (s *State) reject(r *run, o StartOutcome) {
 	g := r.task.stage
 	if o == StartNoTicket {
-		g.advice.expire(r.worker.id)
+		g.advice.expire(r.worker)
 	}
 	g.retryAt = s.now.Add(rejectedPause)
 	s.lose(r, "start: "+o.String())
@@ -184,7 +184,10 @@
 // Heartbeat takes in a worker's answer to a lease renewal.
 func (s *State) Heartbeat(now time.Time, h Heartbeat) {
 	s.now = now
-	w := s.workers[h.Worker]
+	if s.workers[h.Worker] == nil {
+		return
+	}
+	w := s.meet(h.Life, "its answer")
 	if w == nil || w.dead {
 		return
 	}
@@ -201,7 +204,6 @@
 	if now.Sub(w.answered) > silentAfter {
 		s.noteWorker(w, "answers", now.Sub(w.answered))
 	}
-	s.noteLife(w, h.Born, "its answer")
 	w.answered = now
 	w.silent = false
 	for _, e := range h.Ended {
@@ -216,11 +218,13 @@
 	if h.Partial {
 		return
 	}
+	var absent []*run
 	for _, r := range sortedRuns(w) {
 		if !listed[r.id] && r.absent(h) {
-			s.lose(r, "worker does not have it")
+			absent = append(absent, r)
 		}
 	}
+	s.loseAbsent(w, absent)
 }
 
 // absent reports whether a heartbeat that does not list r proves that the
@@ -235,7 +239,7 @@
 	case phaseInherited:
 		return true
 	case phaseDoubt:
-		return h.Clock > r.deadline
+		return !r.former() && h.Clock > r.deadline
 	default:
 		return false
 	}
@@ -250,6 +254,7 @@
 	if r.phase != phaseRecorded && r.phase != phasePlanned {
 		s.confirm(r)
 	}
+	r.born = w.born
 	if r.begun.IsZero() {
 		r.begun = s.now
 	}
@@ -270,12 +275,12 @@
 func (s *State) takeEnd(w *worker, e End) {
 	if e.Sequence <= w.seen {
 		// The worker still lists it, so it has not heard the acknowledgement.
-		s.acks[w.id] = w.seen
+		s.acks[w.life()] = w.seen
 		s.noteUncounted(w, e)
 		return
 	}
 	w.seen = e.Sequence
-	s.acks[w.id] = e.Sequence
+	s.acks[w.life()] = e.Sequence
 	r := w.runs[e.Run]
 	s.note(Note{
 		Kind:   NoteEnded,
@@ -376,7 +381,7 @@
 	}
 	s.touch(g.job)
 	g.job.account.Failed++
-	t.failedAt = append(t.failedAt, r.worker.id)
+	t.failedAt = append(t.failedAt, r.worker.life())
 	switch {
 	case !g.step.Gang:
 		t.fails++
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -58,7 +58,7 @@
 	p.Stages[0].Tasks[0].Fails = 1
 	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), p)
 	x.end(sched.StartOrder{
-		Worker: "w",
+		Life: lifeOf("w"),
 		Run: sched.RunID{
 			Task: sched.TaskID{
 				Stage: sched.StageID{
@@ -106,7 +106,7 @@
 	x.c.Assert(err, qt.IsNil)
 	x.c.Assert(b.Acks, qt.DeepEquals, []sched.Ack{
 		{
-			Worker:   "w",
+			Life:     lifeOf("w"),
 			Sequence: 1,
 		},
 	})
@@ -302,12 +302,12 @@
 	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
 	x.take(x.step())
 	x.worker("b")
-	x.state.WorkerRefused(x.now, "a")
+	x.state.WorkerRefused(x.now, lifeOf("a"))
 	x.c.Assert(x.step(), qt.HasLen, 0)
 	x.list("a", true)
 	x.state.UnlistWorker(x.now, "a")
 	x.c.Assert(x.step(), qt.HasLen, 0)
-	x.state.WorkerRefused(x.now, "a")
+	x.state.WorkerRefused(x.now, lifeOf("a"))
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#2"})
 }
 
@@ -326,9 +326,7 @@
 	x.step()
 	x.c.Assert(x.state.Stops(), qt.HasLen, 1)
 	x.state.Heartbeat(x.now, sched.Heartbeat{
-		Life: spoolsill.Life{
-			Worker: "a",
-		},
+		Life: lifeOf("a"),
 		Sent: x.now,
 		Ended: []sched.End{
 			{
@@ -369,11 +367,9 @@
 	x.take(o)
 	for i := range 6 {
 		x.now = x.now.Add(500 * time.Millisecond)
-		x.state.LeaseAsked("a", sched.LeaseEnd(x.now, lease))
+		x.state.LeaseAsked(lifeOf("a"), sched.LeaseEnd(x.now, lease))
 		x.state.Heartbeat(x.now, sched.Heartbeat{
-			Life: spoolsill.Life{
-				Worker: "a",
-			},
+			Life: lifeOf("a"),
 			Sent: x.now,
 			Running: []sched.RunningTask{
 				{
@@ -390,8 +386,8 @@
 	}
 	x.c.Assert(x.state.Stops(), qt.DeepEquals, []sched.StopOrder{
 		{
-			Worker: "a",
-			Run:    o[1].Run,
+			Life: lifeOf("a"),
+			Run:  o[1].Run,
 		},
 	})
 	x.worker("b")
--- a/sched/silent_test.go
+++ b/sched/silent_test.go
@@ -14,7 +14,7 @@
 func TestSilentWorkerGetsNothingNewUntilItAnswers(t *testing.T) {
 	x := newCell(t)
 	x.worker("w")
-	x.state.WorkerSilent(x.now, "w")
+	x.state.WorkerSilent(x.now, lifeOf("w"))
 	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
 	x.c.Assert(x.step(), qt.HasLen, 0)
 	x.renew("w")
--- a/sched/state.go
+++ b/sched/state.go
@@ -48,10 +48,11 @@
 
 // A State holds the cell's workers, jobs and runs.
 type State struct {
-	config  Config
-	now     time.Time
-	queues  map[QueueID]*Queue
-	jobs    map[spoolsill.JobID]*job
+	config Config
+	now    time.Time
+	queues map[QueueID]*Queue
+	jobs   map[spoolsill.JobID]*job
+	// workers has the account of each worker's latest life.
 	workers map[spoolsill.WorkerID]*worker
 	order   []*worker // as first seen, for a stable choice
 	// lives has the accounts of each machine's lives that are not dead.
@@ -62,7 +63,7 @@
 	teams  map[spoolsill.TeamID]*teamAccount
 
 	dirty []*job
-	acks  map[spoolsill.WorkerID]uint64
+	acks  map[spoolsill.Life]uint64
 	stops []StopOrder
 	// unwanted are the runs that were ordered to stop and may still be there.
 	unwanted []*run
@@ -98,7 +99,7 @@
 		lives:   map[string][]*worker{},
 		learnt:  map[QueueID]*experience{},
 		teams:   map[spoolsill.TeamID]*teamAccount{},
-		acks:    map[spoolsill.WorkerID]uint64{},
+		acks:    map[spoolsill.Life]uint64{},
 
 		crashedAt: map[string]time.Time{},
 		waiting:   map[QueueID]int{},
@@ -170,7 +171,7 @@
 	run     *run
 	// failedAt has the workers where it failed: another one tells whether
 	// the task or the worker is to blame.
-	failedAt []spoolsill.WorkerID
+	failedAt []spoolsill.Life
 	// evidence is what speaks for it crashing its workers.
 	evidence evidence
 	// preempted is how often a run of it was stopped to make room.
@@ -192,9 +193,12 @@
 // A run is one start of a task at a worker. Its room is taken as long as it
 // is in the worker's account.
 type run struct {
-	id       RunID
-	task     *task
-	worker   *worker
+	id     RunID
+	task   *task
+	worker *worker
+	// born is of the life that its order was for; another one of the same worker may
+	// have carried it out.
+	born     spoolsill.Birth
 	need     spoolsill.Resources
 	phase    phase
 	resolved time.Time   // when the worker confirmed it
--- a/sched/stop.go
+++ b/sched/stop.go
@@ -36,8 +36,8 @@
 	}
 	r.stopDue = s.dueAfterStop()
 	s.stops = append(s.stops, StopOrder{
-		Worker: r.worker.id,
-		Run:    r.id,
+		Life: r.worker.life(),
+		Run:  r.id,
 	})
 	s.note(Note{
 		Kind:   NoteStop,
@@ -72,8 +72,8 @@
 	}
 	w.strays[id] = s.dueAfterStop()
 	s.stops = append(s.stops, StopOrder{
-		Worker: w.id,
-		Run:    id,
+		Life: w.life(),
+		Run:  id,
 	})
 	s.note(Note{
 		Kind:   NoteStray,
@@ -99,7 +99,7 @@
 // StopAnswered takes in what became of a stop order.
 func (s *State) StopAnswered(now time.Time, a StopAnswer) {
 	s.now = now
-	w := s.workers[a.Order.Worker]
+	w := s.account(a.Order.Life)
 	if w == nil {
 		return
 	}
--- a/sched/stuck.go
+++ b/sched/stuck.go
@@ -49,6 +49,6 @@
 // stopAsStuck stops a run and holds it against its worker.
 func (s *State) stopAsStuck(r *run) {
 	s.stop(r, "it stands still")
-	r.task.failedAt = append(r.task.failedAt, r.worker.id)
+	r.task.failedAt = append(r.task.failedAt, r.worker.life())
 	r.worker.health.fail(s.now)
 }
--- a/sched/troubled_test.go
+++ b/sched/troubled_test.go
@@ -139,7 +139,7 @@
 		delete(f.down, m)
 		f.x.state.UnlistWorker(f.x.now, old)
 		f.up(m)
-		f.x.state.WorkerDied(f.x.now, old)
+		f.x.state.WorkerDied(f.x.now, lifeOf(old))
 	}
 }
 
@@ -228,8 +228,8 @@
 			}
 			delete(f.runs[id], r)
 			f.x.end(sched.StartOrder{
-				Worker: id,
-				Run:    r,
+				Life: lifeOf(id),
+				Run:  r,
 			}, sched.EndDone)
 		}
 		f.x.renew(id, running...)
--- a/sched/unasked_test.go
+++ b/sched/unasked_test.go
@@ -155,7 +155,7 @@
 	for _, o := range x.state.Stops() {
 		x.answerStop(o, w.stop(o.Run, x.epoch))
 	}
-	if slices.Contains(x.state.Workers(), "w") {
+	if slices.Contains(x.state.Workers(), lifeOf("w")) {
 		x.look()
 	}
 }
@@ -194,7 +194,7 @@
 		epoch:    x.epoch,
 	})
 	x.state.StartAnswered(x.now, sched.StartAnswer{
-		Worker:   o.Worker,
+		Life:     o.Life,
 		Run:      o.Run,
 		Outcome:  sched.StartUnknown,
 		Doubt:    true,
@@ -211,7 +211,7 @@
 	}
 	w.looked = x.now
 	if w.answered {
-		x.state.LeaseAsked("w", sched.LeaseEnd(x.now, lease))
+		x.state.LeaseAsked(lifeOf("w"), sched.LeaseEnd(x.now, lease))
 	}
 	f := w.fate()
 	if f != fateLost {
@@ -376,7 +376,7 @@
 	x.worker("w")
 	x.state.UnlistWorker(x.now, "w")
 	x.pass(lease-time.Second, nil)
-	x.c.Assert(x.state.Workers(), qt.DeepEquals, []spoolsill.WorkerID{"w"})
+	x.c.Assert(x.state.Workers(), qt.DeepEquals, []spoolsill.Life{lifeOf("w")})
 	x.pass(2*time.Second, nil)
 	x.c.Assert(x.state.Workers(), qt.HasLen, 0)
 }
@@ -399,8 +399,8 @@
 	x.renew("w", o[1].Run)
 	x.c.Assert(x.state.Stops(), qt.DeepEquals, []sched.StopOrder{
 		{
-			Worker: "w",
-			Run:    o[1].Run,
+			Life: lifeOf("w"),
+			Run:  o[1].Run,
 		},
 	})
 }
--- a/sched/unclear_test.go
+++ b/sched/unclear_test.go
@@ -25,7 +25,7 @@
 		x.renew("w", o[0].Run)
 		x.c.Assert(x.step(), qt.HasLen, 0)
 	}
-	x.c.Assert(x.state.Workers(), qt.DeepEquals, []spoolsill.WorkerID{"w"})
+	x.c.Assert(x.state.Workers(), qt.DeepEquals, []spoolsill.Life{lifeOf("w")})
 	x.end(o[0], sched.EndDone)
 	x.c.Assert(x.jobState(), qt.Equals, sched.Completed)
 	x.worker("w")
--- a/sched/waiting_test.go
+++ b/sched/waiting_test.go
@@ -34,8 +34,8 @@
 		"it has failed": {
 			hear: func(x *cell, r sched.RunID) {
 				x.end(sched.StartOrder{
-					Worker: "w",
-					Run:    r,
+					Life: lifeOf("w"),
+					Run:  r,
 				}, sched.EndFailed)
 			},
 			state: sched.Running,
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -32,8 +32,10 @@
 // A worker is one life of a machine and the account of its runs.
 type worker struct {
 	Worker
-	id     spoolsill.WorkerID
-	born   spoolsill.Birth // as last told
+	id spoolsill.WorkerID
+	// born is that of this life, zero until it is told; former are those of lives before.
+	born   spoolsill.Birth
+	former []spoolsill.Birth
 	listed bool
 	dead   bool
 	// closed tells that the account is not looked at: the worker is not listed
@@ -41,7 +43,8 @@
 	closed bool
 	used   spoolsill.Resources
 	runs   map[RunID]*run
-	// seen is the highest end that was taken in.
+	// seen is the highest end of this life that was taken in: the next one counts from 1
+	// again, and its ends would be taken for those of this one.
 	seen uint64
 	// answered is when the latest heartbeat answer came under our leadership.
 	answered time.Time
@@ -80,15 +83,19 @@
 		s.reopen(w)
 		return w
 	}
-	w = &worker{
+	w = newWorker(id)
+	w.leased = s.config.TakenOver.Add(s.config.InheritedLease)
+	s.workers[id] = w
+	s.order = append(s.order, w)
+	return w
+}
+
+func newWorker(id spoolsill.WorkerID) *worker {
+	return &worker{
 		id:     id,
 		runs:   map[RunID]*run{},
 		strays: map[RunID]time.Time{},
-		leased: s.config.TakenOver.Add(s.config.InheritedLease),
 	}
-	s.workers[id] = w
-	s.order = append(s.order, w)
-	return w
 }
 
 // reopen has the account of a worker that is back looked at again. It is the
@@ -105,8 +112,8 @@
 // ListWorker takes in a worker as the platform lists it.
 func (s *State) ListWorker(now time.Time, l Worker) {
 	s.now = now
-	w := s.worker(l.ID)
-	if w.dead {
+	w := s.meet(l.Life(), "its entry")
+	if w == nil || w.dead {
 		return
 	}
 	if l.Draining && !w.Draining {
@@ -119,7 +126,6 @@
 	if w.unclear {
 		s.noteWorker(w, "its entry is whole again", 0)
 	}
-	s.noteLife(w, l.Born, "its entry")
 	w.listed = true
 	w.unclear = false
 	w.lapsed = time.Time{}
@@ -191,9 +197,9 @@
 
 // WorkerDied takes in proof that this life of a worker is over: its address
 // answers for another one.
-func (s *State) WorkerDied(now time.Time, id spoolsill.WorkerID) {
+func (s *State) WorkerDied(now time.Time, l spoolsill.Life) {
 	s.now = now
-	if w := s.workers[id]; w != nil && !w.dead {
+	if w := s.account(l); w != nil && !w.dead {
 		s.declareDead(w, "its address answers for another life")
 	}
 }
@@ -201,9 +207,9 @@
 // WorkerRefused takes in that nothing listens at a worker's address. That alone
 // proves nothing, since a cut may look the same; but one that said that it
 // leaves, and is no longer listed, has left.
-func (s *State) WorkerRefused(now time.Time, id spoolsill.WorkerID) {
+func (s *State) WorkerRefused(now time.Time, l spoolsill.Life) {
 	s.now = now
-	w := s.workers[id]
+	w := s.account(l)
 	if w != nil && !w.dead && w.Draining && !w.listed {
 		s.declareDead(w, "it has left as announced")
 	}
@@ -212,9 +218,9 @@
 // WorkerSilent takes in that an order to a worker had no answer, and that it has
 // answered nothing since. It gets nothing new until it does: of a hall that is cut
 // off each start would else be in doubt until a lease is over.
-func (s *State) WorkerSilent(now time.Time, id spoolsill.WorkerID) {
+func (s *State) WorkerSilent(now time.Time, l spoolsill.Life) {
 	s.now = now
-	w := s.workers[id]
+	w := s.account(l)
 	if w == nil || w.silent || w.dead {
 		return
 	}
@@ -281,14 +287,14 @@
 // saveMargin is the time to give a stop order and to hear of its end.
 const saveMargin = 400 * time.Millisecond
 
-// LeaseAsked takes in that a call may extend a worker's lease until at most
-// the given time by our clock.
-func (s *State) LeaseAsked(id spoolsill.WorkerID, until time.Time) {
-	w := s.workers[id]
+// LeaseAsked takes in that a call may extend the lease of a worker's life until at most
+// the given time by our clock. A call for a former life may reach the next one.
+func (s *State) LeaseAsked(l spoolsill.Life, until time.Time) {
+	w := s.workers[l.Worker]
 	if w == nil {
 		return
 	}
-	if until.After(w.renewed) {
+	if until.After(w.renewed) && w.life().MayBe(l.Born) {
 		w.renewed = until
 	}
 	if until.After(w.leased) {
