sched: an order for a former life is settled by the life that it may reach

Cause: a start without an answer is in doubt until the worker's clock has passed the order's deadline. The worker was back under its id with a clock that began anew, by which the deadline was minutes or hours ahead; and as it answered, its lease was never over. Change: a run in doubt that goes over to the account of the next life is ordered to stop there, and is open again once the new life has taken that and lists it neither as running nor as ended. Starts without an answer are remembered by id for as long as they may be carried out, also when their runs have ended, and each life is told to refuse those for the lives before it. Why it holds: a stop that a life has taken bars the run there, whatever its clock says; no clock of a former life is compared with that of the next. Nothing starts elsewhere before.

--- a/internal/cellfake/workers.go
+++ b/internal/cellfake/workers.go
@@ -21,10 +21,11 @@
 	OrderWell OrderFault = iota
 	OrderLose            // carried out, without an answer
 	OrderDrop            // neither carried out nor answered
-	OrderLate            // carried out two seconds later, without an answer
+	OrderLate            // carried out after LateBy, without an answer
 )
 
-const orderLateBy = 2 * time.Second
+// lateLeast is by how much an order is late at least.
+const lateLeast = 2 * time.Second
 
 // errLost explains an order without an answer.
 var errLost = errors.New("cellfake: no answer")
@@ -37,6 +38,9 @@
 	Work  func(r sched.RunID) (time.Duration, sched.EndKind)
 	// Fault chooses the fate of each order; nil means that all is well.
 	Fault func(w spoolsill.WorkerID) OrderFault
+	// LateBy is how much later than sent late orders are carried out; 0 means the least
+	// that the platform's pages tell of.
+	LateBy time.Duration
 	// Flow returns how long a worker's answer to a heartbeat takes from its beginning
 	// to its end; nil means that answers come whole. It is called by many goroutines.
 	Flow func(w spoolsill.WorkerID) time.Duration
@@ -214,7 +218,7 @@
 	case OrderLose:
 		f.locked(w, carryOut)
 	case OrderLate:
-		time.AfterFunc(orderLateBy, func() { f.lockedLatest(id, carryOut) })
+		time.AfterFunc(max(f.LateBy, lateLeast), func() { f.lockedLatest(id, carryOut) })
 	case OrderDrop:
 	}
 	<-ctx.Done()
--- a/leader/lives_test.go
+++ b/leader/lives_test.go
@@ -80,8 +80,10 @@
 // A job of three tasks was accepted 56 ms before its workers crashed; one start had just
 // been carried out, and was gone within the same millisecond. The workers were back under
 // their ids, the cell was nearly empty, and the task was not started in the 54 s that were
-// left of the day: what became of a start without an answer was to be certain once the
-// worker's clock had passed the order's deadline, and the clock began anew.
+// left of the day. Such a start is certain not to happen any more once the worker's clock
+// has passed the order's deadline; the deadline was of the former life's clock, and the next
+// life's had begun anew. In this test the former clock was at 17 min, and the start was still
+// in doubt after 120 s.
 func TestStartInDoubtAtAWorkerThatStartedAgainIsSettled(t *testing.T) {
 	for _, fault := range []cellfake.OrderFault{cellfake.OrderDrop, cellfake.OrderLose} {
 		synctest.Test(t, func(t *testing.T) {
@@ -117,6 +119,12 @@
 // of no fence and no stop and whose clock says that the order is in time. Its task must
 // not run elsewhere by then.
 func TestLateStartForAFormerLifeRunsBesideNoOther(t *testing.T) {
+	for _, by := range []time.Duration{2 * time.Second, 5 * time.Second, 11 * time.Second} {
+		t.Run(by.String(), func(t *testing.T) { testLateStart(t, by) })
+	}
+}
+
+func testLateStart(t *testing.T, by time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newCell(t.Context(), t, 2)
 		defer x.end()
@@ -127,6 +135,7 @@
 			}
 			return cellfake.OrderWell
 		}
+		x.workers.LateBy = by
 		x.workers.Work = func(sched.RunID) (time.Duration, sched.EndKind) {
 			return 4 * time.Second, sched.EndDone
 		}
--- a/sched/lives.go
+++ b/sched/lives.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/spoolsill/spoolsill"
 )
@@ -77,6 +78,7 @@
 	delete(s.acks, old.life())
 	s.noteStartedAgain(old, w, word)
 	s.endFormer(old)
+	s.inheritLate(w, old)
 	for _, r := range sortedRuns(old) {
 		s.move(r, w)
 	}
@@ -108,6 +110,9 @@
 		s.unbook(r)
 		r.worker = w
 		s.book(r)
+		// A stop that the former life took bars nothing here.
+		r.stopped = time.Time{}
+		r.stopDue = s.now
 	}
 }
 
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -72,6 +72,10 @@
 	missed bool
 	ready  bool // takes something new, as of the pass under way
 	health health
+	// late are the runs whose start had no answer, by until when it may be carried out.
+	late map[RunID]time.Time
+	// bars are those of them that were ordered for former lives.
+	bars map[RunID]*bar
 	// trials are the runs of tasks under which workers went.
 	trials []*run
 }
@@ -95,6 +99,8 @@
 		id:     id,
 		runs:   map[RunID]*run{},
 		strays: map[RunID]time.Time{},
+		late:   map[RunID]time.Time{},
+		bars:   map[RunID]*bar{},
 	}
 }
 
