sched: proof that a life is over says nothing of the next one under its id

Symptom: a worker that was back under its id got nothing for as long as the same host led, though it was listed, answered and was idle. Cause: the account of a worker whose address had answered for another one was marked dead for good, so that late entries would not revive it, and entries of its next life were passed over with them. Change: a word of a birth that is not known begins a new account after a dead one too. Why it holds: late entries of former lives are known by their births; an account without a birth stays dead, since platforms that tell none give the next life another id.

--- a/leader/lives_test.go
+++ b/leader/lives_test.go
@@ -159,7 +159,9 @@
 }
 
 // The address of a worker that crashed answered for another one for a while, which proves
-// that its life is over, and not that its id is.
+// that its life is over, and not that its id is. The leader kept the id as a dead one, so
+// that late entries of that life would not revive it, and passed over every entry of the
+// next life: two jobs of one core each stayed pending on an idle worker of ten.
 func TestWorkerThatWasTakenForDeadIsUsedAgainInItsNextLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newCell(t.Context(), t, 1)
--- a/sched/lives.go
+++ b/sched/lives.go
@@ -43,15 +43,17 @@
 func (s *State) meet(l spoolsill.Life, word string) *worker {
 	w := s.worker(l.Worker)
 	switch {
-	case l.Born == 0 || l.Born == w.born || w.dead:
+	case l.Born == 0 || l.Born == w.born:
 		return w
 	case slices.Contains(w.former, l.Born):
 		return nil
-	case w.born == 0:
+	case w.born == 0 && !w.dead:
 		w.born = l.Born
 		w.renewed = w.answered // whoever renews its lease begins anew
 		return w
 	default:
+		// Also after proof that the former life is over: its id is not, and a worker that
+		// is never used again is missed by the whole cell.
 		return s.startAgain(w, l.Born, word)
 	}
 }
