leader: a worker that was silent is not told to forget ends

Symptom: a task that had ended as done on a worker which had just started again under its id was started once more, its end unread. Cause: each renewal tells the worker up to which end it may forget, also the first one after a call without an answer; the next life hears it first, and its ends have low numbers. Change: only a renewal that follows an answered one acknowledges ends, as only such a one renews the lease. Why it holds: a life that is acknowledged to has answered the call before.

--- a/leader/lives_test.go
+++ b/leader/lives_test.go
@@ -182,3 +182,37 @@
 	pause.For(x.ctx, 4*time.Second)
 	return ids
 }
+
+// A worker crashed while it was told to start something, and the order's next try, 40 ms
+// later, was taken by its next life, which was through before anybody asked it for its runs.
+// The first who did still told it to forget the ends that the former life had been asked to:
+// 12 of them, so that the only one of the new life went unread, and counted as noted.
+func TestNextLifeIsNotToldToForgetEndsThatNobodyRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		var drop atomic.Bool
+		x.workers.Fault = func(spoolsill.WorkerID) cellfake.OrderFault {
+			if drop.Load() {
+				return cellfake.OrderDrop
+			}
+			return cellfake.OrderWell
+		}
+		x.workers.Work = func(r sched.RunID) (time.Duration, sched.EndKind) {
+			return 5 * time.Millisecond, sched.EndDone
+		}
+		l := x.lead("a")
+		x.assertCompleted(l, x.submitAndWait("before", 12))
+		drop.Store(true)
+		ids := x.submitTasks("job", 1)
+		pause.For(x.ctx, 40*time.Millisecond)
+		x.workers.Crash("w0")
+		x.workers.Restart("w0")
+		drop.Store(false)
+		pause.For(x.ctx, 2*time.Second)
+		x.list("w0")
+		pause.For(x.ctx, 8*time.Second)
+		x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+		x.assertCompleted(l, ids)
+	})
+}
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -126,9 +126,10 @@
 }
 
 // run renews the lease until ctx ends. The first call, and those after a call
-// that got no answer, renew nothing: they only make our epoch known and read the
-// worker's clock. An order without an answer may yet be carried out, so the
-// lease of a silent worker would otherwise never be certain to have ended.
+// that got no answer, renew nothing and acknowledge nothing: they only make our epoch
+// known and read the worker's clock. An order without an answer may yet be carried out,
+// so the lease of a silent worker would otherwise never be certain to have ended; and a
+// worker that was silent may have started again, and would forget ends that nobody read.
 func (h *renewer) run(ctx context.Context) {
 	var seen uint64
 	unanswered := 1 // in a row, up to now
@@ -205,6 +206,8 @@
 	var deadline sched.ClockMillis
 	if unanswered == 0 {
 		deadline = h.leaseDeadline(begun)
+	} else {
+		acked = 0
 	}
 	if deadline == 0 {
 		wait = 0
