sched: a late run goes on in the place of its task's next one

Cause: a run that had been given up, and that its worker then listed after all, was ordered to stop as one that no record names, while its task was placed elsewhere at once. Change: if the task waits to be started again, the run counts as its own and goes on. Those of gangs, of jobs that have ended and of tasks that run elsewhere are stopped as before. Why it holds: the task has a run from the same answer on, so that nothing starts beside it; its number is lower than the last one, as with any end that comes late.

--- a/sched/lives_test.go
+++ b/sched/lives_test.go
@@ -54,6 +54,26 @@
 	x.c.Assert(x.reasons(), qt.Not(qt.Contains), "7000")
 }
 
+// A start that was given up as never carried out arrives late, when its task waits to be
+// started again: the run goes on in its place. To stop it takes as long as a stop does, and
+// the next run, placed at once, would go on beside it meanwhile.
+func TestLateRunGoesOnInPlaceOfTheNext(t *testing.T) {
+	x := newCell(t)
+	x.worker("w")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 1)
+	x.answerStart(o[0], sched.StartUnknown)
+	x.now = x.now.Add(2 * time.Second)
+	x.renew("w") // past the order's deadline
+	x.renew("w", o[0].Run)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+	x.end(o[0], sched.EndDone)
+	x.step()
+	x.c.Assert(x.jobState(), qt.Equals, sched.Completed)
+}
+
 // What was ordered for a former life is gone once the next one has answered a call of its
 // own, whose fence bars it: an answer to a call for the former life does not bar anything.
 // A word of the former life that arrives after all is passed over.
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -216,6 +216,7 @@
 	}
 	maps.DeleteFunc(w.strays, func(id RunID, _ time.Time) bool { return !listed[id] })
 	if h.Partial {
+		s.takeUpStrays(w, h)
 		return
 	}
 	var absent []*run
@@ -225,6 +226,7 @@
 		}
 	}
 	s.loseAbsent(w, absent)
+	s.takeUpStrays(w, h)
 }
 
 // absent reports whether a heartbeat that does not list r proves that the
@@ -252,8 +254,7 @@
 func (s *State) seeRunning(w *worker, x RunningTask) {
 	r := w.runs[x.Run]
 	if r == nil {
-		s.seeStray(w, x.Run)
-		return
+		return // a stray, see takeUpStrays
 	}
 	if r.phase != phaseRecorded && r.phase != phasePlanned {
 		s.confirm(r)
