leader: a start is not tried again once its run has been listed

Cause: a start without an answer is tried for 1.35 s, also after the worker has listed its run as running or ended. Within a life the worker refuses the next try; the next life under its id knows of nothing and takes it. Change: the renewer, which reads the worker's lists, tells the tries of the runs in them. Why it holds: what has been listed has been carried out; there is nothing to try.

--- a/leader/lives_test.go
+++ b/leader/lives_test.go
@@ -1,6 +1,7 @@
 package leader_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
 	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/sched"
 )
 
@@ -216,3 +218,54 @@
 		x.assertCompleted(l, ids)
 	})
 }
+
+// deafStarts are workers whose answers to starts get lost for a while.
+type deafStarts struct {
+	*cellfake.Workers
+
+	deaf atomic.Bool
+}
+
+// Start implements [leader.Workers].
+func (w *deafStarts) Start(ctx context.Context, s leader.Start) leader.Reply {
+	r := w.Workers.Start(ctx, s)
+	if !w.deaf.Load() {
+		return r
+	}
+	pause.For(ctx, s.Within)
+	return leader.Reply{
+		Kind: leader.NoAnswer,
+	}
+}
+
+// A start is tried again for as long as it has no answer. A worker had carried it out, had
+// listed the run as ended, and had crashed and started again before the last try, which its
+// next life took for a new order. Once the worker has told of the run there is no other try.
+func TestStartIsNotTriedAgainOnceItsRunIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		w := &deafStarts{
+			Workers: x.workers,
+		}
+		x.orders = w
+		x.workers.Work = func(sched.RunID) (time.Duration, sched.EndKind) {
+			return 5 * time.Millisecond, sched.EndDone
+		}
+		l := x.lead("a")
+		x.assertCompleted(l, x.submitAndWait("before", 2))
+		w.deaf.Store(true)
+		ids := x.submitTasks("job", 1)
+		for s, _ := l.Status(ids[0]); s.State != sched.Completed; s, _ = l.Status(ids[0]) {
+			pause.For(x.ctx, time.Millisecond)
+		}
+		x.workers.Crash("w0")
+		x.workers.Restart("w0")
+		pause.For(x.ctx, 2*time.Second)
+		w.deaf.Store(false)
+		x.list("w0")
+		pause.For(x.ctx, 4*time.Second)
+		x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+		x.assertCompleted(l, ids)
+	})
+}
--- a/leader/order.go
+++ b/leader/order.go
@@ -52,6 +52,8 @@
 		Run:     o.Run,
 		Outcome: sched.StartUnknown,
 	}
+	h.beginStart(o.Run)
+	defer h.endStart(o.Run)
 	timeout := h.leader.answers.order()
 	end := h.leader.config.Clock.Now().Add(startTime)
 	for try := range startTries {
@@ -59,6 +61,11 @@
 			pause.For(ctx, orderPause)
 			timeout = min(2*timeout, orderMost, end.Sub(h.leader.config.Clock.Now()))
 		}
+		if h.isHeardOf(o.Run) {
+			// Another try could only do harm, at a life that knows of no such run.
+			a.Outcome = sched.StartTaken
+			return a
+		}
 		if timeout <= 0 || h.isOver() {
 			break
 		}
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -45,6 +45,9 @@
 	clock   sched.ClockMillis // of the worker
 	clockAt time.Time         // when it was read, by ours; its latest answer
 	wake    chan struct{}
+	// starting are the runs whose start has had no answer yet, and whether the worker
+	// has told of them meanwhile.
+	starting map[sched.RunID]bool
 }
 
 // keepEvery is how often the renewers are compared with the workers, and the hosts
@@ -90,8 +93,9 @@
 			Address: l.state.Address(life.Worker),
 			Hall:    l.state.Hall(life.Worker),
 		},
-		cancel: cancel,
-		wake:   make(chan struct{}, 1),
+		cancel:   cancel,
+		wake:     make(chan struct{}, 1),
+		starting: map[sched.RunID]bool{},
 	}
 	l.renewers[life] = h
 	l.spawn(func() { h.run(ctx) })
@@ -167,6 +171,7 @@
 			for _, e := range b.Ended {
 				seen = max(seen, e.Sequence)
 			}
+			h.hearOf(b)
 			h.leader.send(heartbeatTaken{
 				heartbeat: b,
 			})
@@ -190,6 +195,45 @@
 	}
 }
 
+// hearOf takes in which of the runs that are being started the worker tells of.
+func (h *renewer) hearOf(b sched.Heartbeat) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.starting) == 0 {
+		return
+	}
+	hear := func(r sched.RunID) {
+		if _, ok := h.starting[r]; ok {
+			h.starting[r] = true
+		}
+	}
+	for _, r := range b.Running {
+		hear(r.Run)
+	}
+	for _, e := range b.Ended {
+		hear(e.Run)
+	}
+}
+
+// isHeardOf reports whether the worker has told of a run that is being started.
+func (h *renewer) isHeardOf(r sched.RunID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.starting[r]
+}
+
+func (h *renewer) beginStart(r sched.RunID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.starting[r] = false
+}
+
+func (h *renewer) endStart(r sched.RunID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.starting, r)
+}
+
 // isOver reports whether the worker is known to have another life, or is not looked at any
 // more. Nothing more is sent for this one: the next life could not tell it from its own.
 func (h *renewer) isOver() bool {
