node: delegates pass on which life of a worker has answered

Symptom: with calls to workers made by other hosts, tasks of workers that had started again under their ids ran twice, 24 of 24. Cause: the frame in which a delegate passes an answer on had no birth, and an answer without one counts as of the life that was asked. Change: a renewal has a call of its own whose answer has the birth; hosts say in their greeting that they take it. A host of the release before renews the lease of a life with a known birth for nobody: the leader makes that call itself. Starts and stops, whose answers tell no life, pass as before. Why it holds: an answer of which the life is not known is then one of a platform that tells none. Workers of the wire stand-in say born in their entries and answers.

--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -20,6 +20,7 @@
 // A WorkerEntry is what a worker says about itself.
 type WorkerEntry struct {
 	ID       spoolsill.WorkerID
+	Born     spoolsill.Birth // zero leaves it out
 	Address  string
 	Machine  string
 	Rack     string
@@ -35,7 +36,7 @@
 	if e.Draining {
 		state = "draining"
 	}
-	return put(s, platform.WorkersTable, string(e.ID), map[string]any{
+	entry := map[string]any{
 		"service": "work",
 		"addr":    e.Address,
 		"state":   state,
@@ -47,7 +48,11 @@
 		"labels":      []string{"a", e.Rack},
 		"remainingMs": e.Remaining.Milliseconds(),
 		"new":         "fields that nobody knows are skipped",
-	})
+	}
+	if e.Born != 0 {
+		entry["born"] = e.Born
+	}
+	return put(s, platform.WorkersTable, string(e.ID), entry)
 }
 
 // DeleteWorker removes a worker's entry, as the platform does once it is silent
--- a/node/delegated.go
+++ b/node/delegated.go
@@ -121,15 +121,37 @@
 	// Twice what the beginning of the worker's answer may take, for the rest of it.
 	limited, cancel := context.WithTimeout(ctx, l.Wait+2*l.Within+delegateSlack)
 	defer cancel()
-	r, made, err := passOn[renewReply](limited, d, l.Target, methodRenew, renewalRequest(l))
+	r, made, err := d.passRenewal(limited, l)
 	if !made {
 		return d.direct.Renew(ctx, l)
 	}
 	if err != nil {
-		r.Reply = noReply(err)
+		r.Renew.Reply = noReply(err)
+	}
+	d.heard(l.Worker, r.Renew.Reply.Kind)
+	answered := spoolsill.Life{
+		Worker: l.Worker,
+		Born:   r.Born,
+	}
+	return r.Renew.heartbeat(answered, sent), r.Renew.Reply.reply()
+}
+
+// passRenewal has a delegate renew a lease. One that does not tell which life has answered
+// is of use only where workers don't tell their births: its answer may be of the next life,
+// and would be taken for that of this one.
+func (d *delegatedWorkers) passRenewal(ctx context.Context, l leader.Renewal) (r renewLifeReply, made bool, err error) {
+	h, ok := d.delegateOf(l.Target)
+	switch {
+	case !ok:
+		return r, false, nil
+	case d.node.hosts.tellsLives(h):
+		return passTo[renewLifeReply](ctx, d, h, l.Target, methodRenewLife, renewalRequest(l))
+	case l.Born != 0:
+		return r, false, nil
+	default:
+		r.Renew, made, err = passTo[renewReply](ctx, d, h, l.Target, methodRenew, renewalRequest(l))
+		return r, made, err
 	}
-	d.heard(l.Worker, r.Reply.Kind)
-	return r.heartbeat(l.Worker, sent), r.Reply.reply()
 }
 
 // Start implements [leader.Workers].
@@ -190,6 +212,14 @@
 	return renewReplyOf(h, r), nil
 }
 
+func (n *Node) renewLifeAsked(ctx context.Context, _ peer.Caller, q renewRequest) (renewLifeReply, error) {
+	h, r := n.workers.Renew(ctx, q.renewal())
+	return renewLifeReply{
+		Born:  h.Born,
+		Renew: renewReplyOf(h, r),
+	}, nil
+}
+
 func (n *Node) startAsked(ctx context.Context, _ peer.Caller, q startRequest) (orderReply, error) {
 	return orderReplyOf(n.workers.Start(ctx, q.start())), nil
 }
--- a/node/delegated_test.go
+++ b/node/delegated_test.go
@@ -221,3 +221,30 @@
 		c.Check(node.NotMade(e), qt.IsFalse, qt.Commentf("%v", e))
 	}
 }
+
+// Workers start again under their ids while all calls to them are made by other hosts. The
+// delegates pass on which life has answered: of an answer without its birth the leader would
+// take the ends of the new life for those that it had counted.
+func TestDelegatesPassOnWhichLifeAnswers(t *testing.T) {
+	const workers = 3
+	run(t, 4, workers, func(x *cell) {
+		x.cutLeaderFromWorkers(workers)
+		before := x.submitMany(1, 12, 0, 1, 2, 3)
+		pause.For(x.ctx, 6*time.Second)
+		x.assertCompleted(x.leader(), before)
+		for i := range workers {
+			x.workers.Crash(spoolsill.WorkerID(workerName(i)))
+			x.workers.Restart(spoolsill.WorkerID(workerName(i)))
+		}
+		pause.For(x.ctx, 700*time.Millisecond)
+		after := x.submitMany(20, 12, 0, 1, 2, 3)
+		pause.For(x.ctx, 2*time.Second) // their entries are late
+		for i := range workers {
+			x.list(i)
+		}
+		pause.For(x.ctx, 8*time.Second)
+		x.assertCompleted(x.leader(), after)
+		x.c.Check(x.workers.Broken(), qt.HasLen, 0)
+		x.c.Check(x.workers.Starts(), qt.Equals, 48)
+	})
+}
--- a/node/delegatewire.go
+++ b/node/delegatewire.go
@@ -250,12 +250,19 @@
 	return x
 }
 
-// heartbeat returns what a worker answered to a call that was sent at some time.
-func (r renewReply) heartbeat(w spoolsill.WorkerID, sent time.Time) sched.Heartbeat {
+// A renewLifeReply is a renewReply with the birth of the life that answered. It is one of
+// its own, since hosts of an earlier release read arrays of the length that they know only.
+type renewLifeReply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads it
+
+	Born  spoolsill.Birth
+	Renew renewReply
+}
+
+// heartbeat returns what a life of a worker answered to a call that was sent at some time.
+func (r renewReply) heartbeat(l spoolsill.Life, sent time.Time) sched.Heartbeat {
 	h := sched.Heartbeat{
-		Life: spoolsill.Life{
-			Worker: w,
-		},
+		Life:    l,
 		Sent:    sent,
 		Clock:   r.Reply.Clock,
 		Partial: r.Partial,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -120,17 +120,28 @@
 	context.AfterFunc(x.ctx, func() { _ = s.Close() })
 }
 
+func workerAddress(i int) string {
+	return fmt.Sprintf("10.8.0.%d:80", i+1)
+}
+
 func (x *cell) addWorker(i int) {
-	id := spoolsill.WorkerID(fmt.Sprintf("w%d", i))
-	a := fmt.Sprintf("10.8.0.%d:80", i+1)
+	id := spoolsill.WorkerID(workerName(i))
+	a := workerAddress(i)
 	x.workers.Add(id)
 	x.serve(standin.Node{
 		Name:  string(id),
 		Place: "workers",
 	}, a, wire.Worker(x.workers, id))
+	x.list(i)
+}
+
+// list writes a worker's entry.
+func (x *cell) list(i int) {
+	id := spoolsill.WorkerID(workerName(i))
 	x.c.Assert(wire.PutWorker(x.store, wire.WorkerEntry{
 		ID:      id,
-		Address: a,
+		Born:    x.workers.LifeOf(id).Born,
+		Address: workerAddress(i),
 		Machine: "m" + string(id),
 		Rack:    "r1-1",
 		Capacity: spoolsill.Resources{
--- a/node/peers.go
+++ b/node/peers.go
@@ -20,20 +20,21 @@
 
 // The methods that hosts call each other by.
 const (
-	methodGreet   = "greet"
-	methodState   = "state"
-	methodWaiting = "waiting"
-	methodAdvise  = "advise"
-	methodSubmit  = "submit"
-	methodCancel  = "cancel"
-	methodTell    = "tell"
-	methodNews    = "news"
-	methodPiece   = "piece"
-	methodRenew   = "renew"
-	methodStart   = "start"
-	methodStop    = "stop"
-	methodStartOf = "startof"
-	methodSpec    = "spec"
+	methodGreet     = "greet"
+	methodState     = "state"
+	methodWaiting   = "waiting"
+	methodAdvise    = "advise"
+	methodSubmit    = "submit"
+	methodCancel    = "cancel"
+	methodTell      = "tell"
+	methodNews      = "news"
+	methodPiece     = "piece"
+	methodRenew     = "renew"
+	methodRenewLife = "renewlife"
+	methodStart     = "start"
+	methodStop      = "stop"
+	methodStartOf   = "startof"
+	methodSpec      = "spec"
 )
 
 // hostSilent is how long ago a host may have greeted the leader to be asked for
@@ -61,6 +62,9 @@
 	// Specs tells that the caller keeps the specs of jobs that it accepts, and as a
 	// delegate fetches those of others. Hosts of an earlier release do neither.
 	Specs bool
+	// Lives tells that the caller, as a delegate, passes on which life of a worker has
+	// answered. Hosts of an earlier release do not.
+	Lives bool
 	// MayLead tells that the caller could lead at once, Link what its link carries in
 	// bytes a second. Hosts of an earlier release tell neither.
 	MayLead bool
@@ -183,6 +187,7 @@
 	peer.Handle(n.peers, methodNews, n.newsAsked)
 	peer.Handle(n.peers, methodPiece, n.pieceAsked)
 	peer.Handle(n.peers, methodRenew, n.renewAsked)
+	peer.Handle(n.peers, methodRenewLife, n.renewLifeAsked)
 	peer.Handle(n.peers, methodStart, n.startAsked)
 	peer.Handle(n.peers, methodStop, n.stopAsked)
 	peer.Handle(n.peers, methodStartOf, n.startOfAsked)
@@ -198,6 +203,7 @@
 		hall:     q.Hall,
 		delegate: q.Delegate,
 		specs:    q.Specs,
+		lives:    q.Lives,
 		address:  q.Address,
 	})
 	n.configs.offeredBy(c.Host, q.Held, now)
@@ -383,6 +389,7 @@
 	hall     spoolsill.HallID
 	delegate bool
 	specs    bool
+	lives    bool
 	address  string
 }
 
@@ -430,6 +437,13 @@
 	return l.seen[h].specs
 }
 
+// tellsLives reports whether a host, as a delegate, passes on which life has answered.
+func (l *hostList) tellsLives(h spoolsill.HostID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen[h].lives
+}
+
 func (l *hostList) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
