sched: a crash counts against its tasks where the worker keeps its id

Symptom: a task that crashes each worker that starts it was started 35 times and more, if its workers came back under their ids. Cause: the crash was seen as a run that the worker does not have, which counts against nobody; an answer of the next life took back what the silence of the former one was held against; and what a leader had written named ids only. Change: losses are of lives. A life that follows another one confirms that that one is over, and the runs that went with it are suspected as under any crash. Rows keep the births of the lives that they name behind the rest, where programs of the release before do not look; rows without them are read. Why it holds: evidence is compared by life, so that the next one neither acquits nor is suspected. A row is 9 bytes longer for each run that goes on where births are told.

--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -59,6 +59,7 @@
 func (m *machines) listLife(id spoolsill.WorkerID, machine string) {
 	b, err := json.Marshal(sched.Worker{
 		ID:      id,
+		Born:    m.workers.LifeOf(id).Born,
 		Machine: machine,
 		Service: "work",
 		Address: string(id),
@@ -167,3 +168,64 @@
 		})
 	}
 }
+
+// The same on machines whose workers come back under their ids, at once or after a while.
+// Their crashes were seen as runs that the worker does not have, which counts against
+// nobody: the task was started again for as long as its workers came back.
+func TestTaskThatCrashesWorkersThatKeepTheirIDsIsGivenUp(t *testing.T) {
+	for _, back := range []time.Duration{0, 100 * time.Millisecond, backAfter} {
+		t.Run(back.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMachines(newCell(t.Context(), t, 8))
+				defer m.end()
+				m.workers.Crashed = func(id spoolsill.WorkerID, _ []sched.RunID) {
+					time.AfterFunc(back, func() {
+						m.workers.Restart(id)
+						m.listLife(id, m.machineOf(id))
+					})
+				}
+				l := m.lead("a")
+				m.submitCrashing()
+				ids := m.submitTasks("job", 24)
+				pause.For(m.ctx, 40*time.Second)
+				m.c.Check(m.workers.Broken(), qt.HasLen, 0)
+				m.c.Check(m.workers.CrashesOf(crashing) <= 5, qt.IsTrue)
+				s, ok := l.Status(crashing.Stage.Job)
+				m.c.Assert(ok, qt.IsTrue)
+				m.c.Check(s.State, qt.Equals, sched.Failed)
+				m.assertCompleted(l, ids)
+			})
+		})
+	}
+}
+
+// The same again where the leader is replaced between the crashes: the next one knows from
+// what was written which lives went.
+func TestCrashesOfWorkersThatKeepTheirIDsLastOverTakeOvers(t *testing.T) {
+	for seed := range 8 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMachines(newCell(t.Context(), t, 8))
+				defer m.end()
+				m.workers.Crashed = func(id spoolsill.WorkerID, _ []sched.RunID) {
+					time.AfterFunc(time.Duration(seed)*150*time.Millisecond, func() {
+						m.workers.Restart(id)
+						m.listLife(id, m.machineOf(id))
+					})
+				}
+				l := m.lead("host0")
+				m.submitCrashing()
+				for i := range 20 {
+					pause.For(m.ctx, time.Duration(300+137*seed+211*i%1900)*time.Millisecond)
+					m.kills[i]()
+					l = m.lead(spoolsill.HostID(fmt.Sprintf("host%d", i+1)))
+				}
+				pause.For(m.ctx, 40*time.Second)
+				m.c.Check(m.workers.Broken(), qt.HasLen, 0)
+				s, ok := l.Status(crashing.Stage.Job)
+				m.c.Assert(ok, qt.IsTrue)
+				m.c.Check(s.State, qt.Equals, sched.Failed)
+			})
+		})
+	}
+}
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -52,6 +52,14 @@
 	if over && w.leftAsAnnounced() {
 		return
 	}
+	if over {
+		s.noteCrashed(w)
+	}
+	s.suspect(w, rs, over, reason)
+}
+
+// suspect holds it against runs of one account that the lives went that they were for.
+func (s *State) suspect(w *worker, rs []*run, over bool, reason string) {
 	var under []*run
 	for _, r := range rs {
 		if r.phase == phasePlanned || r.phase == phaseRecorded || r.task.stage.job.state.Final() {
@@ -59,6 +67,7 @@
 		}
 		r.task.evidence.add(Loss{
 			Worker: w.id,
+			Born:   r.born,
 			Begun:  r.phase == phaseConfirmed,
 			Over:   over,
 		})
@@ -68,14 +77,18 @@
 		}
 		s.touch(r.task.stage.job)
 	}
-	if over && w.place() != "" {
-		s.crashedAt[w.place()] = s.now
-	}
 	if len(under) > 0 {
 		s.noteCrash(w, under, reason)
 	}
 }
 
+// noteCrashed keeps in mind that a machine has crashed just now.
+func (s *State) noteCrashed(w *worker) {
+	if w.place() != "" {
+		s.crashedAt[w.place()] = s.now
+	}
+}
+
 // noteCrash tells which runs are under suspicion, the most suspicious first.
 func (s *State) noteCrash(w *worker, rs []*run, reason string) {
 	slices.SortStableFunc(rs, func(a, b *run) int {
@@ -96,7 +109,7 @@
 // loseSuspicion takes back what a worker's silence was held against: it answers.
 func (s *State) loseSuspicion(w *worker) {
 	for _, t := range s.suspects {
-		if t.evidence.acquit(w.id) {
+		if t.evidence.acquit(w.life()) {
 			s.touch(t.stage.job)
 		}
 	}
@@ -105,7 +118,7 @@
 // confirmSuspicion takes in that a worker that could not be reached has crashed.
 func (s *State) confirmSuspicion(w *worker) {
 	for _, t := range slices.Clone(s.suspects) {
-		if t.evidence.confirm(w.id) {
+		if t.evidence.confirm(w.life()) {
 			s.touch(t.stage.job)
 			s.giveUp(t.stage)
 		}
@@ -169,7 +182,7 @@
 	if len(r.task.evidence.losses) == 0 {
 		return
 	}
-	if r.phase == phaseConfirmed && w.answered.After(r.begun) {
+	if r.phase == phaseConfirmed && !r.former() && w.answered.After(r.begun) {
 		r.task.evidence.lived += w.answered.Sub(r.begun)
 	}
 }
--- a/sched/crashrow_test.go
+++ b/sched/crashrow_test.go
@@ -61,6 +61,44 @@
 	c.Assert(got.Crashes, qt.HasLen, 0)
 }
 
+// A row names the lives at which runs are and that went under tasks. Programs that do not
+// know of births read such a row as before, and a row of theirs names none.
+func TestBirthsLastInARow(t *testing.T) {
+	c := qt.New(t)
+	p := running("kept")
+	plain, err := sched.EncodeProgress(p)
+	c.Assert(err, qt.IsNil)
+	p.Stages[0].Tasks[0].Born = 7000
+	p.Crashes = []sched.TaskCrashes{
+		{
+			Losses: []sched.Loss{
+				{
+					Worker: "kept",
+					Born:   1000,
+					Over:   true,
+				},
+				{
+					Worker: "v",
+				},
+			},
+		},
+	}
+	b, err := sched.EncodeProgress(p)
+	c.Assert(err, qt.IsNil)
+	got, err := sched.DecodeProgress(b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Stages[0].Tasks[0].Born, qt.Equals, spoolsill.Birth(7000))
+	c.Assert(got.Crashes[0].Losses[0].Born, qt.Equals, spoolsill.Birth(1000))
+	c.Assert(got.Crashes[0].Losses[1].Born, qt.Equals, spoolsill.Birth(0))
+	got, err = sched.DecodeProgress(plain)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Births, qt.HasLen, 0)
+	c.Assert(got.Stages[0].Tasks[0].Born, qt.Equals, spoolsill.Birth(0))
+	// Births that belong to no life make a row that can't be read.
+	_, err = sched.DecodeProgress(append(append([]byte(nil), plain...), 0xc0, 0xa0, 0x92, 1, 2))
+	c.Assert(err, qt.IsNotNil)
+}
+
 // What a row keeps of crashes is bounded: of a job whose thousand tasks went with their
 // workers, those with the most losses.
 func TestCrashesKeptAreBounded(t *testing.T) {
--- a/sched/evidence.go
+++ b/sched/evidence.go
@@ -36,6 +36,8 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads it
 
 	Worker spoolsill.WorkerID
+	// Born is of the worker's life that went. It is kept in [Progress.Births].
+	Born spoolsill.Birth `msgpack:"-"`
 	// Begun tells that the worker surely had the run.
 	Begun bool
 	// Over tells that the worker's life is surely over and was not ended as planned;
@@ -43,6 +45,11 @@
 	Over bool
 }
 
+// of reports whether it was a life that went.
+func (l Loss) of(x spoolsill.Life) bool {
+	return l.Worker == x.Worker && x.MayBe(l.Born)
+}
+
 // crash reports whether the worker surely crashed under a run.
 func (l Loss) crash() bool {
 	return l.Begun && l.Over
@@ -102,23 +109,23 @@
 	return len(e.losses) > 0 && age > min(max(2*e.lived, outlivedLeast), outlivedMost)
 }
 
-// acquit takes back that a worker went: it has answered since. It reports whether that
-// changes anything.
-func (e *evidence) acquit(w spoolsill.WorkerID) bool {
+// acquit takes back that a life went: it has answered since. The next life under its id
+// acquits nobody. It reports whether that changes anything.
+func (e *evidence) acquit(x spoolsill.Life) bool {
 	n := len(e.losses)
-	e.losses = slices.DeleteFunc(e.losses, func(l Loss) bool { return l.Worker == w && !l.Over })
+	e.losses = slices.DeleteFunc(e.losses, func(l Loss) bool { return l.of(x) && !l.Over })
 	if len(e.losses) == 0 {
 		e.lived = 0
 	}
 	return len(e.losses) != n
 }
 
-// confirm takes in that a worker that could not be reached has crashed. It reports
-// whether that changes anything.
-func (e *evidence) confirm(w spoolsill.WorkerID) bool {
+// confirm takes in that a life that could not be reached has crashed. It reports whether
+// that changes anything.
+func (e *evidence) confirm(x spoolsill.Life) bool {
 	changed := false
 	for i, l := range e.losses {
-		if l.Worker == w && !l.Over {
+		if l.of(x) && !l.Over {
 			e.losses[i].Over = true
 			changed = true
 		}
--- a/sched/lives.go
+++ b/sched/lives.go
@@ -81,6 +81,11 @@
 		s.order[i] = w
 	}
 	s.noteStartedAgain(old, w, word)
+	w.crashed = !old.dead && !old.takenAway() && !old.leftAsAnnounced()
+	if w.crashed {
+		s.noteCrashed(old)
+		s.confirmSuspicion(old)
+	}
 	s.endFormer(old)
 	for _, r := range sortedRuns(old) {
 		s.move(r, w)
@@ -133,11 +138,26 @@
 	return !r.worker.life().MayBe(r.born)
 }
 
-// loseAbsent takes in that a worker's answer proves that it has not got some runs.
+// loseAbsent takes in that a worker's answer proves that it has not got some runs. Those of
+// a former life went with it, which counts against their tasks as any crash does: a task
+// that crashes its workers would else be started again for as long as they come back.
 func (s *State) loseAbsent(w *worker, rs []*run) {
+	former := slices.DeleteFunc(slices.Clone(rs), func(r *run) bool { return !r.former() })
+	if w.crashed || w.restarts == 0 {
+		// Of a life that a former leader knew it is not known how it ended.
+		s.suspect(w, former, w.crashed, "it started again")
+	}
 	for _, r := range rs {
+		if r.former() {
+			r.task.stage.job.account.Lost++
+			s.lose(r, "its worker started again")
+			continue
+		}
 		s.lose(r, "worker does not have it")
 	}
+	for _, r := range former {
+		s.giveUp(r.task.stage)
+	}
 }
 
 // noteUncounted notes an end that is taken for one that was seen, though its run is
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -26,6 +26,55 @@
 	// Team is whose job it is. The job's own row tells it too, but goes when the job
 	// has ended. It is kept behind Crashes, and takes nothing where there is none.
 	Team spoolsill.TeamID `msgpack:"-"`
+	// Births are of the lives that Stages and Crashes name, in their order; none where no
+	// birth is told. They are kept behind Team. Programs that do not know of them take the
+	// lives for what their ids say, and rows without them are read so.
+	Births []spoolsill.Birth `msgpack:"-"`
+}
+
+// eachBirth visits the births of the lives that p names, in the order in which they are kept.
+func (p *Progress) eachBirth(visit func(b *spoolsill.Birth)) {
+	for i := range p.Stages {
+		for j := range p.Stages[i].Tasks {
+			if t := &p.Stages[i].Tasks[j]; t.Worker != "" {
+				visit(&t.Born)
+			}
+		}
+	}
+	for i := range p.Crashes {
+		for j := range p.Crashes[i].Losses {
+			visit(&p.Crashes[i].Losses[j].Born)
+		}
+	}
+}
+
+// births returns the births of the lives that p names, or nil when none is told.
+func (p *Progress) births() []spoolsill.Birth {
+	var all []spoolsill.Birth
+	told := false
+	p.eachBirth(func(b *spoolsill.Birth) {
+		all = append(all, *b)
+		told = told || *b != 0
+	})
+	if !told {
+		return nil
+	}
+	return all
+}
+
+// setBirths has p name the lives of which births were kept.
+func (p *Progress) setBirths(all []spoolsill.Birth) error {
+	n := 0
+	p.eachBirth(func(b *spoolsill.Birth) {
+		if n < len(all) {
+			*b = all[n]
+		}
+		n++
+	})
+	if n != len(all) {
+		return fmt.Errorf("sched: progress names %d lives and has %d births", n, len(all))
+	}
+	return nil
 }
 
 // A TaskCrashes is what speaks for a task crashing the workers that start it.
@@ -70,7 +119,10 @@
 // EncodeProgress returns p as it is kept.
 func EncodeProgress(p Progress) ([]byte, error) {
 	values := []any{&p}
+	births := p.births()
 	switch {
+	case births != nil:
+		values = append(values, p.Crashes, p.Team, births)
 	case p.Team != "":
 		// Programs that do not know of teams read the value before it as crashes.
 		values = append(values, p.Crashes, p.Team)
@@ -105,8 +157,14 @@
 	if err != nil || len(rest) == 0 {
 		return p, err
 	}
-	_, err = packed.Decode(rest, &p.Team)
-	return p, err
+	rest, err = packed.Decode(rest, &p.Team)
+	if err != nil || len(rest) == 0 {
+		return p, err
+	}
+	if _, err = packed.Decode(rest, &p.Births); err != nil {
+		return p, err
+	}
+	return p, p.setBirths(p.Births)
 }
 
 const (
@@ -120,6 +178,9 @@
 	// task's only one, the task.
 	lossesKept = 64
 	lossBytes  = 48
+	// birthBytes is what the birth of one life needs, and listBytes the list of them.
+	birthBytes = 9
+	listBytes  = 5
 	// teamBytes is what the name of its team needs beside its bytes.
 	teamBytes = 8
 )
@@ -128,9 +189,9 @@
 func ProgressBytes(j Job) int {
 	n := 0
 	for i := range j.Steps {
-		n += stageBytes + j.Steps[i].Tasks*taskBytes
+		n += stageBytes + j.Steps[i].Tasks*(taskBytes+birthBytes)
 	}
-	return n*j.rounds() + lossesKept*lossBytes + teamBytes + len(j.Team)
+	return n*j.rounds() + lossesKept*(lossBytes+birthBytes) + listBytes + teamBytes + len(j.Team)
 }
 
 // progress returns what is to be kept of j.
@@ -206,6 +267,7 @@
 		}
 		if t.run != nil && t.run.phase != phasePlanned {
 			p.Tasks[i].Worker = t.run.worker.id
+			p.Tasks[i].Born = t.run.born
 		}
 	}
 	return p
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -259,10 +259,10 @@
 	if r.phase != phaseRecorded && r.phase != phasePlanned {
 		s.confirm(r)
 	}
-	r.born = w.born
-	if r.begun.IsZero() {
+	if r.begun.IsZero() || r.former() {
 		r.begun = s.now
 	}
+	r.born = w.born
 	if x.Saved != "" {
 		r.task.saved = x.Saved
 	}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -36,6 +36,8 @@
 	// born is that of this life, zero until it is told; former are those of lives before.
 	born   spoolsill.Birth
 	former []spoolsill.Birth
+	// crashed tells that the life before this one ended otherwise than as announced.
+	crashed bool
 	// restarts counts the lives before this one that are known.
 	restarts int
 	listed   bool
