soak, stand-ins: workers crash and start again under their ids

Cause: the soak's workers always came back with another id, so that nothing in it could show a life that was taken for the one before. Change: workers crash now and then for no fault of a task, some or all at once; half of those that come back do so under their ids, at once, after 50 ms or after one to four seconds, with an entry that may be late.

--- a/internal/cellfake/crash.go
+++ b/internal/cellfake/crash.go
@@ -41,12 +41,12 @@
 	return f.crashes.of[t]
 }
 
-// Crash ends a worker's life without a word: what it runs is gone with it, and
-// nobody answers at its address until [Workers.Replace] or [Workers.Restart].
-func (f *Workers) Crash(id spoolsill.WorkerID) {
+// Crash ends a worker's life without a word: what it runs is gone with it, which it
+// returns, and nobody answers at its address until [Workers.Replace] or [Workers.Restart].
+func (f *Workers) Crash(id spoolsill.WorkerID) []sched.RunID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crash(f.workers[id])
+	return f.crash(f.workers[id])
 }
 
 // crash ends a worker's life, and returns the runs that are lost with it.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -263,6 +263,7 @@
 	m.proxy = p
 	m.entry = wire.WorkerEntry{
 		ID:      id,
+		Born:    x.fakes.LifeOf(id).Born,
 		Address: address,
 		Machine: "m" + string(id),
 		Rack:    "r1-1",
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -23,12 +23,20 @@
 	troubleStream = 14
 	// troubleGap is the most between two of them.
 	troubleGap = 700 * time.Millisecond
+	// crashStream is the stream that decides when workers crash for no fault of a task,
+	// crashGap the most between two such moments.
+	crashStream = 15
+	crashGap    = 5 * time.Second
 	// crashingPrefix begins the ids of jobs of which a task crashes its workers, which
-	// they do crashAfter their start; machines are back after backLeast to backMost.
+	// they do crashAfter their start.
 	crashingPrefix = "c"
 	crashAfter     = 10 * time.Millisecond
-	backLeast      = time.Second
-	backMost       = 4 * time.Second
+	// Workers are back at once, after backSoon, or after backLeast to backMost; the entry
+	// of a life that keeps its id may be late by entryLate.
+	backSoon  = 50 * time.Millisecond
+	backLeast = time.Second
+	backMost  = 4 * time.Second
+	entryLate = 1500 * time.Millisecond
 	// crashingMost is how many such jobs there are.
 	crashingMost = 4
 	// movedFor is the longest that a room is other than usual, strangeFor that an
@@ -64,6 +72,7 @@
 	mu    sync.Mutex
 	entry wire.WorkerEntry // of its newest life
 	lives int
+	down  bool // its worker has crashed and is not back
 }
 
 // current returns the entry of the machine's newest life.
@@ -87,34 +96,87 @@
 	})
 }
 
-// crashed has the machine of a worker come back as another one after a while.
+// crashed has the machine of a worker come back after a while, as another one or under
+// the id that it had.
 func (x *run) crashed(id spoolsill.WorkerID, lost []sched.RunID) {
 	x.note("%s crashes with %d runs", id, len(lost))
 	x.judge.Lost(lost)
 	for _, m := range x.workers {
-		if m.current().ID == id {
-			go x.comeBack(m, between(rand.New(rand.NewPCG(rand.Uint64(), 0)), backLeast, backMost)) //nolint:gosec // no secret
+		if m.current().ID == id && m.goDown() {
+			go x.comeBack(m, rand.New(rand.NewPCG(rand.Uint64(), 0))) //nolint:gosec // no secret
 			return
 		}
 	}
 }
 
-func (x *run) comeBack(m *machine, after time.Duration) {
+// goDown takes in that the machine's worker has crashed. It reports false for one that is
+// not back since the crash before.
+func (m *machine) goDown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	was := m.down
+	m.down = true
+	return !was
+}
+
+// crashNowAndThen has workers crash until ctx ends.
+func (x *run) crashNowAndThen(ctx context.Context) {
+	r := rand.New(rand.NewPCG(x.config.Seed, crashStream)) //nolint:gosec // like trouble
+	for wait(ctx, between(r, 0, crashGap)) {
+		x.crashSome(1 + r.IntN(len(x.workers)))
+	}
+}
+
+// crashSome has some workers crash at the same moment, for no fault of a task.
+func (x *run) crashSome(n int) {
+	for _, m := range x.workers[:n] {
+		id := m.current().ID
+		x.crashed(id, x.fakes.Crash(id))
+	}
+}
+
+func (x *run) comeBack(m *machine, r *rand.Rand) {
+	after := []time.Duration{0, backSoon, between(r, backLeast, backMost)}[r.IntN(3)]
 	if !wait(x.ctx, after) {
 		return
 	}
+	if r.IntN(2) == 0 {
+		x.startAgain(m, between(r, 0, entryLate))
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.down = false
 	old := m.entry.ID
 	m.lives++
 	m.entry.ID = spoolsill.WorkerID(fmt.Sprintf("%s-%d", m.entry.Machine, m.lives))
 	x.fakes.Replace(old, m.entry.ID)
+	m.entry.Born = x.fakes.LifeOf(m.entry.ID).Born
 	m.life.Store(&m.entry.ID)
 	wire.DeleteWorker(x.store, old)
 	x.list(m.entry)
 	x.note("%s comes back as %s", old, m.entry.ID)
 }
 
+// startAgain has a machine's worker start again under its id, and write its entry.
+func (x *run) startAgain(m *machine, late time.Duration) {
+	m.mu.Lock()
+	m.lives++
+	m.down = false
+	born := x.fakes.Restart(m.entry.ID)
+	m.entry.Born = born.Born
+	m.mu.Unlock()
+	x.note("%s starts again", born)
+	if !wait(x.ctx, late) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entry.Born == born.Born {
+		x.list(m.entry)
+	}
+}
+
 // trouble has workers crash by tasks, their rooms move, and others write among their
 // entries, until ctx ends; then all is as usual again.
 func (x *run) trouble(ctx context.Context, hosts []string) {
@@ -123,6 +185,7 @@
 	defer c.http.CloseIdleConnections()
 	var healing sync.WaitGroup
 	defer healing.Wait()
+	healing.Go(func() { x.crashNowAndThen(ctx) })
 	for made := 0; ctx.Err() == nil; wait(ctx, between(r, 0, troubleGap)) {
 		switch r.IntN(4) {
 		case 0:
