sched: one line and one counter for a life that ends

A life that is followed by another one under its id was told as one of many changes of a worker. It is a kind of note of its own now, so that the counter of events has it, and its line has both births, what ended the former one, its runs, those in doubt, and how far its ends were seen. No decision changes; sched, leader, node, telemetry, logstory, logloss and platform tests pass, 600 sequences of the model too.

--- a/sched/event.go
+++ b/sched/event.go
@@ -249,6 +249,7 @@
 	NoteNotStopped NoteKind = "task stop not taken"
 	NoteJobEnded   NoteKind = "job ended"
 	NoteWorker     NoteKind = "worker changed"
+	NoteLife       NoteKind = "worker started again"
 	NoteStray      NoteKind = "unknown run at worker"
 	NoteAdvised    NoteKind = "advice received"
 	NoteCrash      NoteKind = "worker gone with its runs"
--- a/sched/lives.go
+++ b/sched/lives.go
@@ -80,12 +80,12 @@
 	} else {
 		s.order[i] = w
 	}
-	s.noteStartedAgain(old, w, word)
 	w.crashed = !old.dead && !old.takenAway() && !old.leftAsAnnounced()
 	if w.crashed {
 		s.noteCrashed(old)
 		s.confirmSuspicion(old)
 	}
+	s.noteStartedAgain(old, w, word)
 	s.endFormer(old)
 	for _, r := range sortedRuns(old) {
 		s.move(r, w)
@@ -94,8 +94,28 @@
 }
 
 func (s *State) noteStartedAgain(old, w *worker, word string) {
-	s.noteWorker(w, fmt.Sprintf("started again: %s names a life born %d, before that %d; %d runs were believed there, ends were seen up to %d",
-		word, w.born, old.born, len(old.runs), old.seen), s.now.Sub(old.answered))
+	ended := "crashed"
+	if !w.crashed {
+		ended = "was over, or ended as announced"
+	}
+	s.note(Note{
+		Kind:   NoteLife,
+		Worker: w.id,
+		Reason: fmt.Sprintf("%s names a life born %d; the one born %d %s, with %d runs, %d of them in doubt, and its ends seen up to %d",
+			word, w.born, old.born, ended, len(old.runs), old.doubtful(), old.seen),
+		Age: s.now.Sub(old.answered),
+	})
+}
+
+// doubtful counts the runs that may or may not be at w.
+func (w *worker) doubtful() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.phase == phaseDoubt || r.phase == phaseInherited {
+			n++
+		}
+	}
+	return n
 }
 
 // endFormer takes in that a life is over since the next one has begun.
--- a/sched/load.go
+++ b/sched/load.go
@@ -38,11 +38,7 @@
 		}
 		l.Workers++
 		l.Runs += len(w.runs)
-		for _, r := range w.runs {
-			if r.phase == phaseDoubt || r.phase == phaseInherited {
-				l.Doubtful++
-			}
-		}
+		l.Doubtful += w.doubtful()
 		if !w.ready {
 			continue
 		}
