--- a/sched/lives.go
+++ b/sched/lives.go
@@ -66,8 +66,8 @@
 	w := newWorker(old.id)
 	w.born = b
 	w.restarts = old.restarts + 1
-	w.former = append(old.former, old.born)
-	w.former = w.former[max(len(w.former)-formerKept, 0):]
+	known := slices.Concat(old.former, []spoolsill.Birth{old.born})
+	w.former = known[max(len(known)-formerKept, 0):]
 	w.Worker = old.Worker
 	w.Draining = false
 	w.unlisted = s.now
