--- a/sched/lives_test.go
+++ b/sched/lives_test.go
@@ -89,6 +89,7 @@
 	x.answerBorn(bornIn(7000), bornIn(1000))
 	x.listBorn(bornIn(7000))
 	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.c.Assert(x.reasons(), qt.Not(qt.Contains), string(sched.NoteGone))
 	x.listBorn(bornIn(1000))
 	x.answerBorn(bornIn(1000), bornIn(1000), o[0].Run)
 	x.c.Assert(x.state.Workers(), qt.DeepEquals, []spoolsill.Life{bornIn(7000)})
