--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -87,6 +87,16 @@
 	})
 }
 
+// keepIDs has workers that crash start again under their ids after a time.
+func (m *machines) keepIDs(back time.Duration) {
+	m.workers.Crashed = func(id spoolsill.WorkerID, _ []sched.RunID) {
+		time.AfterFunc(back, func() {
+			m.workers.Restart(id)
+			m.listLife(id, m.machineOf(id))
+		})
+	}
+}
+
 var crashing = sched.TaskID{
 	Stage: sched.StageID{
 		Job: "crashing",
@@ -178,12 +188,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				m := newMachines(newCell(t.Context(), t, 8))
 				defer m.end()
-				m.workers.Crashed = func(id spoolsill.WorkerID, _ []sched.RunID) {
-					time.AfterFunc(back, func() {
-						m.workers.Restart(id)
-						m.listLife(id, m.machineOf(id))
-					})
-				}
+				m.keepIDs(back)
 				l := m.lead("a")
 				m.submitCrashing()
 				ids := m.submitTasks("job", 24)
@@ -207,12 +212,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				m := newMachines(newCell(t.Context(), t, 8))
 				defer m.end()
-				m.workers.Crashed = func(id spoolsill.WorkerID, _ []sched.RunID) {
-					time.AfterFunc(time.Duration(seed)*150*time.Millisecond, func() {
-						m.workers.Restart(id)
-						m.listLife(id, m.machineOf(id))
-					})
-				}
+				m.keepIDs(time.Duration(seed) * 150 * time.Millisecond)
 				l := m.lead("host0")
 				m.submitCrashing()
 				for i := range 20 {
