traffic: bytes over a host's link, by purpose and direction

Change: connections are counted by what they are for, calls between hosts by method; a metric (spoolsill.link.bytes) and, at the leader, a log line every two seconds.

--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/store"
 	"github.com/spoolsill/spoolsill/telemetry"
+	"github.com/spoolsill/spoolsill/traffic"
 )
 
 const (
@@ -95,6 +96,7 @@
 	life      spoolsill.Incarnation
 	health    *storeHealth
 	metrics   *telemetry.Metrics
+	traffic   *traffic.Account
 	port      int // of the metrics
 	jobs      *jobstore.Writer
 
@@ -142,6 +144,11 @@
 	log := c.Log.WithField("host", string(s.Host))
 	life := spoolsill.Incarnation(time.Now().UnixNano()) //nolint:forbidigo // no right, a name
 	h := &storeHealth{}
+	t := &traffic.Account{}
+	dial := c.Dial
+	if dial == nil {
+		dial = platform.Dial
+	}
 	n := &Node{
 		settings: s,
 		log:      log,
@@ -149,16 +156,17 @@
 		listen:   c.Listen,
 		leads:    c.Leads,
 		store: &watchedStore{
-			Store:   platform.NewStore(s.StoreAddress, c.Dial),
+			Store:   platform.NewStore(s.StoreAddress, t.Dialer(traffic.Store, dial)),
 			health:  h,
 			metrics: c.Metrics,
 			log:     log,
 			clock:   c.Clock,
 		},
-		workers:    platform.NewWorkers(c.Dial),
+		workers:    platform.NewWorkers(t.Dialer(traffic.Workers, dial)),
 		life:       life,
 		health:     h,
 		metrics:    c.Metrics,
+		traffic:    t,
 		port:       c.MetricsPort,
 		configs:    newConfigs(),
 		telling:    semaphore.NewWeighted(tellingMost),
@@ -177,9 +185,9 @@
 		n.listen = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
 	}
 	if s.AdvisorAddress != "" {
-		n.advisor = platform.NewAdvisor(s.AdvisorAddress, c.Dial)
+		n.advisor = platform.NewAdvisor(s.AdvisorAddress, t.Dialer(traffic.Advisor, dial))
 	}
-	n.peers = n.newPeers(c.Dial)
+	n.peers = n.newPeers(dial)
 	n.jobs = jobstore.NewWriter(jobstore.Writer{
 		Store:     n.store,
 		Partition: n.partition(),
@@ -204,6 +212,9 @@
 		Report: func(remote string, err error) {
 			n.log.WithError(err).WithField("address", remote).Info("connection to a host ended")
 		},
+		Observe: func(method string, sent, received int) {
+			n.traffic.Add(traffic.Peer(method), sent, received)
+		},
 	})
 }
 
@@ -213,9 +224,6 @@
 }
 
 func peerDial(d platform.Dialer) func(context.Context, string) (net.Conn, error) {
-	if d == nil {
-		d = platform.Dial
-	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return d(ctx, "tcp", address)
 	}
@@ -265,7 +273,7 @@
 		node: n,
 	}
 	g, work := errgroup.WithContext(work)
-	g.Go(func() error { return serve(front, ls.clients) })
+	g.Go(func() error { return serve(front, n.traffic.Listener(traffic.Callers, ls.clients)) })
 	g.Go(func() error { return serve(balancer, ls.balancer) })
 	g.Go(func() error { return n.peers.Serve(work, ls.hosts) })
 	g.Go(func() error { n.followConfig(work); return nil })
@@ -274,6 +282,7 @@
 	g.Go(func() error { n.jobs.Run(work); return nil })
 	g.Go(func() error { n.serveMetrics(work); return nil })
 	g.Go(func() error { n.watchSuspensions(work); return nil })
+	g.Go(func() error { n.watchTraffic(work); return nil })
 	electing, stopElecting := context.WithCancel(work)
 	defer stopElecting()
 	elected := make(chan struct{})
@@ -429,6 +438,7 @@
 	n.metrics.Gauge("spoolsill.config.feed.age.milliseconds", "since the store was asked, by this host or the leader, for its latest answer about the configuration; 0 before it", n.configAge)
 	n.metrics.Gauge("spoolsill.peer.sent.bytes", "bytes that this host sent to other hosts", func() int64 { sent, _ := n.peers.Traffic(); return int64(sent) })
 	n.metrics.Gauge("spoolsill.peer.received.bytes", "bytes that this host received from other hosts", func() int64 { _, read := n.peers.Traffic(); return int64(read) })
+	n.metrics.Traffic(n.traffic.Counts)
 	n.metrics.Gauge("spoolsill.peer.handling", "calls of other hosts that are not answered yet", func() int64 { return int64(n.peers.Handling()) })
 	n.metrics.Gauge("spoolsill.delegates", "hosts that make calls to workers for this one, while it leads", func() int64 { all, _ := n.delegated.hosts(); return int64(all) })
 	n.metrics.Gauge("spoolsill.delegates.resting", "of them, those that left a call unanswered and are passed over", func() int64 { _, resting := n.delegated.hosts(); return int64(resting) })
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -43,6 +43,9 @@
 	Body msgpack.RawMessage `msgpack:"b,omitempty"`
 	Code Code               `msgpack:"c,omitempty"`
 	Text string             `msgpack:"t,omitempty"`
+
+	// length is that of the frame that was read, in bytes.
+	length int
 }
 
 // encodeMessage returns the frame of a message.
@@ -84,6 +87,7 @@
 	if m.Kind < messageCall || m.Kind > messageError {
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, m.Kind)
 	}
+	m.length = headerLength + int(n)
 	return &m, nil
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -22,7 +22,13 @@
 	mu      sync.Mutex
 	conn    *linkConn
 	used    time.Time // when conn was asked for last
-	waiting map[uint64]chan *message
+	waiting map[uint64]pending
+}
+
+// A pending call waits for its reply.
+type pending struct {
+	method string
+	reply  chan *message
 }
 
 // A linkConn is a connection of a link.
@@ -39,7 +45,7 @@
 	begun := time.Now()
 	short := waitsBriefly(ctx)
 	id := l.node.ids.Add(1)
-	reply := l.expect(w, id)
+	reply := l.expect(w, id, method)
 	if reply == nil {
 		return nil, fmt.Errorf("%w: %s: connection closed", ErrUnreachable, l.host)
 	}
@@ -118,7 +124,7 @@
 	}
 	l.mu.Lock()
 	l.conn = w
-	l.waiting = map[uint64]chan *message{}
+	l.waiting = map[uint64]pending{}
 	l.mu.Unlock()
 	go l.read(w)
 	return w, nil
@@ -139,14 +145,17 @@
 
 // expect returns the channel for the reply to a call, or nil when w is no
 // longer the connection.
-func (l *link) expect(w *linkConn, id uint64) chan *message {
+func (l *link) expect(w *linkConn, id uint64, method string) chan *message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != w {
 		return nil
 	}
 	c := make(chan *message, 1)
-	l.waiting[id] = c
+	l.waiting[id] = pending{
+		method: method,
+		reply:  c,
+	}
 	return c
 }
 
@@ -182,12 +191,13 @@
 	if l.conn != w {
 		return
 	}
-	c, ok := l.waiting[m.ID]
+	p, ok := l.waiting[m.ID]
+	l.node.config.Observe(p.method, 0, m.length)
 	if !ok {
 		return
 	}
 	delete(l.waiting, m.ID)
-	c <- m
+	p.reply <- m
 }
 
 // drop closes w and tells all who wait on it.
@@ -199,8 +209,8 @@
 		return
 	}
 	l.conn = nil
-	for _, c := range l.waiting {
-		close(c)
+	for _, p := range l.waiting {
+		close(p.reply)
 	}
 	l.waiting = nil
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -47,6 +47,9 @@
 	Handlers int
 	// Report is told of broken connections and bad frames; nil drops them.
 	Report func(remote string, err error)
+	// Observe is told of the bytes of each message, by the method of its call; nil means
+	// that nobody is.
+	Observe func(method string, sent, received int)
 }
 
 // A Node makes and answers calls. It is safe for concurrent use.
@@ -78,6 +81,9 @@
 	if c.Report == nil {
 		c.Report = func(string, error) {}
 	}
+	if c.Observe == nil {
+		c.Observe = func(string, int, int) {}
+	}
 	n := &Node{
 		config: c,
 		links:  map[spoolsill.HostID]*link{},
--- a/peer/server.go
+++ b/peer/server.go
@@ -42,6 +42,7 @@
 		if m.Kind != messageCall {
 			continue
 		}
+		n.config.Observe(m.Method, 0, m.length)
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -66,13 +67,13 @@
 	ctx, cancel := within(ctx, m.Wait)
 	defer cancel()
 	v, err := n.handle(ctx, m)
-	w.reply(ctx, m.ID, v, err)
+	w.reply(ctx, m, v, err)
 }
 
 func (n *Node) refuse(ctx context.Context, w *connWriter, m *message) {
 	ctx, cancel := within(ctx, m.Wait)
 	defer cancel()
-	w.reply(ctx, m.ID, nil, &RemoteError{
+	w.reply(ctx, m, nil, &RemoteError{
 		Code: CodeBusy,
 		Text: "too many calls at once",
 	})
@@ -153,6 +154,7 @@
 		w.gate.leave()
 		return fmt.Errorf("%w: %w", errNotWritten, err)
 	}
+	w.node.config.Observe(m.Method, len(frame), 0)
 	rest, err := w.write(frame, end)
 	gaveUp := limited && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end)
 	if gaveUp && len(rest) == len(frame) {
@@ -173,16 +175,17 @@
 
 // reply answers a call, unless ctx ends before its turn comes. Only then the
 // reply is encoded, so that those that wait take no memory.
-func (w *connWriter) reply(ctx context.Context, id uint64, v any, err error) {
+func (w *connWriter) reply(ctx context.Context, call *message, v any, err error) {
 	if w.gate.enter(ctx) != nil {
 		return
 	}
 	defer w.gate.leave()
-	frame, failed := w.encode(replyMessage(id, v, err))
+	frame, failed := w.encode(replyMessage(call.ID, v, err))
 	if failed != nil {
-		frame, failed = w.encode(replyMessage(id, nil, failed))
+		frame, failed = w.encode(replyMessage(call.ID, nil, failed))
 	}
 	if failed == nil {
+		w.node.config.Observe(call.Method, len(frame), 0)
 		_, failed = w.write(frame, time.Time{})
 	}
 	if failed != nil {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/traffic"
 )
 
 // Metrics are the metrics of one host. They are safe for concurrent use; nil
@@ -91,6 +92,23 @@
 	must(err)
 }
 
+// Traffic has the bytes of a host's link read whenever the metrics are asked for.
+func (m *Metrics) Traffic(read func() map[traffic.Purpose]traffic.Count) {
+	_, err := m.meter.Int64ObservableCounter("spoolsill.link.bytes",
+		metric.WithUnit("By"),
+		metric.WithDescription("bytes over this host's link, by purpose and direction"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for p, c := range read() {
+				purpose := attribute.String("purpose", string(p))
+				o.Observe(int64(c.Sent), metric.WithAttributes(purpose, attribute.String("direction", "sent")))
+				o.Observe(int64(c.Received), metric.WithAttributes(purpose, attribute.String("direction", "received")))
+			}
+			return nil
+		}),
+	)
+	must(err)
+}
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
