node: delegates read specs from the store that no host has in memory

Cause: specs were in the memory of the accepting host only; after a loss of power each start carried its spec over the leader's link, which was full for 28 s (peer start 44 to 176 of 250 kB/s, 600 to 700 stages waiting, by the new account of bytes). Change: a delegate that gets no spec reads the job's row from the store, and keeps specs that come with orders; the leader names no host that does not have them.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"strings"
 	"sync"
 
@@ -184,6 +185,21 @@
 	return st, true, err
 }
 
+// ErrNoJob is returned when a partition does not have a job.
+var ErrNoJob = errors.New("jobstore: no such job")
+
+// Read returns the job that a partition keeps.
+func Read(ctx context.Context, s store.Store, partition string, id spoolsill.JobID) (sched.Job, error) {
+	r, err := store.Get(ctx, s, jobKey(partition, id))
+	if err != nil {
+		return sched.Job{}, err
+	}
+	if r.Version == 0 {
+		return sched.Job{}, ErrNoJob
+	}
+	return DecodeJob(r.Value)
+}
+
 // found is what the partitions have of a job: the row that counts, of version 0 if
 // there is none, and whether any marks it as cancelled.
 type found struct {
--- a/node/delegated.go
+++ b/node/delegated.go
@@ -160,7 +160,7 @@
 	if !ok {
 		return d.direct.Start(ctx, o)
 	}
-	if q, ok := d.startOf(o); ok && d.node.hosts.fetchesSpecs(h) {
+	if q, ok := d.startOf(h, o); ok {
 		limited, cancel := context.WithTimeout(ctx, o.Within+delegateSlack+specTimeout)
 		defer cancel()
 		r, made, err := passTo[startOfReply](limited, d, h, o.Target, methodStartOf, q)
@@ -221,6 +221,9 @@
 }
 
 func (n *Node) startAsked(ctx context.Context, _ peer.Caller, q startRequest) (orderReply, error) {
+	if len(q.Spec) > specShort {
+		n.specs.add(specIDOf(q.Run.Job, q.Spec), q.Spec)
+	}
 	return orderReplyOf(n.workers.Start(ctx, q.start())), nil
 }
 
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -36,9 +36,11 @@
 		// One that stops takes on nothing new.
 		Delegate: !n.closing.Load(),
 		Specs:    true,
-		Lives:    true,
-		MayLead:  n.mayTakeOver(),
-		Link:     n.settings.LinkRate,
+
+		StoredSpecs: true,
+		Lives:       true,
+		MayLead:     n.mayTakeOver(),
+		Link:        n.settings.LinkRate,
 	})
 	if err == nil && r.Leads {
 		n.patience.take(n.clock.Since(sent))
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -27,6 +27,7 @@
 	"github.com/spoolsill/spoolsill/node"
 	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/store"
+	"github.com/spoolsill/spoolsill/telemetry"
 )
 
 const (
@@ -211,9 +212,10 @@
 					StatusKept: 2 * time.Minute,
 				},
 			},
-			Log:    log,
-			Dial:   x.network.Dialer(at),
-			Listen: func(a string) (net.Listener, error) { return x.network.Listen(at, a) },
+			Log:     log,
+			Metrics: telemetry.New(),
+			Dial:    x.network.Dialer(at),
+			Listen:  func(a string) (net.Listener, error) { return x.network.Listen(at, a) },
 		},
 		logged: logged,
 		err:    make(chan error, 1),
--- a/node/peers.go
+++ b/node/peers.go
@@ -62,6 +62,9 @@
 	// Specs tells that the caller keeps the specs of jobs that it accepts, and as a
 	// delegate fetches those of others. Hosts of an earlier release do neither.
 	Specs bool
+	// StoredSpecs tells that the caller, as a delegate, reads specs from the store that
+	// no host has. Hosts of an earlier release do not.
+	StoredSpecs bool
 	// Lives tells that the caller, as a delegate, passes on which life of a worker has
 	// answered. Hosts of an earlier release do not.
 	Lives bool
@@ -203,6 +206,7 @@
 		hall:     q.Hall,
 		delegate: q.Delegate,
 		specs:    q.Specs,
+		stored:   q.StoredSpecs,
 		lives:    q.Lives,
 		address:  q.Address,
 	})
@@ -389,6 +393,7 @@
 	hall     spoolsill.HallID
 	delegate bool
 	specs    bool
+	stored   bool
 	lives    bool
 	address  string
 }
@@ -437,6 +442,13 @@
 	return l.seen[h].specs
 }
 
+// readsSpecs reports whether a host, as a delegate, reads specs from the store.
+func (l *hostList) readsSpecs(h spoolsill.HostID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen[h].stored
+}
+
 // tellsLives reports whether a host, as a delegate, passes on which life has answered.
 func (l *hostList) tellsLives(h spoolsill.HostID) bool {
 	l.mu.Lock()
--- a/node/specs.go
+++ b/node/specs.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/sched"
@@ -25,8 +26,8 @@
 	// needs 0.16 s to tell ten others one of 4 KB. The leader sends it when the delegate
 	// has not got it by then.
 	specTimeout = 300 * time.Millisecond
-	// specElsewhere is for how long the leader sends the specs of a host's jobs itself
-	// once a delegate has not had one from there.
+	// specElsewhere is for how long delegates are not sent to a host for the specs of its
+	// jobs once one has not had a spec from there.
 	specElsewhere = time.Second
 )
 
@@ -110,7 +111,8 @@
 	}, nil
 }
 
-// A startOfRequest is a startRequest without its spec, which another host has.
+// A startOfRequest is a startRequest without its spec, which another host has: the one
+// whose partition of the store keeps the job. Without an Address it is read from there.
 type startOfRequest struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads it
 
@@ -169,10 +171,39 @@
 	return "", errNoSpec // another job of this id was asked for
 }
 
-// fetchSpec has the spec of an order kept here.
+// fetchSpec has the spec of an order kept here. A host that has started anew does not
+// have it any more; the store has it for as long as its job is wanted.
 func (n *Node) fetchSpec(ctx context.Context, q startOfRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, specTimeout)
 	defer cancel()
+	if q.Address == "" {
+		return n.readSpec(ctx, q)
+	}
+	lost := n.askSpec(ctx, q)
+	if lost == nil {
+		return nil
+	}
+	if err := n.readSpec(ctx, q); err != nil {
+		return errors.Join(lost, err)
+	}
+	return nil
+}
+
+// readSpec reads the spec of an order from the store.
+func (n *Node) readSpec(ctx context.Context, q startOfRequest) error {
+	j, err := jobstore.Read(ctx, n.store, string(q.Host), q.Spec.Job)
+	if err != nil {
+		return err
+	}
+	if specIDOf(j.ID, j.Spec) != q.Spec {
+		return errNoSpec
+	}
+	n.specs.add(q.Spec, j.Spec)
+	return nil
+}
+
+// askSpec has the spec of an order from the host that accepted its job.
+func (n *Node) askSpec(ctx context.Context, q startOfRequest) error {
 	n.peers.Learn(q.Host, q.Address)
 	r, err := peer.Call[specReply](ctx, n.peers, q.Host, methodSpec, specRequest{
 		Spec: q.Spec,
@@ -210,16 +241,19 @@
 	return !ok || now.Sub(at) >= specElsewhere
 }
 
-// startOf returns an order without its spec, if that is worth it and a host is known
-// that has it.
-func (d *delegatedWorkers) startOf(o leader.Start) (startOfRequest, bool) {
+// startOf returns an order without its spec, if that is worth it and a delegate can have
+// the spec from somewhere else.
+func (d *delegatedWorkers) startOf(delegate spoolsill.HostID, o leader.Start) (startOfRequest, bool) {
 	h := spoolsill.HostID(o.Keeper)
-	now := d.node.clock.Now()
-	if len(o.Order.Spec) <= specShort || !d.specs.well(h, now) {
+	if len(o.Order.Spec) <= specShort || h == "" || !d.node.hosts.fetchesSpecs(delegate) {
 		return startOfRequest{}, false
 	}
+	now := d.node.clock.Now()
 	address, ok := d.node.hosts.specsAt(h, d.node.silentSince(now))
-	if !ok {
+	if !ok || !d.specs.well(h, now) {
+		address = ""
+	}
+	if address == "" && !d.node.hosts.readsSpecs(delegate) {
 		return startOfRequest{}, false
 	}
 	q := startOfRequest{
--- a/node/specs_test.go
+++ b/node/specs_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -12,8 +14,10 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/sched"
+	"github.com/spoolsill/spoolsill/store"
 )
 
 // tinyLink is what a link of 2 Mbit/s carries, in bytes a second.
@@ -114,3 +118,72 @@
 		x.c.Check(x.state(x.leader(), jobID(1)), qt.Equals, completed)
 	})
 }
+
+// keepWide has the store hold a wide gang that a host of a former life accepted.
+func (x *cell) keepWide(host, i int) {
+	row, err := jobstore.Row(hostName(host), sched.Job{
+		ID:    spoolsill.JobID(jobID(i)),
+		Queue: "q",
+		Spec:  longSpec(i),
+		Steps: []sched.Step{{
+			Tasks: wideGang,
+			Need: spoolsill.Resources{
+				Processors: spoolsill.Core,
+			},
+			Estimate: time.Second,
+			Gang:     true,
+		}},
+	})
+	x.c.Assert(err, qt.IsNil)
+	x.store.Put(store.Put{
+		Key:   row.Key,
+		Value: row.Value,
+	})
+}
+
+// sentFor returns how many bytes a host has sent for a purpose.
+func (x *cell) sentFor(host int, purpose string) int {
+	r := httptest.NewRecorder()
+	x.hosts[host].Metrics.Handler().ServeHTTP(r, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	prefix := fmt.Sprintf(`spoolsill_link_bytes_total{direction="sent",purpose=%q} `, purpose)
+	for line := range strings.Lines(r.Body.String()) {
+		if v, ok := strings.CutPrefix(line, prefix); ok {
+			n, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+			x.c.Assert(err, qt.IsNil)
+			return int(n)
+		}
+	}
+	return 0
+}
+
+// wideGang is how many tasks a gang has that takes a link of 2 Mbit/s a second when
+// its spec is sent with each start.
+const wideGang = 60
+
+// Guards against starts that carry their specs from the leader after a loss of power,
+// when no host has the specs in memory: its link was full of them, and the backlog of
+// accepted jobs was not worked off.
+func TestLeaderSendsNoSpecsAfterALossOfPower(t *testing.T) {
+	const hosts, jobs = 5, 4
+	run(t, hosts, 8, func(x *cell) {
+		specs := map[spoolsill.JobID]string{}
+		for i := range jobs {
+			x.keepWide(i%hosts, i)
+			specs[spoolsill.JobID(jobID(i))] = longSpec(i)
+		}
+		x.watchSpecs(specs)
+		x.powerOff(hosts, tinyLink)
+		begun := time.Now()
+		for i := range jobs {
+			for x.state(x.leader(), jobID(i)) != completed && time.Since(begun) < time.Minute {
+				pause.For(x.ctx, 100*time.Millisecond)
+			}
+			x.c.Check(x.state(x.leader(), jobID(i)), qt.Equals, completed)
+		}
+		sent := 0
+		for i := range hosts {
+			sent += x.sentFor(i, "peer start")
+		}
+		x.c.Check(sent < jobs*hosts*len(longSpec(0)), qt.IsTrue, qt.Commentf("leaders sent %d bytes of orders with specs", sent))
+	})
+}
