peer: close connections accepted as serving ends; calls of a second tell silence

Cause: Serve dropped a connection that it had accepted just as its host died without closing it, and the calling side counts only calls with a limit under a second towards giving a silent connection up, while all calls of spoolsilld have one of exactly a second. Change: the connection is closed; a limit of a second counts.

--- a/peer/bound_test.go
+++ b/peer/bound_test.go
@@ -442,3 +442,67 @@
 	cancel()
 	qt.Assert(t, <-served, qt.IsNil)
 }
+
+// A lateListener accepts one connection, just after it was closed.
+type lateListener struct {
+	net.Listener
+	conn   net.Conn
+	closed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	return l.conn, nil
+}
+
+// Close implements net.Listener.
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Guards against a connection that is accepted as serving ends and stays open: its caller
+// went on calling a host that had died.
+func TestConnectionAcceptedAsServingEndsIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ours, theirs := net.Pipe()
+		qt.Assert(t, ours.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+		b := peer.NewNode(peer.Config{
+			Host: "b",
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		err := b.Serve(ctx, &lateListener{
+			conn:   theirs,
+			closed: make(chan struct{}),
+		})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = ours.Read(make([]byte, 1))
+		qt.Check(t, errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+		_ = ours.Close()
+		_ = theirs.Close()
+	})
+}
+
+// Guards against a silent connection that is kept for good since its calls are waited for
+// for as long as its silence may last.
+func TestSilentConnectionIsReplacedByCallsOfASecond(t *testing.T) {
+	const limit = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine(0)
+		a, b := overLine(t, l, peer.Config{})
+		peer.Handle(b, "echo", echo)
+		_, err := callWithin[answer](t, a, limit, "echo", question{})
+		qt.Assert(t, err, qt.IsNil)
+		l.silence()
+		begun := time.Now()
+		for time.Since(begun) < time.Minute {
+			if _, err := callWithin[answer](t, a, limit, "echo", question{}); err == nil {
+				break
+			}
+		}
+		qt.Check(t, time.Since(begun) <= 2*limit, qt.IsTrue, qt.Commentf("answered after %s", time.Since(begun)))
+		qt.Check(t, l.dials(), qt.Equals, 2)
+	})
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -191,6 +191,10 @@
 	defer stop()
 	for {
 		c, err := l.Accept()
+		if ctx.Err() != nil && err == nil {
+			// Its caller would wait for replies on it.
+			_ = c.Close()
+		}
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
--- a/peer/silence.go
+++ b/peer/silence.go
@@ -22,7 +22,7 @@
 // handlers may still be at work.
 func waitsBriefly(ctx context.Context) bool {
 	end, limited := ctx.Deadline()
-	return limited && time.Until(end) < silentMost
+	return limited && time.Until(end) <= silentMost
 }
 
 // A silence tells for how long calls on a connection have been waited for in vain,
