sched: a gang that can't be seated keeps no workers

Cause: workers are kept for a gang that waits if they are good for one of its tasks, also where those that it may use can't seat all of them even when empty, as after one has gone for good. Jobs ranked below could not use the workers for as long as the gang waited. Change: such a gang keeps none; the log tells how many there are. Result: TestGangThatCannotBeSeatedKeepsNoWorkers failed before with and without an advisor.

--- a/leader/log.go
+++ b/leader/log.go
@@ -28,6 +28,7 @@
 		"runs_in_doubt": x.Doubtful,
 		"stages_wait":   x.Stages,
 		"stages_late":   x.Late,
+		"unseatable":    x.Unseatable,
 		"questions":     x.Asking,
 		"suspects":      x.Suspects,
 		"crashed":       x.Crashed,
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -56,6 +56,11 @@
 	if q.Advisor == nil {
 		from = r.workers
 	}
+	if !d.seatable(g, from) {
+		// The workers that it would keep may be the only ones that others can use.
+		g.gathered = nil
+		return
+	}
 	seats := 0
 	keep := func(w *worker) bool {
 		n := fitTimes(g.step.room(), w.Capacity)
@@ -76,6 +81,32 @@
 	}
 }
 
+// seatableNow reports whether the workers that g may use, as far as is known, could seat it.
+func (s *State) seatableNow(g *stage) bool {
+	q := s.queue(g.job)
+	if q.Advisor == nil {
+		return s.seatable(g, s.order)
+	}
+	return g.advice.asked == nil || s.seatable(g, g.advice.good)
+}
+
+// seatable reports whether workers could seat a gang if they were empty.
+func (s *State) seatable(g *stage, ws []*worker) bool {
+	service := s.queue(g.job).Service
+	seats := 0
+	for _, w := range ws {
+		if w.dead || w.leaving(s.now) || w.Service != service || !g.allows(w) {
+			continue
+		}
+		n := fitTimes(g.step.room(), w.Capacity)
+		if m := g.step.MaxPerWorker; m > 0 {
+			n = min(n, m)
+		}
+		seats += n
+	}
+	return seats >= len(g.tasks)
+}
+
 // stale returns the workers of seats whose tickets must be renewed first.
 func (d *decider) stale(g *stage, q *Queue, seats []*worker) []spoolsill.Life {
 	if q.Advisor == nil {
--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -138,3 +138,31 @@
 	})
 	x.c.Assert(x.step(), qt.HasLen, 4)
 }
+
+// Guards against a gang that keeps workers though those that it may use can't seat it: a job
+// that could use only these never started, in a cell that stood empty.
+func TestGangThatCannotBeSeatedKeepsNoWorkers(t *testing.T) {
+	for _, q := range []sched.QueueID{"q", "advised"} {
+		t.Run(string(q), func(t *testing.T) {
+			x := newCell(t)
+			x.worker("a")
+			if q == "advised" {
+				x.worker("no-good")
+			}
+			x.state.AddJob(x.now, job("gang", q, gang(2, 8)), sched.Progress{})
+			x.stepAdvised("a")
+			x.state.AddJob(x.now, job("j", q, tasks(1, 6)), sched.Progress{})
+			x.stepAdvised("a")
+			x.c.Assert(taskNames(x.started), qt.DeepEquals, []string{"j.0.0.0#1"})
+		})
+	}
+}
+
+// stepAdvised decides, answers all questions with tickets for one worker, and decides again.
+func (x *cell) stepAdvised(good spoolsill.WorkerID) {
+	x.step()
+	for _, o := range x.state.Advices() {
+		x.advise(o, good)
+	}
+	x.step()
+}
--- a/sched/load.go
+++ b/sched/load.go
@@ -21,6 +21,9 @@
 	// Late those of them that can't be in time any more.
 	Stages int
 	Late   int
+	// Unseatable counts the gangs of them that the workers that they may use can't seat,
+	// were they empty.
+	Unseatable int
 	// Asking counts the questions to the advisor under way.
 	Asking int
 	// Suspects counts the tasks under which workers went and that are not cleared,
@@ -54,6 +57,9 @@
 		if s.rank(g).tier >= tierLate {
 			l.Late++
 		}
+		if g.step.Gang && !s.seatableNow(g) {
+			l.Unseatable++
+		}
 	}
 	l.Asking = s.asking
 	l.Suspects, l.Crashed = s.Suspects()
