node: replies to questions for advice do not name the workers again

Change: tickets come in the order of the question; hosts of an earlier release name the workers, and are answered so.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
 )
 
 // The bounds that tests name.
@@ -84,3 +85,13 @@
 func NotMade(err error) bool {
 	return notMade(err)
 }
+
+// TicketsOverTheWire returns the tickets that a host reads from the reply to its question
+// about workers, which is of this release or, unless inOrder, an earlier one.
+func TicketsOverTheWire(inOrder bool, asked []spoolsill.WorkerID, tickets []sched.Ticket) []sched.Ticket {
+	q := adviseRequest{
+		Workers: asked,
+		InOrder: inOrder,
+	}
+	return adviseReplyOf(q, tickets, time.Second).tickets(asked)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -126,11 +126,18 @@
 	Workers []spoolsill.WorkerID
 }
 
+	// InOrder asks for the tickets in the order of Workers, which need not be named
+	// again. Hosts of an earlier release name them.
+	InOrder bool
 type adviseReply struct {
 	Tickets []wireTicket
 	Valid   time.Duration
+	// Tickets are those of hosts of an earlier release, or for them.
 }
 
+	// Texts are the tickets in the order of the request's workers, empty where a worker
+	// has none.
+	Texts []string
 // A wireTicket is a [sched.Ticket] as an array, which hosts of the former release read as
 // well: an answer has dozens, and names of fields would be a third of it.
 type wireTicket struct {
@@ -140,19 +147,54 @@
 	Text   string
 }
 
-func (r adviseReply) tickets() []sched.Ticket {
-	ts := make([]sched.Ticket, len(r.Tickets))
-	for i, t := range r.Tickets {
-		ts[i] = sched.Ticket{
+// tickets returns the tickets for the workers that were asked about.
+func (r adviseReply) tickets(asked []spoolsill.WorkerID) []sched.Ticket {
+	ts := make([]sched.Ticket, 0, max(len(r.Tickets), len(r.Texts)))
+	for _, t := range r.Tickets {
+		ts = append(ts, sched.Ticket{
 			Worker: t.Worker,
 			Text:   t.Text,
 		}
 	}
+		})
+	}
+	for i, text := range r.Texts {
+		if text == "" || i >= len(asked) {
+			continue
 	return ts
+		ts = append(ts, sched.Ticket{
+			Worker: asked[i],
+			Text:   text,
+		})
 }
 
 type submitRequest struct {
 	Job []byte
+// adviseReplyOf returns the reply to a request of hosts of this release or an earlier one.
+func adviseReplyOf(q adviseRequest, ts []sched.Ticket, valid time.Duration) adviseReply {
+	r := adviseReply{
+		Valid: valid,
+	}
+	if !q.InOrder {
+		for _, t := range ts {
+			r.Tickets = append(r.Tickets, wireTicket{
+				Worker: t.Worker,
+				Text:   t.Text,
+			})
+		}
+		return r
+	}
+	texts := make(map[spoolsill.WorkerID]string, len(ts))
+	for _, t := range ts {
+		texts[t.Worker] = t.Text
+	}
+	r.Texts = make([]string, len(q.Workers))
+	for i, w := range q.Workers {
+		r.Texts[i] = texts[w]
+	}
+	return r
+}
+
 }
 
 type submitReply struct {
@@ -302,16 +344,7 @@
 		return adviseReply{}, errors.New("node: no advisor")
 	}
 	ts, valid, err := n.advisor.Advise(ctx, q.Stage, q.Workers)
-	r := adviseReply{
-		Valid: valid,
-	}
-	for _, t := range ts {
-		r.Tickets = append(r.Tickets, wireTicket{
-			Worker: t.Worker,
-			Text:   t.Text,
-		})
-	}
-	return r, err
+	return adviseReplyOf(q, ts, valid), err
 }
 
 func (n *Node) submitAsked(ctx context.Context, _ peer.Caller, q submitRequest) (submitReply, error) {
@@ -369,10 +402,11 @@
 	}
 	if h == n.settings.Host {
 		r, err := n.adviceAsked(ctx, peer.Caller{}, q)
-		return r.tickets(), r.Valid, err
+		return r.tickets(workers), r.Valid, err
+		InOrder: true,
 	}
 	r, err := peer.Call[adviseReply](ctx, n.peers, h, methodAdvise, q)
-	return r.tickets(), r.Valid, err
+	return r.tickets(workers), r.Valid, err
 }
 
 // refused reports whether a call failed because nothing listens at the other
