leader: hosts have several questions for advice under way where answers are slow

Cause: each host asks one question at a time, and the advisor stands idle while its answers are under way: 28 to 60 answers a second from 15 hosts, 340 ms each, of which the service takes 50. Change: up to three questions by host, by how long answers are under way for each that the service takes; one where they are quick.

--- a/leader/adviser.go
+++ b/leader/adviser.go
@@ -29,18 +29,27 @@
 	// failedRest is how long a host whose question got no answer is asked
 	// only when no other can: as long as troubles of one host mostly last.
 	failedRest = 3 * time.Second
+	// depthMost bounds the questions under way by one host.
+	depthMost = 3
+	// transitRate is the weight of the newest answer in the average time that answers
+	// are under way besides their cost.
+	transitRate = 0.1
 	// hostsKept is how long the list of hosts that can ask is used: questions go
 	// out many times in it, hosts come and go less often.
 	hostsKept = 20 * time.Millisecond
 )
 
-// An adviser spreads questions over hosts, one at a time each.
+// An adviser spreads questions over hosts, one at a time each, or several where answers are
+// under way for longer than the service needs: a host would else stand idle meanwhile.
 type adviser struct {
 	leader *Leader
 	queue  []sched.AdviceOrder // the most urgent first
-	busy   map[spoolsill.HostID]bool
-	failed map[spoolsill.HostID]time.Time
-	freed  chan freedHost
+	busy   map[spoolsill.HostID]int
+	// transit is a moving average of how long answers are under way besides their cost,
+	// cost one of what questions cost.
+	transit, cost time.Duration
+	failed        map[spoolsill.HostID]time.Time
+	freed         chan freedHost
 	// hosts can ask, as of listed.
 	hosts  []spoolsill.HostID
 	listed time.Time
@@ -50,12 +59,15 @@
 type freedHost struct {
 	host   spoolsill.HostID
 	failed bool
+	// took is from the question to its answer, of it cost the service's time for the
+	// question, and ahead that for those before it.
+	took, ahead, cost time.Duration
 }
 
 func newAdviser(l *Leader) *adviser {
 	return &adviser{
 		leader: l,
-		busy:   map[spoolsill.HostID]bool{},
+		busy:   map[spoolsill.HostID]int{},
 		failed: map[spoolsill.HostID]time.Time{},
 		freed:  make(chan freedHost, eventBuffer),
 	}
@@ -102,18 +114,35 @@
 	for {
 		select {
 		case f := <-a.freed:
-			delete(a.busy, f.host)
+			a.busy[f.host]--
 			delete(a.failed, f.host)
 			if f.failed {
 				a.failed[f.host] = a.leader.config.Clock.Now()
 				a.listed = time.Time{}
+				continue
 			}
+			a.observe(f)
 		default:
 			return
 		}
 	}
 }
 
+// observe records how long an answer took.
+func (a *adviser) observe(f freedHost) {
+	transit := max(f.took-f.ahead-f.cost, 0)
+	a.transit += time.Duration(transitRate * float64(transit-a.transit))
+	a.cost += time.Duration(transitRate * float64(f.cost-a.cost))
+}
+
+// depth returns how many questions a host may have under way.
+func (a *adviser) depth() int {
+	if a.cost <= 0 {
+		return 1
+	}
+	return 1 + min(int(a.transit/a.cost), depthMost-1)
+}
+
 // able returns the hosts that may reach the advisor; all of them when each has
 // failed lately.
 func (a *adviser) able(now time.Time) []spoolsill.HostID {
@@ -158,35 +187,42 @@
 	}
 }
 
-// free returns a host that asks nothing at the moment. Long questions go to
+// free returns a host that asks little at the moment. Long questions go to
 // the first hosts only, short ones to the last that is free.
 func (a *adviser) free(hosts []spoolsill.HostID, long bool) (spoolsill.HostID, bool) {
 	if long {
 		hosts = hosts[:max(len(hosts)-shortHosts, (len(hosts)+1)/2)]
 	}
-	for _, h := range slices.Backward(hosts) {
-		if !a.busy[h] {
-			return h, true
+	for n := range a.depth() {
+		for _, h := range slices.Backward(hosts) {
+			if a.busy[h] == n {
+				return h, true
+			}
 		}
 	}
 	return "", false
 }
 
 func (a *adviser) ask(ctx context.Context, h spoolsill.HostID, o sched.AdviceOrder) {
-	a.busy[h] = true
+	ahead := time.Duration(a.busy[h]) * max(a.cost, o.Cost)
+	a.busy[h]++
 	l := a.leader
 	l.spawn(func() {
-		c, cancel := context.WithTimeout(ctx, o.Cost+askSlack)
+		c, cancel := context.WithTimeout(ctx, ahead+o.Cost+askSlack)
 		defer cancel()
 		begun := l.config.Clock.Now()
 		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, workersOf(o.Workers))
-		l.config.Observer.Asked(outcome(err), l.config.Clock.Since(begun))
+		took := l.config.Clock.Since(begun)
+		l.config.Observer.Asked(outcome(err), took)
 		if err != nil {
 			l.config.Log.WithError(err).WithField("host", string(h)).WithField("stage", o.Stage.String()).Warn("advice failed")
 		}
 		a.freed <- freedHost{
 			host:   h,
 			failed: err != nil,
+			took:   took,
+			ahead:  ahead,
+			cost:   o.Cost,
 		}
 		l.send(adviceTaken{
 			advice: sched.Advice{
--- a/leader/adviser_test.go
+++ b/leader/adviser_test.go
@@ -102,3 +102,29 @@
 		x.assertCompleted(l, ids)
 	})
 }
+
+// Guards against a backlog that waits for advice while the hosts that ask stand idle, since
+// their answers are under way for longer than the advisor needs.
+func TestSlowAnswersDoNotHoldQuestionsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 4)
+		defer x.end()
+		x.advice = 300 * time.Millisecond
+		l := x.lead("a")
+		pause.For(x.ctx, 2*time.Second)
+		var ids []spoolsill.JobID
+		var jobs []sched.Job
+		for i := range 60 {
+			id := spoolsill.JobID(fmt.Sprintf("j%d", i))
+			ids = append(ids, id)
+			jobs = append(jobs, sched.Job{
+				ID:    id,
+				Queue: "advised",
+				Steps: []sched.Step{step(1, 1)},
+			})
+		}
+		x.submit(jobs...)
+		pause.For(x.ctx, 6*time.Second)
+		x.assertCompleted(l, ids)
+	})
+}
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -119,7 +119,7 @@
 	return min(maxAsked, max(minAsked, int(adviceWidth*float64(a.Base)/float64(a.PerWorker))))
 }
 
-// SetAskers takes in how many hosts can ask the advisor.
+// SetAskers takes in how many questions hosts can ask the advisor at once.
 func (s *State) SetAskers(n int) {
 	s.askers = n
 }
