admit, node: a tenth of the jobs is always taken; refusals name what decided them

Cause: the share of jobs taken falls to 0.05; of clients that come back four times 0.226 get through. What the refused have in common could not be seen: the error named no input.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -21,8 +21,9 @@
 	// four seconds.
 	fall = 0.7
 	rise = 0.05
-	// least keeps some work coming, by which it is learnt that there is room again.
-	least = 0.05
+	// least keeps some work coming, by which it is learnt that there is room again: of
+	// clients that come back four times, two in five get through.
+	least = 0.1
 )
 
 // A Controller follows how late a leader's exchanges are and what share of the jobs
@@ -32,15 +33,15 @@
 	changed time.Time
 }
 
-// Update takes in how long answers are under way at now, and how long they may be, and
-// returns the share of jobs to take, from least to 1.
-func (c *Controller) Update(now time.Time, usual, most time.Duration) float64 {
+// Update takes in the latency of answers at now and its limit, and returns the share of jobs
+// to take, from least to 1.
+func (c *Controller) Update(now time.Time, latency, limit time.Duration) float64 {
 	if now.Sub(c.changed) < adjustEvery {
 		return 1 - c.refused
 	}
 	c.changed = now
 	share := 1 - c.refused
-	if usual > most {
+	if latency > limit {
 		share = max(share*fall, least)
 	} else {
 		share = min(share+rise, 1)
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -73,3 +74,18 @@
 	_, taken := play(&c, l, time.Unix(1020, 0), 50)
 	qt.Check(t, taken, qt.Equals, 50.0)
 }
+
+// Guards against a cell that is back after a loss of power and turns more than three
+// quarters of its clients away for as long as its backlog fills the leader's link: clients
+// come back four times.
+func TestAQuarterOfTheClientsGetsThrough(t *testing.T) {
+	const tries = 5
+	var c admit.Controller
+	begin := time.Unix(1000, 0)
+	share := 1.0
+	for i := range 100 {
+		share = c.Update(begin.Add(time.Duration(i)*time.Second), time.Second, most)
+	}
+	through := 1 - math.Pow(1-share, tries)
+	qt.Check(t, through >= 0.25, qt.IsTrue, qt.Commentf("%.3f of the clients get through", through))
+}
--- a/leader/answers.go
+++ b/leader/answers.go
@@ -31,13 +31,13 @@
 	usual time.Duration // a moving average
 }
 
-// take takes in for how long an answer was under way.
-func (a *answers) take(d time.Duration) {
+// observe records the latency of an answer. Rises are weighted more than falls.
+func (a *answers) observe(d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	weight := time.Duration(16)
 	if d > a.usual {
-		weight = 4 // workers or a host that have become slow are believed soon
+		weight = 4
 	}
 	a.usual += (d - a.usual) / weight
 }
@@ -64,14 +64,14 @@
 	return max(answerFactor*a.usual, answerLeast)
 }
 
-// usualTime returns for how long answers are under way at present.
-func (a *answers) usualTime() time.Duration {
+// latency returns a moving average of the latency of answers.
+func (a *answers) latency() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.usual
 }
 
-// UsualAnswer returns for how long answers of workers are under way at present.
-func (l *Leader) UsualAnswer() time.Duration {
-	return l.answers.usualTime()
+// AnswerLatency returns a moving average of the latency of workers' answers.
+func (l *Leader) AnswerLatency() time.Duration {
+	return l.answers.latency()
 }
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -301,7 +301,7 @@
 	h.setClock(r.Clock, now)
 	if r.Kind == Taken && (wait == 0 || len(b.Ended) == 0) {
 		// A worker that has an end to tell of has waited for some shorter time.
-		h.leader.answers.take(max(now.Sub(begun)-wait, 0))
+		h.leader.answers.observe(max(now.Sub(begun)-wait, 0))
 	}
 	if unanswered == 0 {
 		// Calls to a worker that has been silent already say nothing new.
--- a/node/greeting.go
+++ b/node/greeting.go
@@ -43,13 +43,14 @@
 		Link:        n.settings.LinkRate,
 	})
 	if err == nil && r.Leads {
-		n.patience.take(n.clock.Since(sent))
+		n.patience.observe(n.clock.Since(sent))
 		n.mu.Lock()
 		n.mostCores = r.MostCores
 		n.hostCount = r.Hosts
-		n.refused = refusal{
-			share: r.Refuse,
-			told:  n.clock.Now(),
+		n.shedTold = shedding{
+			share:   r.Refuse,
+			latency: r.AnswerLatency,
+			told:    n.clock.Now(),
 		}
 		n.loading = loadingOf(r, n.clock.Now())
 		n.heard = ledWrite{
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -58,8 +58,8 @@
 // Submit implements [platform.Jobs]: it keeps a job in the store, or has the
 // leader keep it when the store turns this host away.
 func (n *Node) Submit(ctx context.Context, j sched.Job) (platform.Outcome, error) {
-	if n.refusesNow() {
-		return platform.Unable, errFull
+	if err := n.refuse(); err != nil {
+		return platform.Unable, err
 	}
 	ctx, cancel := shareOf(ctx, submitShare)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -126,9 +126,9 @@
 	// mostCores is that of the largest host, as a leader told.
 	mostCores float64
 	// admission decides, while this host leads, what share of the jobs is taken;
-	// refused is the rest, as a leader told.
+	// shedTold is the rest, as a leader said.
 	admission admit.Controller
-	refused   refusal
+	shedTold  shedding
 	loading   loadingLeader
 	// hostCount is how many hosts there are, as a leader told; 0 if none has.
 	hostCount int
--- a/node/patience.go
+++ b/node/patience.go
@@ -24,13 +24,13 @@
 	usual time.Duration // a moving average
 }
 
-// take takes in how long an answer took.
-func (p *patience) take(d time.Duration) {
+// observe records the latency of an answer. Rises are weighted more than falls.
+func (p *patience) observe(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	weight := time.Duration(8)
 	if d > p.usual {
-		weight = 2 // a leader that has become slow is believed at once
+		weight = 2
 	}
 	p.usual += (d - p.usual) / weight
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -95,6 +95,8 @@
 	// Refuse is the share of the jobs that hosts should not take now; leaders of an
 	// earlier release have all of them taken.
 	Refuse float64
+	// AnswerLatency is how long answers of workers are under way at the leader.
+	AnswerLatency time.Duration
 	// Held is the configuration that the replying host has.
 	Held heldConfig
 }
@@ -124,20 +126,20 @@
 type adviseRequest struct {
 	Stage   sched.StageID
 	Workers []spoolsill.WorkerID
-}
-
 	// InOrder asks for the tickets in the order of Workers, which need not be named
 	// again. Hosts of an earlier release name them.
 	InOrder bool
+}
+
 type adviseReply struct {
+	// Tickets are those of hosts of an earlier release, or for them.
 	Tickets []wireTicket
 	Valid   time.Duration
-	// Tickets are those of hosts of an earlier release, or for them.
-}
-
 	// Texts are the tickets in the order of the request's workers, empty where a worker
 	// has none.
 	Texts []string
+}
+
 // A wireTicket is a [sched.Ticket] as an array, which hosts of the former release read as
 // well: an answer has dozens, and names of fields would be a third of it.
 type wireTicket struct {
@@ -154,22 +156,20 @@
 		ts = append(ts, sched.Ticket{
 			Worker: t.Worker,
 			Text:   t.Text,
-		}
-	}
 		})
 	}
 	for i, text := range r.Texts {
 		if text == "" || i >= len(asked) {
 			continue
-	return ts
+		}
 		ts = append(ts, sched.Ticket{
 			Worker: asked[i],
 			Text:   text,
 		})
+	}
+	return ts
 }
 
-type submitRequest struct {
-	Job []byte
 // adviseReplyOf returns the reply to a request of hosts of this release or an earlier one.
 func adviseReplyOf(q adviseRequest, ts []sched.Ticket, valid time.Duration) adviseReply {
 	r := adviseReply{
@@ -195,6 +195,8 @@
 	return r
 }
 
+type submitRequest struct {
+	Job []byte
 }
 
 type submitReply struct {
@@ -269,7 +271,9 @@
 		r.MostCores = max(n.hosts.mostCores(), n.settings.Cores)
 		r.Hosts = n.hosts.count() + 1
 		r.Loading = !l.Loaded()
-		r.Refuse = 1 - n.admitted(now, l)
+		s := n.sheds(now, l)
+		r.Refuse = s.share
+		r.AnswerLatency = s.latency
 	}
 	return r, nil
 }
@@ -399,11 +403,11 @@
 	q := adviseRequest{
 		Stage:   stage,
 		Workers: workers,
+		InOrder: true,
 	}
 	if h == n.settings.Host {
 		r, err := n.adviceAsked(ctx, peer.Caller{}, q)
 		return r.tickets(workers), r.Valid, err
-		InOrder: true,
 	}
 	r, err := peer.Call[adviseReply](ctx, n.peers, h, methodAdvise, q)
 	return r.tickets(workers), r.Valid, err
