--- a/leader/log.go
+++ b/leader/log.go
@@ -34,6 +34,32 @@
 		"crashed":       x.Crashed,
 		"answers_ms":    l.AnswerLatency().Milliseconds(),
 	}).Info("load of the cell")
+	l.logWait(now)
+}
+
+// waitLong is from when on the log tells why a stage is not placed: far longer than room
+// is waited for on a calm day.
+const waitLong = 10 * time.Second
+
+// logWait tells why the stage that has waited longest is not placed.
+func (l *Leader) logWait(now time.Time) {
+	w, ok := l.state.LongestWait(now)
+	if !ok || w.Waited < waitLong {
+		return
+	}
+	l.config.Log.WithFields(logrus.Fields{
+		"epoch":           uint64(l.Epoch()),
+		"job":             string(w.Stage.Job),
+		"stage":           w.Stage.String(),
+		"waited_ms":       w.Waited.Milliseconds(),
+		"waits_for":       w.For,
+		"workers_usable":  w.Usable,
+		"workers_ready":   w.Ready,
+		"workers_fitting": w.Fitting,
+		"workers_kept":    w.Kept,
+		"workers_asked":   w.Asked,
+		"questions":       w.Questions,
+	}).Warn("stage waits long")
 }
 
 // feedOld is how old what a feed told may be before the log says so: two answers
--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -166,3 +166,20 @@
 	}
 	x.step()
 }
+
+// Guards against a stage that waits for long without a word on what it waits for.
+func TestLongestWaitTellsWhatIsMissing(t *testing.T) {
+	x := newCell(t)
+	x.worker("a")
+	x.worker("b")
+	x.state.AddJob(x.now, job("big", "q", tasks(2, 8)), sched.Progress{})
+	x.take(x.step())
+	x.state.AddJob(x.now, job("gang", "q", gang(2, 8)), sched.Progress{})
+	x.step()
+	w, ok := x.state.LongestWait(x.now.Add(time.Second))
+	x.c.Assert(ok, qt.IsTrue)
+	x.c.Assert(w.Stage.Job, qt.Equals, spoolsill.JobID("gang"))
+	x.c.Assert(w.Waited > time.Second, qt.IsTrue)
+	x.c.Assert(w.For, qt.Equals, "room")
+	x.c.Assert([]int{w.Usable, w.Ready, w.Fitting, w.Kept}, qt.DeepEquals, []int{2, 2, 0, 0})
+}
