node: what has come of a configuration is kept while somebody offers it

Cause: after five pieces in a row that a host did not get it dropped all that had come, since the version might be held by nobody; a host that is slow for three seconds looks the same, and the fetch begins from the first byte. Change: it is dropped only if what others offer is older.

--- a/node/fetchconfig.go
+++ b/node/fetchconfig.go
@@ -206,8 +206,8 @@
 		f.node.log.WithError(err).WithField("from", string(o.host)).WithField("version", uint64(o.version)).WithField("bytes", len(f.partial.data)).Info("configuration not fetched yet")
 	}
 	f.delay = min(max(2*f.delay, fetchFirst), fetchMost)
-	if f.delay == fetchMost {
-		f.partial = partialConfig{} // nobody has the rest: an older version will do
+	if f.delay == fetchMost && o.version < f.partial.version {
+		f.partial = partialConfig{} // nobody offers the rest: an older version will do
 	}
 	pause.For(ctx, f.delay/2+rand.N(f.delay))
 }
--- a/node/largeconfig_test.go
+++ b/node/largeconfig_test.go
@@ -163,3 +163,28 @@
 		x.servesOnAll(routePrefix(manyRoutes - 1))
 	})
 }
+
+// Guards against a fetch that begins anew from nothing since the host that answers has been
+// slow for some seconds: behind a slow host it never came to its end.
+func TestLargeConfigurationFromAHostThatIsSlowForAWhile(t *testing.T) {
+	const crawl = 25_000 // bytes a second, with which a piece comes too late
+	run(t, 2, 1, func(x *cell) {
+		first := x.leader()
+		behind := (first + 1) % 2
+		x.network.SetRate(hostName(behind), smallLink)
+		x.network.SetCut(hostName(behind), platformPlace.Name, true)
+		pause.For(x.ctx, time.Second)
+		x.configureMany(2, manyRoutes)
+		// Each time at most half of the document comes.
+		const quick = 1200 * time.Millisecond
+		pause.For(x.ctx, quick)
+		for range 4 {
+			x.network.SetRate(hostName(first), crawl)
+			pause.For(x.ctx, 6*time.Second)
+			x.network.SetRate(hostName(first), smallLink)
+			pause.For(x.ctx, quick)
+		}
+		r := x.call(behind, http.MethodGet, routePrefix(manyRoutes-1), "")
+		x.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r))
+	})
+}
