node, peer: the leader tells specs of its own jobs once; what the last read found

Cause: of a job that the leader accepted itself delegates read the spec from the store, a read for each delegate and job, since the leader greets nobody. By reading: methods that a peer names freely would each have had a counter. Change: delegates ask the leader for such specs; methods that a node does not answer are counted together; the selection of the workers that a stage may use stands once.

--- a/node/specs.go
+++ b/node/specs.go
@@ -241,6 +241,23 @@
 	return !ok || now.Sub(at) >= specElsewhere
 }
 
+// specAddress returns where the host that accepted a job is asked for its spec; empty when
+// it is not known to have it.
+func (d *delegatedWorkers) specAddress(h spoolsill.HostID, id specID) string {
+	if h == d.node.settings.Host {
+		if _, ok := d.node.specs.get(id); !ok {
+			return ""
+		}
+		return d.node.peerAddress()
+	}
+	now := d.node.clock.Now()
+	address, ok := d.node.hosts.specsAt(h, d.node.silentSince(now))
+	if !ok || !d.specs.well(h, now) {
+		return ""
+	}
+	return address
+}
+
 // startOf returns an order without its spec, if that is worth it and a delegate can have
 // the spec from somewhere else.
 func (d *delegatedWorkers) startOf(delegate spoolsill.HostID, o leader.Start) (startOfRequest, bool) {
@@ -248,17 +265,14 @@
 	if len(o.Order.Spec) <= specShort || h == "" || !d.node.hosts.fetchesSpecs(delegate) {
 		return startOfRequest{}, false
 	}
-	now := d.node.clock.Now()
-	address, ok := d.node.hosts.specsAt(h, d.node.silentSince(now))
-	if !ok || !d.specs.well(h, now) {
-		address = ""
-	}
+	id := specIDOf(o.Order.Run.Task.Stage.Job, o.Order.Spec)
+	address := d.specAddress(h, id)
 	if address == "" && !d.node.hosts.readsSpecs(delegate) {
 		return startOfRequest{}, false
 	}
 	q := startOfRequest{
 		Start:   startRequestOf(o),
-		Spec:    specIDOf(o.Order.Run.Task.Stage.Job, o.Order.Spec),
+		Spec:    id,
 		Host:    h,
 		Address: address,
 	}
--- a/node/specs_test.go
+++ b/node/specs_test.go
@@ -187,3 +187,21 @@
 		x.c.Check(sent < jobs*hosts*len(longSpec(0)), qt.IsTrue, qt.Commentf("leaders sent %d bytes of orders with specs", sent))
 	})
 }
+
+// Guards against a leader that sends the spec of a job which it accepted itself with each
+// start, or has each delegate read it from the store.
+func TestLeaderTellsSpecsOfItsOwnJobsOnce(t *testing.T) {
+	const hosts = 5
+	run(t, hosts, 8, func(x *cell) {
+		x.watchSpecs(map[spoolsill.JobID]string{
+			spoolsill.JobID(jobID(1)): longSpec(1),
+		})
+		l := x.leader()
+		x.handInWide(l, 1)
+		pause.For(x.ctx, 8*time.Second)
+		x.c.Check(x.state(l, jobID(1)), qt.Equals, completed)
+		x.c.Check(x.sentFor(l, "peer start"), qt.Equals, 0)
+		told := x.sentFor(l, "peer spec")
+		x.c.Check(told > 0 && told < 2*hosts*len(longSpec(1)), qt.IsTrue, qt.Commentf("%d bytes of specs", told))
+	})
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -47,8 +47,9 @@
 	Handlers int
 	// Report is told of broken connections and bad frames; nil drops them.
 	Report func(remote string, err error)
-	// Observe is told of the bytes of each message, by the method of its call; nil means
-	// that nobody is.
+	// Observe is told of the bytes of each message, by the method of its call. It is empty
+	// for replies that nobody waits for any more, and for calls of methods that the node
+	// does not answer. Nil means that nobody is told.
 	Observe func(method string, sent, received int)
 }
 
@@ -191,11 +192,11 @@
 	defer stop()
 	for {
 		c, err := l.Accept()
-		if ctx.Err() != nil && err == nil {
-			// Its caller would wait for replies on it.
-			_ = c.Close()
+		if ctx.Err() != nil {
+			closeUnserved(c)
+			return nil
 		}
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
@@ -211,6 +212,14 @@
 	}
 }
 
+// closeUnserved closes a connection that was accepted as serving ended, if there is one: its
+// caller would wait for replies.
+func closeUnserved(c net.Conn) {
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
 // Close ends all connections that the node opened.
 func (n *Node) Close() {
 	n.mu.Lock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -42,7 +42,7 @@
 		if m.Kind != messageCall {
 			continue
 		}
-		n.config.Observe(m.Method, 0, m.length)
+		n.config.Observe(n.known(m.Method), 0, m.length)
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -58,6 +58,14 @@
 	}
 }
 
+// known returns a method if the node answers it, else the empty one: others may name any.
+func (n *Node) known(method string) string {
+	if _, ok := n.methods.Load(method); ok {
+		return method
+	}
+	return ""
+}
+
 // answer handles a call for as long as its caller waits, the wait for other
 // replies to be written included: a line that is too slow for them all would else
 // carry only those that nobody waits for any more, and memory hold the others.
@@ -185,7 +193,7 @@
 		frame, failed = w.encode(replyMessage(call.ID, nil, failed))
 	}
 	if failed == nil {
-		w.node.config.Observe(call.Method, len(frame), 0)
+		w.node.config.Observe(w.node.known(call.Method), len(frame), 0)
 		_, failed = w.write(frame, time.Time{})
 	}
 	if failed != nil {
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -81,21 +81,11 @@
 	}
 }
 
-// seatableNow reports whether the workers that g may use, as far as is known, could seat it.
-func (s *State) seatableNow(g *stage) bool {
-	q := s.queue(g.job)
-	if q.Advisor == nil {
-		return s.seatable(g, s.order)
-	}
-	return g.advice.asked == nil || s.seatable(g, g.advice.good)
-}
-
 // seatable reports whether workers could seat a gang if they were empty.
 func (s *State) seatable(g *stage, ws []*worker) bool {
-	service := s.queue(g.job).Service
 	seats := 0
 	for _, w := range ws {
-		if w.dead || w.leaving(s.now) || w.Service != service || !g.allows(w) {
+		if w.dead || w.leaving(s.now) || !g.allows(w) {
 			continue
 		}
 		n := fitTimes(g.step.room(), w.Capacity)
--- a/sched/wait.go
+++ b/sched/wait.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// advisedOnce reports whether it is known for any worker whether a stage may use it.
+func (s *State) advisedOnce(g *stage) bool {
+	return s.queue(g.job).Advisor == nil || g.advice.asked != nil
+}
+
 // mayUse returns the workers that a stage may use as far as is known.
 func (s *State) mayUse(g *stage) []*worker {
 	q := s.queue(g.job)
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -6,7 +6,6 @@
 	"context"
 	"maps"
 	"net"
-	"slices"
 	"sync"
 )
 
@@ -21,7 +20,8 @@
 	Advisor Purpose = "advisor"
 )
 
-// Peer returns the purpose of the calls between hosts of a method.
+// Peer returns the purpose of the calls between hosts of a method. The empty one is of
+// replies that nobody waits for any more, and of calls that no host answers.
 func Peer(method string) Purpose {
 	return Purpose("peer " + method)
 }
@@ -32,8 +32,7 @@
 	Received uint64
 }
 
-// An Account keeps a count for each purpose. It is safe for concurrent use; nil counts
-// nothing.
+// An Account keeps a count for each purpose. It is safe for concurrent use.
 type Account struct {
 	mu     sync.Mutex
 	counts map[Purpose]Count
@@ -41,9 +40,6 @@
 
 // Add counts bytes.
 func (a *Account) Add(p Purpose, sent, received int) {
-	if a == nil {
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.counts == nil {
@@ -57,19 +53,11 @@
 
 // Counts returns the counts up to now.
 func (a *Account) Counts() map[Purpose]Count {
-	if a == nil {
-		return nil
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return maps.Clone(a.counts)
 }
 
-// Purposes returns the purposes of counts in order.
-func Purposes(counts map[Purpose]Count) []Purpose {
-	return slices.Sorted(maps.Keys(counts))
-}
-
 // A Dialer opens connections.
 type Dialer = func(ctx context.Context, network, address string) (net.Conn, error)
 
