--- a/traffic/traffic_test.go
+++ b/traffic/traffic_test.go
@@ -1,7 +1,6 @@
 package traffic_test
 
 import (
-	"context"
 	"io"
 	"net"
 	"testing"
@@ -28,9 +27,7 @@
 		echoed <- err
 	}()
 	var d net.Dialer
-	dial := a.Dialer(traffic.Store, func(ctx context.Context, network, address string) (net.Conn, error) {
-		return d.DialContext(ctx, network, address)
-	})
+	dial := a.Dialer(traffic.Store, d.DialContext)
 	c, err := dial(t.Context(), "tcp", inner.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer c.Close()
