sched: a test of the guard that answers for a former life reach no account of the next

Result: TestAnswersForAFormerLifeSayNothingOfTheNext fails without the guard and passes with it (3 of 3).

--- a/sched/lives_test.go
+++ b/sched/lives_test.go
@@ -115,3 +115,20 @@
 	}
 	x.state.Heartbeat(x.now, h)
 }
+
+// Guards against answers for a former life that are taken for word of the next one's account:
+// proof that the former life is over would end the worker's new one.
+func TestAnswersForAFormerLifeSayNothingOfTheNext(t *testing.T) {
+	x := newCell(t)
+	x.listBorn(bornIn(1000))
+	x.answerBorn(bornIn(1000), bornIn(1000))
+	x.now = x.now.Add(time.Second)
+	x.listBorn(bornIn(7000))
+	x.answerBorn(bornIn(7000), bornIn(7000))
+	x.state.WorkerDied(x.now, bornIn(1000))
+	x.state.WorkerSilent(x.now, bornIn(1000))
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 1)
+	x.c.Assert(o[0].Life, qt.Equals, bornIn(7000))
+}
