--- a/node/peers.go
+++ b/node/peers.go
@@ -123,78 +123,6 @@
 	Waiting int
 }
 
-type adviseRequest struct {
-	Stage   sched.StageID
-	Workers []spoolsill.WorkerID
-	// InOrder asks for the tickets in the order of Workers, which need not be named
-	// again. Hosts of an earlier release name them.
-	InOrder bool
-}
-
-type adviseReply struct {
-	// Tickets are those of hosts of an earlier release, or for them.
-	Tickets []wireTicket
-	Valid   time.Duration
-	// Texts are the tickets in the order of the request's workers, empty where a worker
-	// has none.
-	Texts []string
-}
-
-// A wireTicket is a [sched.Ticket] as an array, which hosts of the former release read as
-// well: an answer has dozens, and names of fields would be a third of it.
-type wireTicket struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads it
-
-	Worker spoolsill.WorkerID
-	Text   string
-}
-
-// tickets returns the tickets for the workers that were asked about.
-func (r adviseReply) tickets(asked []spoolsill.WorkerID) []sched.Ticket {
-	ts := make([]sched.Ticket, 0, max(len(r.Tickets), len(r.Texts)))
-	for _, t := range r.Tickets {
-		ts = append(ts, sched.Ticket{
-			Worker: t.Worker,
-			Text:   t.Text,
-		})
-	}
-	for i, text := range r.Texts {
-		if text == "" || i >= len(asked) {
-			continue
-		}
-		ts = append(ts, sched.Ticket{
-			Worker: asked[i],
-			Text:   text,
-		})
-	}
-	return ts
-}
-
-// adviseReplyOf returns the reply to a request of hosts of this release or an earlier one.
-func adviseReplyOf(q adviseRequest, ts []sched.Ticket, valid time.Duration) adviseReply {
-	r := adviseReply{
-		Valid: valid,
-	}
-	if !q.InOrder {
-		for _, t := range ts {
-			r.Tickets = append(r.Tickets, wireTicket{
-				Worker: t.Worker,
-				Text:   t.Text,
-			})
-		}
-		return r
-	}
-	texts := make(map[spoolsill.WorkerID]string, len(ts))
-	for _, t := range ts {
-		texts[t.Worker] = t.Text
-	}
-	r.Texts = make([]string, len(q.Workers))
-	for i, w := range q.Workers {
-		r.Texts[i] = texts[w]
-	}
-	return r
-}
-
 type submitRequest struct {
 	Job []byte
 }
@@ -343,14 +271,6 @@
 	}, nil
 }
 
-func (n *Node) adviceAsked(ctx context.Context, _ peer.Caller, q adviseRequest) (adviseReply, error) {
-	if n.advisor == nil {
-		return adviseReply{}, errors.New("node: no advisor")
-	}
-	ts, valid, err := n.advisor.Advise(ctx, q.Stage, q.Workers)
-	return adviseReplyOf(q, ts, valid), err
-}
-
 func (n *Node) submitAsked(ctx context.Context, _ peer.Caller, q submitRequest) (submitReply, error) {
 	j, err := jobstore.DecodeJob(q.Job)
 	if err != nil {
@@ -388,31 +308,11 @@
 	}, err
 }
 
-// Hosts implements [leader.Advisor].
-func (n *Node) Hosts() []spoolsill.HostID {
-	return append(n.hosts.since(n.silentSince(n.clock.Now())), n.settings.Host)
-}
-
 // silentSince returns since when hosts that have not greeted count as silent.
 func (n *Node) silentSince(now time.Time) time.Time {
 	return now.Add(-max(hostSilent, silentGreets*n.spaced(greetEvery)))
 }
 
-// Ask implements [leader.Advisor].
-func (n *Node) Ask(ctx context.Context, h spoolsill.HostID, stage sched.StageID, workers []spoolsill.WorkerID) ([]sched.Ticket, time.Duration, error) {
-	q := adviseRequest{
-		Stage:   stage,
-		Workers: workers,
-		InOrder: true,
-	}
-	if h == n.settings.Host {
-		r, err := n.adviceAsked(ctx, peer.Caller{}, q)
-		return r.tickets(workers), r.Valid, err
-	}
-	r, err := peer.Call[adviseReply](ctx, n.peers, h, methodAdvise, q)
-	return r.tickets(workers), r.Valid, err
-}
-
 // refused reports whether a call failed because nothing listens at the other
 // side: the process is gone.
 func refused(err error) bool {
