soak: hosts that are told of slow links, and compress their frames

No run of the soak had hosts that know their links, so none had compressed frames: resets, silence, pauses and restarts of both sides met plain ones only.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Hosts    int           `help:"Hosts of a run." default:"5"`
 	Workers  int           `help:"Workers of a run." default:"12"`
 	Clients  int           `help:"Clients of a run." default:"12"`
+	LinkMbps float64       `help:"The bandwidth of their links that hosts are told, in Mbit/s; 0 for none."`
 	Troubled bool          `help:"Have tasks crash workers, workers' rooms move, and others write among their entries."`
 }
 
@@ -83,6 +84,7 @@
 		Workers:  f.Workers,
 		Clients:  f.Clients,
 		Troubled: f.Troubled,
+		LinkMbps: f.LinkMbps,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,9 @@
 	// Troubled adds faults of workers: tasks that crash their workers, changes of the
 	// capacity of workers, and entries that another writer puts into their table.
 	Troubled bool
+	// LinkMbps is the bandwidth of their links that hosts are told, in Mbit/s; 0 means
+	// none. Hosts on slow links compress the frames between them.
+	LinkMbps float64
 }
 
 // A Result is the outcome of a run.
@@ -309,6 +312,7 @@
 		PeerPort:       peerPort,
 		Cores:          1,
 		MemoryMB:       284,
+		LinkMbps:       x.config.LinkMbps,
 		Lease:          workerLease,
 		StopGrace:      6 * time.Second,
 	})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,6 +37,11 @@
 	3039, // a host that was told to reload its settings just after its start exited
 }
 
+// slowLinkSeeds are the seeds that CI runs with hosts that compress the frames between them.
+var slowLinkSeeds = []uint64{
+	4, // no violation; kills all hosts, the leader and single hosts
+}
+
 // maxConcurrentSeeds is the number of concurrent runs. A run uses half a processor and waits
 // most of the time.
 const maxConcurrentSeeds = 2
@@ -53,37 +58,40 @@
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	var g errgroup.Group
 	g.SetLimit(maxConcurrentSeeds)
-	check := func(seeds []uint64, workerFaults bool) {
+	check := func(seeds []uint64, c soak.Config) {
 		for _, seed := range seeds {
+			c.Seed = seed
 			g.Go(func() error {
-				checkSeed(t, binary, seed, workerFaults)
+				checkSeed(t, binary, c)
 				return nil
 			})
 		}
 	}
-	check(seeds, false)
-	check(workerFaultSeeds, true)
+	check(seeds, soak.Config{})
+	check(workerFaultSeeds, soak.Config{
+		Troubled: true,
+	})
+	check(slowLinkSeeds, soak.Config{
+		LinkMbps: 2,
+	})
 	qt.Assert(t, g.Wait(), qt.IsNil)
 }
 
 // checkSeed executes the run of one seed. It keeps the files of a failed run.
-func checkSeed(t *testing.T, binary string, seed uint64, workerFaults bool) {
+func checkSeed(t *testing.T, binary string, c soak.Config) {
 	dir, err := os.MkdirTemp("", "soak")
 	if !qt.Check(t, err, qt.IsNil) {
 		return
 	}
-	r, err := soak.Run(t.Context(), soak.Config{
-		Binary:   binary,
-		Dir:      dir,
-		Seed:     seed,
-		Duration: 8 * time.Second,
-		Troubled: workerFaults,
-	})
-	t.Logf("seed %d: %s", seed, r)
+	c.Binary = binary
+	c.Dir = dir
+	c.Duration = 8 * time.Second
+	r, err := soak.Run(t.Context(), c)
+	t.Logf("seed %d: %s", c.Seed, r)
 	passed := qt.Check(t, err, qt.IsNil)
-	passed = qt.Check(t, r.Broken, qt.HasLen, 0, qt.Commentf("logs of seed %d are in %s", seed, dir)) && passed
+	passed = qt.Check(t, r.Broken, qt.HasLen, 0, qt.Commentf("logs of seed %d are in %s", c.Seed, dir)) && passed
 	passed = qt.Check(t, r.Accepted > 0, qt.IsTrue) && passed
-	passed = qt.Check(t, r.Crashes > 0, qt.Equals, workerFaults) && passed
+	passed = qt.Check(t, r.Crashes > 0, qt.Equals, c.Troubled) && passed
 	if passed {
 		qt.Check(t, os.RemoveAll(dir), qt.IsNil)
 	}
--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -168,6 +168,7 @@
 	PeerPort       int
 	Cores          float64
 	MemoryMB       int
+	LinkMbps       float64 // 0 if the platform does not tell
 	Lease          time.Duration
 	StopGrace      time.Duration
 }
@@ -183,6 +184,9 @@
 readyAddr = "{{.ReadyAddress}}"
 [limits]
 cpuShare = {{.Cores}}
+{{- if .LinkMbps}}
+linkMbps = {{.LinkMbps}}
+{{- end}}
 cores = 1
 memoryMb = {{.MemoryMB}}
 [bounds]
