--- a/sched/advice.go
+++ b/sched/advice.go
@@ -280,7 +280,7 @@
 		return
 	}
 	s.removeRun(r)
-	r.task.run = nil
+	r.task.setRun(nil)
 }
 
 // keepWarm renews the tickets of a stage that waits for capacity before they expire. The
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -161,6 +161,75 @@
 	}
 }
 
+// backlogState returns a state with n waiting stages of three queues, most of them late or
+// worthless. Nothing is known about them, and the bound on advisor queries is reached.
+func backlogState(n int, now time.Time) *sched.State {
+	s := fullState(300, 0, now)
+	s.SetMaxQueries(10)
+	s.SetQueues([]sched.Queue{
+		{
+			ID:          "gangs",
+			Service:     "work",
+			Priority:    1,
+			MaxAttempts: 2,
+			Stretch:     2.2,
+			Goal:        time.Second,
+			Advisor: &sched.Advisor{
+				Base:      455 * time.Millisecond,
+				PerWorker: 6500 * time.Microsecond,
+			},
+		},
+		{
+			ID:          "batches",
+			Service:     "work",
+			Priority:    2,
+			MaxAttempts: 2,
+			Stretch:     4,
+			Goal:        3 * time.Second,
+			Advisor: &sched.Advisor{
+				Base:      156 * time.Millisecond,
+				PerWorker: 2340 * time.Microsecond,
+			},
+		},
+		{
+			ID:          "small",
+			Service:     "work",
+			MaxAttempts: 2,
+			Stretch:     1.5,
+			Goal:        250 * time.Millisecond,
+			Advisor: &sched.Advisor{
+				Base:      9360 * time.Microsecond,
+				PerWorker: 130 * time.Microsecond,
+			},
+		},
+	})
+	for i := range n {
+		q, step := sched.QueueID("small"), tasks(3, 2)
+		switch i % 10 {
+		case 0:
+			q, step = "gangs", gang(20, 4)
+		case 1:
+			q, step = "batches", tasks(25, 1)
+		}
+		j := job(spoolsill.JobID(fmt.Sprintf("wait-%d", i)), q, step)
+		j.Received = now.Add(-time.Duration(i) * 20 * time.Millisecond)
+		s.AddJob(now, j, sched.Progress{})
+	}
+	s.Decide(now)
+	return s
+}
+
+// BenchmarkDecideBacklog measures a pass over 1,000 stages that wait for advice, as a leader
+// has them after a power loss.
+func BenchmarkDecideBacklog(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := backlogState(1000, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Decide(now)
+	}
+}
+
 // BenchmarkAskLarge measures the first pass over new jobs in a cell of 3,000 workers with
 // free capacity, and the advisor queries that result.
 func BenchmarkAskLarge(b *testing.B) {
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -75,6 +75,7 @@
 			Begun:  r.phase == phaseConfirmed,
 			Over:   crashed,
 		})
+		r.task.stage.failuresSeen = true
 		affected = append(affected, r)
 		if !slices.Contains(s.suspects, r.task) {
 			s.suspects = append(s.suspects, r.task)
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -31,8 +31,8 @@
 		ready:       map[spoolsill.ServiceID]*readyWorkers{},
 	}
 	d.collectReady()
-	for _, g := range s.ranked() {
-		d.place(g)
+	for _, r := range s.ranked() {
+		d.place(s.openStages[r.index])
 	}
 }
 
@@ -89,29 +89,31 @@
 }
 
 // ranked returns the stages that can be placed, sorted by rank, and removes finished ones
-// from the open stages.
-func (s *State) ranked() []*stage {
+// from the open stages. The result is valid until the next call.
+func (s *State) ranked() []rankedStage {
 	kept := s.openStages[:0]
-	var ready []*stage
+	ranked := s.rankedStages[:0]
+	wall := s.wallClock()
 	for _, g := range s.openStages {
 		if g.done() || g.job.state.Final() {
 			g.open = false
 			continue
 		}
-		kept = append(kept, g)
 		if g.placeable() && !s.now.Before(g.retryAt) {
-			ready = append(ready, g)
+			r := s.rankAt(g, wall)
+			g.tier = r.tier
+			ranked = append(ranked, rankedStage{
+				rank:  r,
+				index: len(kept),
+			})
 		}
+		kept = append(kept, g)
 	}
 	clear(s.openStages[len(kept):])
 	s.openStages = kept
-	ranks := make(map[*stage]rank, len(ready))
-	for _, g := range ready {
-		ranks[g] = s.rank(g)
-		g.tier = ranks[g].tier
-	}
-	slices.SortStableFunc(ready, func(a, b *stage) int { return ranks[a].compare(ranks[b]) })
-	return ready
+	s.rankedStages = ranked
+	slices.SortFunc(ranked, rankedStage.compare)
+	return ranked
 }
 
 // placeable reports whether a task of g needs a worker. For a gang all of them must.
@@ -119,22 +121,16 @@
 	if len(g.planned) > 0 {
 		return false
 	}
-	for _, t := range g.tasks {
-		waits := !t.done && t.run == nil
-		if waits && !g.step.Gang {
-			return true
-		}
-		if !waits && g.step.Gang {
-			return false
-		}
+	if g.step.Gang {
+		return g.waiting == len(g.tasks)
 	}
-	return g.step.Gang
+	return g.waiting > 0
 }
 
 // place starts the tasks of g that can start now.
 func (d *decider) place(g *stage) {
 	q := d.queue(g.job)
-	if q.Service == "" || d.failExhausted(g) || d.failCrashing(g) {
+	if q.Service == "" || g.failuresSeen && (d.failExhausted(g) || d.failCrashing(g)) {
 		// Failures may have been reported before the queue was known, and crashes
 		// counted by a former leader.
 		return
@@ -220,7 +216,7 @@
 	var renew []spoolsill.WorkerIncarnation
 	waiting := 0
 	for _, t := range g.tasks {
-		if t.done || t.run != nil {
+		if !t.waits() {
 			continue
 		}
 		if !g.job.team.allows(g.step.demand()) {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -94,6 +94,7 @@
 		return
 	}
 	g.tasks = make([]*task, g.step.Tasks)
+	g.waiting = len(g.tasks)
 	for i := range g.tasks {
 		g.tasks[i] = &task{
 			stage: g,
@@ -118,6 +119,7 @@
 		return
 	}
 	g.gangFailures = p.Fails
+	g.failuresSeen = p.Fails > 0
 	if p.Done && len(p.Tasks) == 0 {
 		g.tasksLeft = 0
 		j.stagesLeft--
@@ -129,13 +131,14 @@
 			return
 		}
 		t := g.tasks[i]
-		t.done = tp.Done
+		if tp.Done {
+			t.setDone()
+			g.tasksLeft--
+		}
 		t.failures = tp.Fails
 		t.lastRun = tp.Run
 		t.saved = tp.Saved
-		if t.done {
-			g.tasksLeft--
-		}
+		g.failuresSeen = g.failuresSeen || t.failures > 0
 		if tp.Worker != "" {
 			s.restoreRun(t, tp)
 		}
@@ -157,6 +160,7 @@
 			losses:  c.Losses,
 			runTime: c.Lived,
 		}
+		g.failuresSeen = true
 		s.suspects = append(s.suspects, t)
 		if t.run != nil {
 			t.run.worker.beginTrial(t.run)
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -25,11 +25,29 @@
 }
 
 func (r rank) compare(o rank) int {
-	return cmp.Or(
-		cmp.Compare(r.tier, o.tier),
-		cmp.Compare(r.priority, o.priority),
-		cmp.Compare(r.slack, o.slack),
-	)
+	switch {
+	case r.tier != o.tier:
+		return cmp.Compare(r.tier, o.tier)
+	case r.priority != o.priority:
+		return cmp.Compare(r.priority, o.priority)
+	default:
+		return cmp.Compare(r.slack, o.slack)
+	}
+}
+
+// A rankedStage is an open stage with its rank as of the current pass. It has no pointer, so
+// that sorting costs the garbage collector nothing.
+type rankedStage struct {
+	rank  rank
+	index int // in State.openStages
+}
+
+// compare orders stages of equal rank as they were opened.
+func (r rankedStage) compare(o rankedStage) int {
+	if c := r.rank.compare(o.rank); c != 0 {
+		return c
+	}
+	return cmp.Compare(r.index, o.index)
 }
 
 // lateFactor is the multiple of its objective up to which a job earns partial worth in the
@@ -39,14 +57,19 @@
 // rank returns the rank of g. Its slack is the objective minus the critical path from g on
 // and the time since the job was submitted or, for a timed round, due.
 func (s *State) rank(g *stage) rank {
+	return s.rankAt(g, s.wallClock())
+}
+
+func (s *State) rankAt(g *stage, wall time.Time) rank {
 	q := s.queue(g.job)
-	objective := s.objective(g, q)
+	paths := s.criticalPathsOf(g.job, q)
+	objective := q.objective(paths)
 	since := g.job.Received
 	if !g.due.IsZero() {
 		since = g.due
 	}
-	waited := s.wallClock().Sub(since)
-	chain := s.criticalPath(g)
+	waited := wall.Sub(since)
+	chain := paths[g.id.Step]
 	slack := objective - waited - chain
 	r := rank{
 		tier:     tierOnTime,
@@ -69,14 +92,10 @@
 	return r
 }
 
-// objective returns the time within which the round of g should be done.
-func (s *State) objective(g *stage, q *Queue) time.Duration {
-	return time.Duration(q.Stretch*float64(slices.Max(s.criticalPathsOf(g.job, q)))) + q.Goal
-}
-
-// criticalPath returns the expected time of the longest dependency chain from g on.
-func (s *State) criticalPath(g *stage) time.Duration {
-	return s.criticalPathsOf(g.job, s.queue(g.job))[g.id.Step]
+// objective returns the time within which a round of a job with these critical paths should
+// be done.
+func (q *Queue) objective(criticalPaths []time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(slices.Max(criticalPaths))) + q.Goal
 }
 
 // criticalPathTTL is how long the critical paths of a job are cached. Estimates of run
@@ -90,7 +109,10 @@
 		return j.criticalPaths
 	}
 	j.criticalPathsAt = s.now
-	j.criticalPaths = make([]time.Duration, len(j.Steps))
+	if j.criticalPaths == nil {
+		j.criticalPaths = make([]time.Duration, len(j.Steps))
+	}
+	clear(j.criticalPaths)
 	for i := len(j.Steps) - 1; i >= 0; i-- {
 		p := &j.Steps[i]
 		j.criticalPaths[i] += s.expected(q, p)
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -21,7 +21,7 @@
 func (s *State) addRun(r *run) {
 	r.worker.runs[r.id] = r
 	r.worker.used = r.worker.used.Add(r.need)
-	r.task.run = r
+	r.task.setRun(r)
 	r.worker.beginTrial(r)
 	j := r.task.stage.job
 	j.activeRuns++
@@ -47,7 +47,7 @@
 	}
 	s.removeRun(r)
 	if r.task.run == r {
-		r.task.run = nil
+		r.task.setRun(nil)
 	}
 	s.markDirty(r.task.stage.job)
 }
@@ -367,7 +367,7 @@
 	if t.done {
 		return
 	}
-	t.done = true
+	t.setDone()
 	t.stage.tasksLeft--
 	if t.run == nil || t.run.id.Number == n {
 		return
@@ -386,6 +386,7 @@
 	}
 	s.markDirty(g.job)
 	g.job.account.Failed++
+	g.failuresSeen = true
 	t.failedOn = append(t.failedOn, r.worker.incarnation())
 	switch {
 	case !g.step.Gang:
--- a/sched/state.go
+++ b/sched/state.go
@@ -54,8 +54,9 @@
 	workerList []*worker // in the order of first appearance, for deterministic placement
 	// incarnations has the incarnations of each machine that are not known to be dead.
 	incarnations map[string][]*worker
-	openStages   []*stage // may have tasks to place
-	timedStages  []*stage // wait for their due time
+	openStages   []*stage      // may have tasks to place
+	rankedStages []rankedStage // the buffer of ranked
+	timedStages  []*stage      // wait for their due time
 	runTimes     map[QueueID]*runTimeEstimate
 	teams        map[spoolsill.TeamID]*teamState
 
@@ -114,7 +115,8 @@
 type job struct {
 	Job
 	team      *teamState
-	overShare bool // submitted over its team's share
+	queue     *Queue // caches State.queue, nil if not known
+	overShare bool   // submitted over its team's share
 	state     JobState
 	stages    []*stage
 	// activeRuns counts the runs that occupy capacity at a worker.
@@ -140,8 +142,11 @@
 	// lastFailedRun is the latest run of a gang with a failed member.
 	lastFailedRun RunNumber
 	tasksLeft     int // tasks that are not done
-	open          bool
-	due           time.Time // not to be started earlier, by the wall clock
+	waiting       int // tasks that are neither done nor have a run
+	// failuresSeen is set once a task of it has failed or was lost with its worker.
+	failuresSeen bool
+	open         bool
+	due          time.Time // not to be started earlier, by the wall clock
 	// openedAt is when its dependencies were done.
 	openedAt time.Time
 	tier     tier // as of the current pass
@@ -216,6 +221,9 @@
 	for _, q := range queues {
 		s.queues[q.ID] = &q
 	}
+	for _, j := range s.jobs {
+		j.queue = nil
+	}
 }
 
 // Job returns the status of a job. It reports false if the job is not known.
@@ -286,6 +294,34 @@
 	s.dirty = append(s.dirty, j)
 }
 
+// setRun sets the current run of a task, nil for none.
+func (t *task) setRun(r *run) {
+	before := t.waits()
+	t.run = r
+	t.countWait(before)
+}
+
+func (t *task) setDone() {
+	before := t.waits()
+	t.done = true
+	t.countWait(before)
+}
+
+// waits reports whether the task needs a worker.
+func (t *task) waits() bool {
+	return !t.done && t.run == nil
+}
+
+// countWait updates the number of waiting tasks of the stage after a change of a task.
+func (t *task) countWait(before bool) {
+	if before && !t.waits() {
+		t.stage.waiting--
+	}
+	if !before && t.waits() {
+		t.stage.waiting++
+	}
+}
+
 func (g *stage) done() bool {
 	return g.tasksLeft == 0
 }
@@ -314,8 +350,11 @@
 // queue returns the queue of a job. A queue that no configuration has named yet has no
 // service, so that nothing starts.
 func (s *State) queue(j *job) *Queue {
-	if q := s.queues[j.Queue]; q != nil {
-		return q
+	if j.queue == nil {
+		j.queue = s.queues[j.Queue]
+	}
+	if j.queue != nil {
+		return j.queue
 	}
 	return &Queue{
 		ID: j.Queue,
--- a/sched/waittime.go
+++ b/sched/waittime.go
@@ -41,7 +41,8 @@
 func (s *State) finalAccount(j *job) *Account {
 	a := j.account
 	if len(j.stages) > 0 {
-		a.Objective = s.objective(j.stages[0], s.queue(j))
+		q := s.queue(j)
+		a.Objective = q.objective(s.criticalPathsOf(j, q))
 	}
 	return &a
 }
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -417,8 +417,8 @@
 	return w.Capacity.Sub(w.used)
 }
 
-// CheckCapacity returns an error when the runs of a worker exceed its capacity, or the sum
-// of their needs is wrong. It is meant for tests.
+// CheckCapacity returns an error when the runs of a worker exceed its capacity, the sum of
+// their needs is wrong, or a stage has miscounted its tasks. It is meant for tests.
 func (s *State) CheckCapacity() error {
 	for _, w := range s.workerList {
 		var sum spoolsill.Resources
@@ -432,5 +432,30 @@
 			return fmt.Errorf("worker %s: %v used of %v", w.id, w.used, w.Capacity)
 		}
 	}
+	for _, j := range s.jobs {
+		for _, g := range j.stages {
+			if err := g.checkCounts(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (g *stage) checkCounts() error {
+	waiting := 0
+	failures := g.gangFailures
+	for _, t := range g.tasks {
+		if t.waits() {
+			waiting++
+		}
+		failures += t.failures + len(t.evidence.losses)
+	}
+	if waiting != g.waiting {
+		return fmt.Errorf("stage %s: %d tasks counted as waiting of %d", g.id, g.waiting, waiting)
+	}
+	if failures > 0 && !g.failuresSeen {
+		return fmt.Errorf("stage %s: %d failures or losses not noticed", g.id, failures)
+	}
 	return nil
 }
