--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -71,6 +72,10 @@
 	Priority int
 	// Advised is set if hosts must query the advisor before placement.
 	Advised bool
+	// Advisor, Stretch and Goal replace the defaults if they are set.
+	Advisor sched.Advisor
+	Stretch float64
+	Goal    time.Duration
 }
 
 // A Team is a team in a configuration.
@@ -120,13 +125,17 @@
 			"priority":    r.Priority,
 			"service":     "work",
 			"maxAttempts": 3,
-			"stretch":     2,
-			"goalMs":      1000,
+			"stretch":     cmp.Or(r.Stretch, 2),
+			"goalMs":      cmp.Or(r.Goal, time.Second).Milliseconds(),
 		}
 		if r.Advised {
+			a := cmp.Or(r.Advisor, sched.Advisor{
+				Base:      5 * time.Millisecond,
+				PerWorker: 100 * time.Microsecond,
+			})
 			x["advice"] = map[string]float64{
-				"decide_ms": 5,
-				"each_ms":   0.1,
+				"decide_ms": 1000 * a.Base.Seconds(),
+				"each_ms":   1000 * a.PerWorker.Seconds(),
 				"valid_ms":  1000,
 			}
 		}
--- a/internal/standin/wire/workers.go
+++ b/internal/standin/wire/workers.go
@@ -157,7 +157,7 @@
 }
 
 // AdvisorHandler returns the HTTP API of an advisor.
-func AdvisorHandler(a *cellfake.Advisor) http.Handler {
+func AdvisorHandler(a leader.Advisor) http.Handler {
 	m := chi.NewRouter()
 	m.Post("/api/advise", func(w http.ResponseWriter, r *http.Request) {
 		var q struct {
@@ -168,7 +168,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		tickets, valid, err := a.Ask(r.Context(), "", sched.StageID{}, q.Workers)
+		task, err := platform.ParseTaskID(q.Step + ".0")
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		tickets, valid, err := a.Ask(r.Context(), "", task.Stage, q.Workers)
 		good := [][2]string{}
 		for _, t := range tickets {
 			good = append(good, [2]string{string(t.Worker), t.Text})
--- a/leader/fixture_test.go
+++ b/leader/fixture_test.go
@@ -46,6 +46,8 @@
 	observer leader.Observer
 	// hostWithoutAdvisor can't reach the advisor.
 	hostWithoutAdvisor spoolsill.HostID
+	// advisor is what the leaders query instead of a [cellfake.Advisor]; may be nil.
+	advisor leader.Advisor
 	// onQuery is called for each query to the advisor; may be nil.
 	onQuery func(stage sched.StageID)
 	// advisorDelay is added to the latency of the advisor.
@@ -78,14 +80,18 @@
 }
 
 func (x *cell) listWorker(id spoolsill.WorkerID) {
+	x.listWorkerOfSize(id, spoolsill.Resources{
+		Processors: 10 * spoolsill.Core,
+	})
+}
+
+func (x *cell) listWorkerOfSize(id spoolsill.WorkerID, capacity spoolsill.Resources) {
 	b, err := json.Marshal(sched.Worker{
-		ID:      id,
-		Born:    x.workers.CurrentIncarnation(id).StartTime,
-		Service: "work",
-		Address: string(id),
-		Capacity: spoolsill.Resources{
-			Processors: 10 * spoolsill.Core,
-		},
+		ID:       id,
+		Born:     x.workers.CurrentIncarnation(id).StartTime,
+		Service:  "work",
+		Address:  string(id),
+		Capacity: capacity,
 	})
 	x.c.Assert(err, qt.IsNil)
 	x.store.Put(store.Put{
@@ -120,12 +126,12 @@
 			Store:   x.store,
 			Chain:   c,
 			Workers: cmp.Or[leader.Workers](x.workersOverride, x.workers),
-			Advisor: &cellfake.Advisor{
+			Advisor: cmp.Or[leader.Advisor](x.advisor, &cellfake.Advisor{
 				HostIDs: []spoolsill.HostID{host, "other"},
 				Cut:     x.hostWithoutAdvisor,
 				OnQuery: x.onQuery,
 				Takes:   x.advisorDelay,
-			},
+			}),
 			WorkersTable: workersTable,
 			DecodeWorker: decodeWorker,
 			Clock:        x.clock,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -54,10 +54,13 @@
 	hosts   []*host
 	cores   map[int]float64 // of hosts that differ from the usual size
 	link    spoolsill.Bytes // of the hosts started next, in bytes a second; 0 means smallLink
-	cancel  context.CancelFunc
-	running sync.WaitGroup // hosts
-	serving sync.WaitGroup // fakes
-	client  *http.Client
+	// advisorOf returns the advisor's address for a host; nil means advisorAddress.
+	advisorOf func(host int) string
+	capacity  spoolsill.Resources // of the workers added next
+	cancel    context.CancelFunc
+	running   sync.WaitGroup // hosts
+	serving   sync.WaitGroup // fakes
+	client    *http.Client
 }
 
 type host struct {
@@ -146,10 +149,10 @@
 		Address: workerAddress(i),
 		Machine: "m" + string(id),
 		Rack:    "r1-1",
-		Capacity: spoolsill.Resources{
+		Capacity: cmp.Or(x.capacity, spoolsill.Resources{
 			Processors: 8 * spoolsill.Core,
 			Memory:     8000 * spoolsill.MiB,
-		},
+		}),
 	}), qt.IsNil)
 }
 
@@ -189,6 +192,10 @@
 	for j := range i {
 		peers = append(peers, fmt.Sprintf("10.1.0.%d:7000", j+1))
 	}
+	advisor := advisorAddress
+	if x.advisorOf != nil {
+		advisor = x.advisorOf(i)
+	}
 	h := &host{
 		Config: node.Config{
 			Settings: platform.Settings{
@@ -200,7 +207,7 @@
 				ClientAddress:  ip + ":80",
 				ReadyAddress:   ip + ":81",
 				StoreAddress:   storeAddress,
-				AdvisorAddress: advisorAddress,
+				AdvisorAddress: advisor,
 				Peers:          peers,
 				Cores:          cmp.Or(x.cores[i], 0.4),
 				Memory:         256 * spoolsill.MiB,
