sched: every queue has a share of the queries in flight

Callers saw accepted jobs that never started after a loss of power, beside free workers and idle hosts: their stages waited for advice, with no query ever ordered.

The bound on queries in flight was one count, spent in the order of rank. As long as stages of a higher rank had queries to order, those of the last queue had none.

Beyond the bound, a queue with stages to place may now have its share of it in flight. The queries in flight are at most twice the bound.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -17,8 +17,9 @@
 	// covers the write to the store, the call itself and some queueing.
 	ticketMargin = 200 * time.Millisecond
 	// queriesPerSlot times the number of queries that the hosts can make concurrently
-	// bounds the queries in flight: one being answered and one queued. With more, the
-	// queries of the stages ranked first would be queued behind others.
+	// bounds the queries in flight: one being answered and one queued. With many more, the
+	// queries of the stages ranked first would be queued behind others. The shares of
+	// the queues can at most double it.
 	queriesPerSlot = 2
 	// perWorkerCostShare limits what the workers of one query cost in total, as a share of
 	// the advisor's base cost, as far as minQueryWorkers allows.
@@ -74,6 +75,14 @@
 	a.tickets[w] = t
 }
 
+// mayAsk reports whether a stage of q that is not urgent may query the advisor. Beyond the bound
+// on all queries, each queue with stages to place has its share of that bound: otherwise the
+// queries of the stages ranked first keep those of other queues waiting without end.
+func (d *decider) mayAsk(q *Queue) bool {
+	limit := queriesPerSlot * max(d.advisorSlots, 1)
+	return d.queriesInFlight < limit || d.queueQueriesInFlight[q.ID] < max(limit/len(d.waitingQueues), 1)
+}
+
 // ask queues a query to the advisor about workers.
 func (s *State) ask(g *stage, q *Queue, workers []spoolsill.WorkerIncarnation, p Purpose) {
 	if len(workers) == 0 {
@@ -87,8 +96,10 @@
 		s.warmQueriesInFlight++
 	}
 	s.queriesInFlight++
+	s.queueQueriesInFlight[q.ID]++
 	s.adviceOrders = append(s.adviceOrders, AdviceOrder{
 		Stage:    g.id,
+		Queue:    q.ID,
 		Workers:  workers,
 		Priority: q.Priority,
 		Urgent:   g.tier == tierUrgent,
@@ -161,6 +172,7 @@
 func (s *State) AdviceReceived(now time.Time, a Advice) {
 	s.now = now
 	s.queriesInFlight--
+	s.queueQueriesInFlight[a.Order.Queue]--
 	if a.Order.Purpose == PurposeWarm {
 		s.warmQueriesInFlight--
 	}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -26,12 +26,17 @@
 		return
 	}
 	d := decider{
-		State:       s,
-		reservedFor: map[*worker]*stage{},
-		ready:       map[spoolsill.ServiceID]*readyWorkers{},
+		State:         s,
+		reservedFor:   map[*worker]*stage{},
+		ready:         map[spoolsill.ServiceID]*readyWorkers{},
+		waitingQueues: map[QueueID]bool{},
 	}
 	d.collectReady()
-	for _, g := range s.ranked() {
+	stages := s.ranked()
+	for _, g := range stages {
+		d.waitingQueues[g.job.Queue] = true
+	}
+	for _, g := range stages {
 		d.place(g)
 	}
 }
@@ -86,6 +91,8 @@
 	// reservedFor maps a reserved worker to the stage that it is reserved for.
 	reservedFor map[*worker]*stage
 	ready       map[spoolsill.ServiceID]*readyWorkers
+	// waitingQueues are the queues that have stages to place.
+	waitingQueues map[QueueID]bool
 }
 
 // ranked returns the stages that can be placed, sorted by rank, and removes finished ones
@@ -165,7 +172,7 @@
 	if a.learnQueriesInFlight > 0 || known && d.now.Sub(a.learnedAt) <= askMoreAfter {
 		return known
 	}
-	if g.tier != tierUrgent && d.queriesInFlight >= queriesPerSlot*max(d.advisorSlots, 1) {
+	if g.tier != tierUrgent && !d.mayAsk(q) {
 		return known
 	}
 	more := d.unasked(g, q)
--- a/sched/event.go
+++ b/sched/event.go
@@ -154,6 +154,7 @@
 // An AdviceOrder is a query to the advisor about which workers may run a stage.
 type AdviceOrder struct {
 	Stage    StageID
+	Queue    QueueID
 	Workers  []spoolsill.WorkerIncarnation
 	Priority int
 	// Urgent is set when the stage has the highest priority and can still meet its
--- a/sched/state.go
+++ b/sched/state.go
@@ -72,9 +72,11 @@
 	adviceOrders        []AdviceOrder
 	queriesInFlight     int // unanswered advisor queries
 	warmQueriesInFlight int // those of them that keep tickets valid
-	advisorSlots        int // number of queries that hosts can make concurrently
-	notes               []Note
-	statusUpdates       []JobStatus
+	// queueQueriesInFlight counts the unanswered advisor queries of each queue.
+	queueQueriesInFlight map[QueueID]int
+	advisorSlots         int // number of queries that hosts can make concurrently
+	notes                []Note
+	statusUpdates        []JobStatus
 	// storeRecoveredAt is when the store last became writable after an outage.
 	storeRecoveredAt time.Time
 	// entriesAsOf is the time up to which all changes of worker entries are known; zero
@@ -99,8 +101,9 @@
 		teams:        map[spoolsill.TeamID]*teamState{},
 		acks:         map[spoolsill.WorkerIncarnation]uint64{},
 
-		crashedAt:   map[string]time.Time{},
-		pendingJobs: map[QueueID]int{},
+		crashedAt:            map[string]time.Time{},
+		queueQueriesInFlight: map[QueueID]int{},
+		pendingJobs:          map[QueueID]int{},
 	}
 }
 
