sched: the oldest of the jobs that earn nothing any more goes first

Callers saw jobs of the queue with the lowest priority that were never started while late jobs of other queues, which earned nothing any more either, kept arriving.

Stages that earn nothing any more were ordered by the priority of their queue, and then by slack, which favours queues with short runs. One kind was last for as long as others came.

They are now ordered by age, whatever their queue. The priority of a rank is unchanged: preemption compares it.

TestOldestOfWorthlessJobsGoesFirst failed before.

--- a/sched/rank.go
+++ b/sched/rank.go
@@ -17,16 +17,23 @@
 	tierWorthless             // earns nothing any more
 )
 
-// A rank orders stages by tier, then by the priority of their queue, then by slack.
+// A rank orders stages by tier, then by the priority of their queue, then by slack. Those that
+// earn nothing any more are ordered by age alone, so that no queue is always last.
 type rank struct {
 	tier     tier
 	priority int
 	slack    time.Duration
+	waited   time.Duration // since the job was submitted or the round was due
 }
 
 func (r rank) compare(o rank) int {
+	byAge := 0
+	if r.tier == tierWorthless {
+		byAge = cmp.Compare(o.waited, r.waited)
+	}
 	return cmp.Or(
 		cmp.Compare(r.tier, o.tier),
+		byAge,
 		cmp.Compare(r.priority, o.priority),
 		cmp.Compare(r.slack, o.slack),
 	)
@@ -52,6 +59,7 @@
 		tier:     tierOnTime,
 		priority: q.Priority,
 		slack:    slack,
+		waited:   waited,
 	}
 	switch {
 	case g.step.Lasting:
