leader: the timeout of a query follows how long answers are under way

Callers saw jobs that waited for advice although the advisor answered: behind a loaded link the leader gave a query up before its answer arrived, ordered it again, and avoided the host for three seconds.

The timeout was the cost of the query, that of the queries ahead, and a fixed 0.3 s. Answers were under way for 0.4 s. Those given up were not measured, so that the average time in transit, which later queries count on, stayed too low.

The margin is now three times the average time in transit, between 0.3 and 2 s, and a query given up counts with the time until then.

--- a/leader/advice.go
+++ b/leader/advice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -21,8 +22,12 @@
 }
 
 const (
-	// askMargin is added to the cost of a query to get its timeout.
-	askMargin = 300 * time.Millisecond
+	// The timeout of a query is its cost, that of the queries ahead of it, and a margin of
+	// marginFactor times the usual time in transit, within minAskMargin and maxAskMargin:
+	// the time in transit grows with the load of the leader's link.
+	marginFactor = 3
+	minAskMargin = 300 * time.Millisecond
+	maxAskMargin = 2 * time.Second
 	// longQueryCost is the cost above which a query is long. The last
 	// reservedHosts hosts get no long queries, so that short ones soon find a free host.
 	longQueryCost = 150 * time.Millisecond
@@ -60,6 +65,9 @@
 type answeredQuery struct {
 	host   spoolsill.HostID
 	failed bool
+	// late is set when the query was given up at its timeout. Its answer would have taken
+	// longer than took.
+	late bool
 	// took is the time from query to answer; cost is the service's time for the query,
 	// and ahead its time for the queries in flight before it.
 	took, ahead, cost time.Duration
@@ -120,6 +128,9 @@
 			if q.failed {
 				a.failed[q.host] = a.leader.config.Clock.Now()
 				a.listed = time.Time{}
+				if q.late {
+					a.observe(q)
+				}
 				continue
 			}
 			a.observe(q)
@@ -136,6 +147,11 @@
 	a.averageCost += time.Duration(overheadWeight * float64(q.cost-a.averageCost))
 }
 
+// margin returns how much longer a query may take than the service needs for it.
+func (a *adviceDispatcher) margin() time.Duration {
+	return min(max(marginFactor*a.overhead, minAskMargin), maxAskMargin)
+}
+
 // depth returns how many queries a host may have in flight.
 func (a *adviceDispatcher) depth() int {
 	if a.averageCost <= 0 {
@@ -207,9 +223,10 @@
 func (a *adviceDispatcher) ask(ctx context.Context, h spoolsill.HostID, o sched.AdviceOrder) {
 	ahead := time.Duration(a.busy[h]) * max(a.averageCost, o.Cost)
 	a.busy[h]++
+	timeout := ahead + o.Cost + a.margin()
 	l := a.leader
 	l.spawn(func() {
-		c, cancel := context.WithTimeout(ctx, ahead+o.Cost+askMargin)
+		c, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		begun := l.config.Clock.Now()
 		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, workerIDs(o.Workers))
@@ -221,6 +238,7 @@
 		a.answered <- answeredQuery{
 			host:   h,
 			failed: err != nil,
+			late:   errors.Is(err, context.DeadlineExceeded),
 			took:   took,
 			ahead:  ahead,
 			cost:   o.Cost,
--- a/leader/advice_test.go
+++ b/leader/advice_test.go
@@ -126,3 +126,43 @@
 		x.assertCompleted(l, ids)
 	})
 }
+
+// Guards against giving up queries whose answers are only under way for longer than usual: they
+// were queried again, and each time given up again, and their hosts were avoided.
+func TestQueriesWithLateAnswersAreNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 4)
+		defer x.end()
+		x.advisorDelay = 700 * time.Millisecond
+		var mu sync.Mutex
+		asked := map[spoolsill.JobID]int{}
+		x.onQuery = func(stage sched.StageID) {
+			mu.Lock()
+			defer mu.Unlock()
+			asked[stage.Job]++
+		}
+		l := x.lead("a")
+		pause.For(x.ctx, 2*time.Second)
+		const n = 20
+		var ids []spoolsill.JobID
+		for i := range n {
+			id := spoolsill.JobID(fmt.Sprintf("j%d", i))
+			ids = append(ids, id)
+			x.submit(sched.Job{
+				ID:    id,
+				Queue: "advised",
+				Steps: []sched.Step{step(1, 1)},
+			})
+			pause.For(x.ctx, time.Second)
+		}
+		pause.For(x.ctx, 10*time.Second)
+		x.assertCompleted(l, ids)
+		mu.Lock()
+		defer mu.Unlock()
+		again := 0
+		for _, id := range ids[n/2:] {
+			again += asked[id] - 1
+		}
+		x.c.Assert(again, qt.Equals, 0, qt.Commentf("%v", asked))
+	})
+}
