leader: hosts get queries by the advisor's time outstanding there

Callers saw jobs wait for advice after a take-over while hosts that could have asked the advisor were idle.

How many queries a host had in flight followed from one average over all kinds of queries, rounded down, whose costs differ by a factor of 50. The time ahead of a query at its host was guessed from the same average, so that the time in transit was measured wrongly, too: 118 to 300 ms in TestBacklogIsWorkedOffAfterTakeover, where it is 250 ms.

The dispatcher now keeps when the service is expected to be done with what a host has in flight, and sends the next query so that it arrives then. At most 8 queries of a host are in flight; the service accepts 32.

--- a/leader/advice.go
+++ b/leader/advice.go
@@ -35,8 +35,11 @@
 	// failedHostBackoff is how long a host whose query failed is avoided if others are
 	// available: as long as most problems of a single host last.
 	failedHostBackoff = 3 * time.Second
-	// maxDepth bounds the queries in flight from one host.
-	maxDepth = 3
+	// maxDepth bounds the queries in flight from one host. The service accepts 32 at most,
+	// also from a host that still has those of a former leader.
+	maxDepth = 8
+	// maxSlots bounds depth: the scheduler ranks stages only until it has ordered their queries.
+	maxSlots = 3
 	// overheadWeight is the weight of the newest answer in the moving averages.
 	overheadWeight = 0.1
 	// hostsCacheTime is how long the list of hosts is cached: many queries are sent
@@ -44,13 +47,13 @@
 	hostsCacheTime = 20 * time.Millisecond
 )
 
-// An adviceDispatcher distributes queries over hosts. Each host gets one at a time, or several if
-// an answer spends more time in transit than the service needs for a query: with one at a time,
-// the host would be idle during the transit.
+// An adviceDispatcher distributes queries over hosts. A host gets the next one so that it arrives
+// when the service is expected to be done with those before: with one at a time, the host
+// would be idle while an answer is in transit.
 type adviceDispatcher struct {
 	leader *Leader
 	queue  []sched.AdviceOrder // most urgent first
-	busy   map[spoolsill.HostID]int
+	loads  map[spoolsill.HostID]hostLoad
 	// overhead is a moving average of the latency of answers beyond the cost of the
 	// query; averageCost is that of the cost.
 	overhead, averageCost time.Duration
@@ -61,6 +64,13 @@
 	listed time.Time
 }
 
+// A hostLoad describes the queries that a host has in flight.
+type hostLoad struct {
+	queries int
+	cost    time.Duration // the service's time for all of them
+	freeAt  time.Time     // when the service is expected to be done with them
+}
+
 // An answeredQuery is the outcome of a query that the leader had a host make.
 type answeredQuery struct {
 	host   spoolsill.HostID
@@ -69,14 +79,14 @@
 	// longer than took.
 	late bool
 	// took is the time from query to answer; cost is the service's time for the query,
-	// and ahead its time for the queries in flight before it.
-	took, ahead, cost time.Duration
+	// and wait the expected time until the service is done with those ahead of it.
+	took, wait, cost time.Duration
 }
 
 func newAdviceDispatcher(l *Leader) *adviceDispatcher {
 	return &adviceDispatcher{
 		leader:   l,
-		busy:     map[spoolsill.HostID]int{},
+		loads:    map[spoolsill.HostID]hostLoad{},
 		failed:   map[spoolsill.HostID]time.Time{},
 		answered: make(chan answeredQuery, eventBuffer),
 	}
@@ -95,7 +105,8 @@
 	if len(a.queue) == 0 {
 		return
 	}
-	hosts := a.availableHosts(a.leader.config.Clock.Now())
+	now := a.leader.config.Clock.Now()
+	hosts := a.availableHosts(now)
 	rest := a.queue[:0]
 	longBusy := false // all hosts for long queries are busy
 	for i, o := range a.queue {
@@ -104,7 +115,7 @@
 			rest = append(rest, o)
 			continue
 		}
-		h, ok := a.pickHost(hosts, long)
+		h, ok := a.pickHost(hosts, now, long)
 		switch {
 		case ok:
 			a.ask(ctx, h, o)
@@ -123,10 +134,11 @@
 	for {
 		select {
 		case q := <-a.answered:
-			a.busy[q.host]--
+			now := a.leader.config.Clock.Now()
+			a.ended(q, now)
 			delete(a.failed, q.host)
 			if q.failed {
-				a.failed[q.host] = a.leader.config.Clock.Now()
+				a.failed[q.host] = now
 				a.listed = time.Time{}
 				if q.late {
 					a.observe(q)
@@ -142,7 +154,7 @@
 
 // observe updates the averages with an answer.
 func (a *adviceDispatcher) observe(q answeredQuery) {
-	overhead := max(q.took-q.ahead-q.cost, 0)
+	overhead := max(q.took-q.wait-q.cost, 0)
 	a.overhead += time.Duration(overheadWeight * float64(overhead-a.overhead))
 	a.averageCost += time.Duration(overheadWeight * float64(q.cost-a.averageCost))
 }
@@ -152,12 +164,13 @@
 	return min(max(marginFactor*a.overhead, minAskMargin), maxAskMargin)
 }
 
-// depth returns how many queries a host may have in flight.
+// depth returns how many queries of average cost keep a host busy. The scheduler orders queries
+// in proportion to it.
 func (a *adviceDispatcher) depth() int {
 	if a.averageCost <= 0 {
 		return 1
 	}
-	return 1 + min(int(a.overhead/a.averageCost), maxDepth-1)
+	return 1 + min(int((a.overhead+a.averageCost/2)/a.averageCost), maxSlots-1)
 }
 
 // availableHosts returns the hosts without a recent failure, or all hosts if each had one.
@@ -203,27 +216,73 @@
 	}
 }
 
-// pickHost returns the host with the fewest queries in flight, the last one if there are several.
-// It returns false if all hosts are busy. Long queries don't go to the last reservedHosts hosts,
-// or fewer if that were more than half of them, so that short ones find a free host there.
-func (a *adviceDispatcher) pickHost(hosts []spoolsill.HostID, long bool) (spoolsill.HostID, bool) {
+// pickHost returns the host whose service is expected to be free first, the last one if there
+// are several. It returns false if none can use a query yet. Long queries don't go to the last
+// reservedHosts hosts, or fewer if that were more than half of them, so that short ones find a
+// free host there.
+func (a *adviceDispatcher) pickHost(hosts []spoolsill.HostID, now time.Time, long bool) (spoolsill.HostID, bool) {
 	if long {
 		hosts = hosts[:max(len(hosts)-reservedHosts, (len(hosts)+1)/2)]
 	}
-	for n := range a.depth() {
-		for _, h := range slices.Backward(hosts) {
-			if a.busy[h] == n {
-				return h, true
-			}
+	var best spoolsill.HostID
+	for _, h := range slices.Backward(hosts) {
+		if !a.canUseQuery(h, now) {
+			continue
+		}
+		if best == "" || a.loads[h].freeAt.Before(a.loads[best].freeAt) {
+			best = h
 		}
 	}
-	return "", false
+	return best, best != ""
+}
+
+// canUseQuery reports whether a query sent to a host now would arrive when the service is expected
+// to be done with those before. While all answers are overdue, the service or the link is
+// slower than expected, and further queries would pile up there.
+func (a *adviceDispatcher) canUseQuery(h spoolsill.HostID, now time.Time) bool {
+	l := a.loads[h]
+	if l.queries == 0 {
+		return true
+	}
+	overdue := now.After(l.freeAt.Add(a.overhead / 2))
+	return l.queries < maxDepth && a.wait(h, now) == 0 && !overdue
+}
+
+// wait returns how long a query sent to a host now is expected to wait there for those ahead.
+func (a *adviceDispatcher) wait(h spoolsill.HostID, now time.Time) time.Duration {
+	return max(a.loads[h].freeAt.Sub(now.Add(a.overhead/2)), 0)
+}
+
+// sent adds a query to the load of a host and returns how long it is expected to wait there.
+func (a *adviceDispatcher) sent(h spoolsill.HostID, now time.Time, cost time.Duration) time.Duration {
+	wait := a.wait(h, now)
+	l := a.loads[h]
+	l.queries++
+	l.cost += cost
+	l.freeAt = now.Add(a.overhead/2 + wait + cost)
+	a.loads[h] = l
+	return wait
+}
+
+// ended removes a query from the load of a host. If the service is slower than expected, the
+// queries behind it are expected later.
+func (a *adviceDispatcher) ended(q answeredQuery, now time.Time) {
+	l := a.loads[q.host]
+	l.queries--
+	l.cost -= q.cost
+	if l.queries == 0 {
+		delete(a.loads, q.host)
+		return
+	}
+	if t := now.Add(l.cost - a.overhead/2); !q.failed && t.After(l.freeAt) {
+		l.freeAt = t
+	}
+	a.loads[q.host] = l
 }
 
 func (a *adviceDispatcher) ask(ctx context.Context, h spoolsill.HostID, o sched.AdviceOrder) {
-	ahead := time.Duration(a.busy[h]) * max(a.averageCost, o.Cost)
-	a.busy[h]++
-	timeout := ahead + o.Cost + a.margin()
+	wait := a.sent(h, a.leader.config.Clock.Now(), o.Cost)
+	timeout := wait + o.Cost + a.margin()
 	l := a.leader
 	l.spawn(func() {
 		c, cancel := context.WithTimeout(ctx, timeout)
@@ -240,7 +299,7 @@
 			failed: err != nil,
 			late:   errors.Is(err, context.DeadlineExceeded),
 			took:   took,
-			ahead:  ahead,
+			wait:   wait,
 			cost:   o.Cost,
 		}
 		l.send(adviceReceived{
