sched: a renewal covers the expired tickets of all usable workers

Callers saw jobs wait for advice behind renewals of tickets, most of the long queries after a loss of power (60 to 80% in traces), each about one or two workers, many ordered soon after another one for the same stage.

When capacity became free for some of the tasks of a stage, the query that renews their tickets was about their workers alone. The next capacity, at another worker whose ticket had expired as well, needed a query of its own.

If tasks of the stage still wait for capacity, the query now renews the other expired tickets of ready workers too, up to the size of a query, whose cost is mostly its base cost.

TestRenewalCoversTheOtherExpiredTickets failed before: the second task needed another query.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -317,6 +317,21 @@
 	}
 }
 
+// addExpired adds to the workers of a query other workers of g whose tickets have expired, as far
+// as they cost little beside the query itself. The tasks of g that still wait for capacity
+// would otherwise need a query each.
+func (d *decider) addExpired(g *stage, q *Queue, incarnations []spoolsill.WorkerIncarnation) []spoolsill.WorkerIncarnation {
+	for _, w := range g.advice.allowed {
+		if len(incarnations) >= q.Advisor.querySize() {
+			break
+		}
+		if w.ready && !g.advice.valid(w, d.now) && !slices.Contains(incarnations, w.incarnation()) {
+			incarnations = append(incarnations, w.incarnation())
+		}
+	}
+	return incarnations
+}
+
 func (s *State) dropPlan(g *stage) {
 	for _, r := range g.planned {
 		s.cancelPlanned(r)
--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -262,3 +262,34 @@
 	}
 	x.c.Assert(asked <= 25, qt.IsTrue, qt.Commentf("%d queries in a second", asked))
 }
+
+// Guards against a query for each worker at which capacity becomes free for one of the tasks of a
+// stage, when the tickets for all of them have expired.
+func TestRenewalCoversTheOtherExpiredTickets(t *testing.T) {
+	x := newCell(t)
+	ids := []spoolsill.WorkerID{"a", "b", "c"}
+	running := map[spoolsill.WorkerID][]sched.RunID{}
+	orders := map[spoolsill.WorkerID]sched.StartOrder{}
+	for _, id := range ids {
+		x.addWorker(id)
+	}
+	x.state.AddJob(x.now, job("big", "q", tasks(3, 10)), sched.Progress{})
+	for _, o := range x.step() {
+		x.acceptStarts([]sched.StartOrder{o})
+		running[o.Worker] = append(running[o.Worker], o.Run)
+		orders[o.Worker] = o
+	}
+	x.state.AddJob(x.now, job("j", "advised", tasks(3, 10)), sched.Progress{})
+	x.step()
+	x.advise(x.query(), ids...)
+	x.advance(2*time.Second, running)
+	x.endRun(orders["a"], sched.EndDone)
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	q := x.query()
+	x.c.Assert(q.Purpose, qt.Equals, sched.PurposeRenew)
+	x.advise(q, ids...)
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#1"})
+	x.endRun(orders["b"], sched.EndDone)
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.1#1"})
+	x.c.Assert(x.state.AdviceOrders(), qt.HasLen, 0)
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -248,6 +248,9 @@
 		}
 	}
 	if len(renew) > 0 {
+		if waiting > 0 {
+			renew = d.addExpired(g, q, renew)
+		}
 		d.ask(g, q, renew, PurposeRenew)
 	}
 	d.reserveForLarge(g, q, waiting)
