--- a/leader/advice.go
+++ b/leader/advice.go
@@ -1,8 +1,8 @@
 package leader
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -21,8 +21,12 @@
 }
 
 const (
-	// askMargin is added to the cost of a query to get its timeout.
-	askMargin = 300 * time.Millisecond
+	// The timeout of a query is its cost, that of the queries ahead of it, and a margin of
+	// marginFactor times the usual time in transit, within minAskMargin and maxAskMargin:
+	// the time in transit grows with the load of the leader's link.
+	marginFactor = 3
+	minAskMargin = 300 * time.Millisecond
+	maxAskMargin = 2 * time.Second
 	// longQueryCost is the cost above which a query is long. The last
 	// reservedHosts hosts get no long queries, so that short ones soon find a free host.
 	longQueryCost = 150 * time.Millisecond
@@ -30,8 +34,14 @@
 	// failedHostBackoff is how long a host whose query failed is avoided if others are
 	// available: as long as most problems of a single host last.
 	failedHostBackoff = 3 * time.Second
-	// maxDepth bounds the queries in flight from one host.
-	maxDepth = 3
+	// maxDepth bounds the queries in flight from one host. The service accepts 32 at most,
+	// also from a host that still has those of a former leader.
+	maxDepth = 8
+	// maxSlots bounds depth: the scheduler ranks stages only until it has ordered their queries.
+	maxSlots = 3
+	// holdingWeight is how many times as much of the advisor's time queries that hold
+	// capacity get as those to learn, while both wait.
+	holdingWeight = 2
 	// overheadWeight is the weight of the newest answer in the moving averages.
 	overheadWeight = 0.1
 	// hostsCacheTime is how long the list of hosts is cached: many queries are sent
@@ -39,13 +49,15 @@
 	hostsCacheTime = 20 * time.Millisecond
 )
 
-// An adviceDispatcher distributes queries over hosts. Each host gets one at a time, or several if
-// an answer spends more time in transit than the service needs for a query: with one at a time,
-// the host would be idle during the transit.
+// An adviceDispatcher distributes queries over hosts. A host gets the next one so that it arrives
+// when the service is expected to be done with those before: with one at a time, the host
+// would be idle while an answer is in transit.
 type adviceDispatcher struct {
 	leader *Leader
-	queue  []sched.AdviceOrder // most urgent first
-	busy   map[spoolsill.HostID]int
+	queues [queryClasses]classQueue
+	// lastReceived is what the class of the query sent last has received.
+	lastReceived time.Duration
+	loads        map[spoolsill.HostID]hostLoad
 	// overhead is a moving average of the latency of answers beyond the cost of the
 	// query; averageCost is that of the cost.
 	overhead, averageCost time.Duration
@@ -56,70 +68,163 @@
 	listed time.Time
 }
 
+// A queryClass is a class of queries that share the hosts with the others.
+type queryClass int
+
+const (
+	classUrgent   queryClass = iota
+	classHolding             // those that renew tickets of stages with capacity held or reserved
+	classLearning            // all others
+	queryClasses
+)
+
+func classOf(o sched.AdviceOrder) queryClass {
+	switch {
+	case o.Urgent:
+		return classUrgent
+	case o.Purpose == sched.PurposeLearn:
+		return classLearning
+	default:
+		return classHolding
+	}
+}
+
+func (c queryClass) weight() time.Duration {
+	if c == classHolding {
+		return holdingWeight
+	}
+	return 1
+}
+
+// A classQueue has the waiting queries of a class, the oldest first.
+type classQueue struct {
+	orders []sched.AdviceOrder
+	// received is the advisor's time for the queries sent, divided by the weight of the
+	// class.
+	received time.Duration
+}
+
+// A hostLoad describes the queries that a host has in flight.
+type hostLoad struct {
+	queries int
+	cost    time.Duration // the service's time for all of them
+	freeAt  time.Time     // when the service is expected to be done with them
+}
+
 // An answeredQuery is the outcome of a query that the leader had a host make.
 type answeredQuery struct {
 	host   spoolsill.HostID
 	failed bool
+	// late is set when the query was given up at its timeout. Its answer would have taken
+	// longer than took.
+	late bool
 	// took is the time from query to answer; cost is the service's time for the query,
-	// and ahead its time for the queries in flight before it.
-	took, ahead, cost time.Duration
+	// and wait the expected time until the service is done with those ahead of it.
+	took, wait, cost time.Duration
 }
 
 func newAdviceDispatcher(l *Leader) *adviceDispatcher {
 	return &adviceDispatcher{
 		leader:   l,
-		busy:     map[spoolsill.HostID]int{},
+		loads:    map[spoolsill.HostID]hostLoad{},
 		failed:   map[spoolsill.HostID]time.Time{},
 		answered: make(chan answeredQuery, eventBuffer),
 	}
 }
 
 func (a *adviceDispatcher) enqueue(o sched.AdviceOrder) {
-	i, _ := slices.BinarySearchFunc(a.queue, o, func(e, o sched.AdviceOrder) int {
-		return cmp.Or(compareQueries(e, o), -1) // insert after equal elements
-	})
-	a.queue = slices.Insert(a.queue, i, o)
+	c := classOf(o)
+	q := &a.queues[c]
+	if len(q.orders) == 0 {
+		// A class has no claim to the time in which it had no queries.
+		q.received = max(q.received, a.lastReceived)
+	}
+	q.orders = append(q.orders, o)
 }
 
-// dispatch sends queries to free hosts, the most urgent first.
+// dispatch sends queries to free hosts: urgent ones first, then the oldest of the class that
+// has had the least of the advisor's time by its weight. So no query waits without end
+// behind newer ones, and those that hold capacity wait little.
 func (a *adviceDispatcher) dispatch(ctx context.Context) {
 	a.collectAnswers()
-	if len(a.queue) == 0 {
+	if !a.waiting() {
 		return
 	}
-	hosts := a.availableHosts(a.leader.config.Clock.Now())
-	rest := a.queue[:0]
-	longBusy := false // all hosts for long queries are busy
-	for i, o := range a.queue {
+	p := dispatchPass{
+		adviceDispatcher: a,
+		now:              a.leader.config.Clock.Now(),
+	}
+	p.hosts = a.availableHosts(p.now)
+	for p.sendOldest(ctx, classUrgent) {
+	}
+	for {
+		first, second := classHolding, classLearning
+		if a.queues[second].received < a.queues[first].received {
+			first, second = second, first
+		}
+		if !p.sendOldest(ctx, first) && !p.sendOldest(ctx, second) {
+			return
+		}
+	}
+}
+
+func (a *adviceDispatcher) waiting() bool {
+	return slices.ContainsFunc(a.queues[:], func(q classQueue) bool { return len(q.orders) > 0 })
+}
+
+// A dispatchPass is one attempt to send the waiting queries.
+type dispatchPass struct {
+	*adviceDispatcher
+	now   time.Time
+	hosts []spoolsill.HostID
+	// longBusy is set when no host can use a long query yet, and allBusy when none can
+	// use any.
+	longBusy, allBusy bool
+}
+
+// sendOldest sends the oldest query of a class for which there is a host.
+func (p *dispatchPass) sendOldest(ctx context.Context, c queryClass) bool {
+	q := &p.queues[c]
+	for i, o := range q.orders {
+		if p.allBusy {
+			return false
+		}
 		long := o.Cost > longQueryCost
-		if long && longBusy {
-			rest = append(rest, o)
+		if long && p.longBusy {
 			continue
 		}
-		h, ok := a.pickHost(hosts, long)
+		h, ok := p.pickHost(p.hosts, p.now, long)
 		switch {
 		case ok:
-			a.ask(ctx, h, o)
+			q.orders = slices.Delete(q.orders, i, i+1)
+			if c != classUrgent {
+				q.received += o.Cost / c.weight()
+				p.lastReceived = q.received
+			}
+			p.ask(ctx, h, o)
+			return true
 		case long:
-			longBusy = true
-			rest = append(rest, o)
-		default: // all hosts are busy
-			a.queue = slices.Delete(a.queue, len(rest), i)
-			return
+			p.longBusy = true
+		default:
+			p.allBusy = true
 		}
 	}
-	a.queue = rest
+	return false
 }
 
 func (a *adviceDispatcher) collectAnswers() {
 	for {
 		select {
 		case q := <-a.answered:
-			a.busy[q.host]--
+			now := a.leader.config.Clock.Now()
+			a.ended(q, now)
 			delete(a.failed, q.host)
 			if q.failed {
-				a.failed[q.host] = a.leader.config.Clock.Now()
+				a.failed[q.host] = now
 				a.listed = time.Time{}
+				if q.late {
+					a.observe(q)
+				}
 				continue
 			}
 			a.observe(q)
@@ -131,17 +236,23 @@
 
 // observe updates the averages with an answer.
 func (a *adviceDispatcher) observe(q answeredQuery) {
-	overhead := max(q.took-q.ahead-q.cost, 0)
+	overhead := max(q.took-q.wait-q.cost, 0)
 	a.overhead += time.Duration(overheadWeight * float64(overhead-a.overhead))
 	a.averageCost += time.Duration(overheadWeight * float64(q.cost-a.averageCost))
 }
 
-// depth returns how many queries a host may have in flight.
+// margin returns how much longer a query may take than the service needs for it.
+func (a *adviceDispatcher) margin() time.Duration {
+	return min(max(marginFactor*a.overhead, minAskMargin), maxAskMargin)
+}
+
+// depth returns how many queries of average cost keep a host busy. The scheduler orders queries
+// in proportion to it.
 func (a *adviceDispatcher) depth() int {
 	if a.averageCost <= 0 {
 		return 1
 	}
-	return 1 + min(int(a.overhead/a.averageCost), maxDepth-1)
+	return 1 + min(int((a.overhead+a.averageCost/2)/a.averageCost), maxSlots-1)
 }
 
 // availableHosts returns the hosts without a recent failure, or all hosts if each had one.
@@ -165,51 +276,76 @@
 	return available
 }
 
-// compareQueries orders urgent queries first, then by purpose: those for runs whose capacity is
-// held, those for waiting gangs, and all others. Then it orders by priority.
-func compareQueries(a, b sched.AdviceOrder) int {
-	return cmp.Or(
-		-compareBools(a.Urgent, b.Urgent),
-		cmp.Compare(b.Purpose, a.Purpose),
-		cmp.Compare(a.Priority, b.Priority),
-	)
+// pickHost returns the host whose service is expected to be free first, the last one if there
+// are several. It returns false if none can use a query yet. Long queries don't go to the last
+// reservedHosts hosts, or fewer if that were more than half of them, so that short ones find a
+// free host there.
+func (a *adviceDispatcher) pickHost(hosts []spoolsill.HostID, now time.Time, long bool) (spoolsill.HostID, bool) {
+	if long {
+		hosts = hosts[:max(len(hosts)-reservedHosts, (len(hosts)+1)/2)]
+	}
+	var best spoolsill.HostID
+	for _, h := range slices.Backward(hosts) {
+		if !a.canUseQuery(h, now) {
+			continue
+		}
+		if best == "" || a.loads[h].freeAt.Before(a.loads[best].freeAt) {
+			best = h
+		}
+	}
+	return best, best != ""
 }
 
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
+// canUseQuery reports whether a query sent to a host now would arrive when the service is expected
+// to be done with those before. While all answers are overdue, the service or the link is
+// slower than expected, and further queries would pile up there.
+func (a *adviceDispatcher) canUseQuery(h spoolsill.HostID, now time.Time) bool {
+	l := a.loads[h]
+	if l.queries == 0 {
+		return true
 	}
+	overdue := now.After(l.freeAt.Add(a.overhead / 2))
+	return l.queries < maxDepth && a.wait(h, now) == 0 && !overdue
 }
 
-// pickHost returns the host with the fewest queries in flight, the last one if there are several.
-// It returns false if all hosts are busy. Long queries don't go to the last reservedHosts hosts,
-// or fewer if that were more than half of them, so that short ones find a free host there.
-func (a *adviceDispatcher) pickHost(hosts []spoolsill.HostID, long bool) (spoolsill.HostID, bool) {
-	if long {
-		hosts = hosts[:max(len(hosts)-reservedHosts, (len(hosts)+1)/2)]
+// wait returns how long a query sent to a host now is expected to wait there for those ahead.
+func (a *adviceDispatcher) wait(h spoolsill.HostID, now time.Time) time.Duration {
+	return max(a.loads[h].freeAt.Sub(now.Add(a.overhead/2)), 0)
+}
+
+// sent adds a query to the load of a host and returns how long it is expected to wait there.
+func (a *adviceDispatcher) sent(h spoolsill.HostID, now time.Time, cost time.Duration) time.Duration {
+	wait := a.wait(h, now)
+	l := a.loads[h]
+	l.queries++
+	l.cost += cost
+	l.freeAt = now.Add(a.overhead/2 + wait + cost)
+	a.loads[h] = l
+	return wait
+}
+
+// ended removes a query from the load of a host. If the service is slower than expected, the
+// queries behind it are expected later.
+func (a *adviceDispatcher) ended(q answeredQuery, now time.Time) {
+	l := a.loads[q.host]
+	l.queries--
+	l.cost -= q.cost
+	if l.queries == 0 {
+		delete(a.loads, q.host)
+		return
 	}
-	for n := range a.depth() {
-		for _, h := range slices.Backward(hosts) {
-			if a.busy[h] == n {
-				return h, true
-			}
-		}
+	if t := now.Add(l.cost - a.overhead/2); !q.failed && t.After(l.freeAt) {
+		l.freeAt = t
 	}
-	return "", false
+	a.loads[q.host] = l
 }
 
 func (a *adviceDispatcher) ask(ctx context.Context, h spoolsill.HostID, o sched.AdviceOrder) {
-	ahead := time.Duration(a.busy[h]) * max(a.averageCost, o.Cost)
-	a.busy[h]++
+	wait := a.sent(h, a.leader.config.Clock.Now(), o.Cost)
+	timeout := wait + o.Cost + a.margin()
 	l := a.leader
 	l.spawn(func() {
-		c, cancel := context.WithTimeout(ctx, ahead+o.Cost+askMargin)
+		c, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		begun := l.config.Clock.Now()
 		tickets, valid, err := l.config.Advisor.Ask(c, h, o.Stage, workerIDs(o.Workers))
@@ -221,8 +357,9 @@
 		a.answered <- answeredQuery{
 			host:   h,
 			failed: err != nil,
+			late:   errors.Is(err, context.DeadlineExceeded),
 			took:   took,
-			ahead:  ahead,
+			wait:   wait,
 			cost:   o.Cost,
 		}
 		l.send(adviceReceived{
--- a/leader/advice_test.go
+++ b/leader/advice_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/sched"
@@ -126,3 +127,95 @@
 		x.assertCompleted(l, ids)
 	})
 }
+
+// Guards against giving up queries whose answers are only under way for longer than usual: they
+// were queried again, and each time given up again, and their hosts were avoided.
+func TestQueriesWithLateAnswersAreNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 4)
+		defer x.end()
+		x.advisorDelay = 700 * time.Millisecond
+		var mu sync.Mutex
+		asked := map[spoolsill.JobID]int{}
+		x.onQuery = func(stage sched.StageID) {
+			mu.Lock()
+			defer mu.Unlock()
+			asked[stage.Job]++
+		}
+		l := x.lead("a")
+		pause.For(x.ctx, 2*time.Second)
+		const n = 20
+		var ids []spoolsill.JobID
+		for i := range n {
+			id := spoolsill.JobID(fmt.Sprintf("j%d", i))
+			ids = append(ids, id)
+			x.submit(sched.Job{
+				ID:    id,
+				Queue: "advised",
+				Steps: []sched.Step{step(1, 1)},
+			})
+			pause.For(x.ctx, time.Second)
+		}
+		pause.For(x.ctx, 10*time.Second)
+		x.assertCompleted(l, ids)
+		mu.Lock()
+		defer mu.Unlock()
+		again := 0
+		for _, id := range ids[n/2:] {
+			again += asked[id] - 1
+		}
+		x.c.Assert(again, qt.Equals, 0, qt.Commentf("%v", asked))
+	})
+}
+
+// Guards against a query that waits without end while newer ones of a queue with a higher
+// priority overtake it.
+func TestQueriesAreNotOvertakenWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 4)
+		defer x.end()
+		advisor := sched.Advisor{
+			Base: 100 * time.Millisecond,
+		}
+		x.advisor = &cellfake.SerialAdvisor{
+			HostIDs: []spoolsill.HostID{"a", "b"},
+			WorkOf: func(sched.StageID) cellfake.AdvisedWork {
+				return cellfake.AdvisedWork{
+					Advisor: advisor,
+					Allowed: 100,
+				}
+			},
+		}
+		l := x.lead("a")
+		queue := func(id sched.QueueID, priority int) sched.Queue {
+			return sched.Queue{
+				ID:          id,
+				Service:     "work",
+				Priority:    priority,
+				MaxAttempts: 3,
+				Stretch:     3,
+				Goal:        time.Second,
+				Advisor:     &advisor,
+			}
+		}
+		l.SetConfig(2, []sched.Queue{queue("first", 1), queue("last", 2)}, nil)
+		pause.For(x.ctx, 2*time.Second)
+		submit := func(id spoolsill.JobID, queue sched.QueueID) {
+			x.submit(sched.Job{
+				ID:       id,
+				Queue:    queue,
+				Received: time.Now(),
+				Steps:    []sched.Step{step(1, 1)},
+			})
+		}
+		const tick = 25 * time.Millisecond // the hosts can ask half as often
+		for i := range int(10 * time.Second / tick) {
+			submit(spoolsill.JobID(fmt.Sprintf("first%d", i)), "first")
+			if i == 100 {
+				submit("last", "last")
+			}
+			pause.For(x.ctx, tick)
+		}
+		x.assertCompleted(l, []spoolsill.JobID{"last"})
+	})
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -26,12 +26,21 @@
 		return
 	}
 	d := decider{
-		State:       s,
-		reservedFor: map[*worker]*stage{},
-		ready:       map[spoolsill.ServiceID]*readyWorkers{},
+		State:         s,
+		reservedFor:   map[*worker]*stage{},
+		ready:         map[spoolsill.ServiceID]*readyWorkers{},
+		waitingQueues: map[QueueID]bool{},
 	}
 	d.collectReady()
-	for _, r := range s.ranked() {
+	ranked := s.ranked()
+	var last QueueID
+	for _, r := range ranked {
+		if q := s.openStages[r.index].job.Queue; q != last {
+			d.waitingQueues[q] = true
+			last = q
+		}
+	}
+	for _, r := range ranked {
 		d.place(s.openStages[r.index])
 	}
 }
@@ -86,6 +95,8 @@
 	// reservedFor maps a reserved worker to the stage that it is reserved for.
 	reservedFor map[*worker]*stage
 	ready       map[spoolsill.ServiceID]*readyWorkers
+	// waitingQueues are the queues that have stages to place.
+	waitingQueues map[QueueID]bool
 }
 
 // ranked returns the stages that can be placed, sorted by rank, and removes finished ones
@@ -161,7 +172,7 @@
 	if a.learnQueriesInFlight > 0 || known && d.now.Sub(a.learnedAt) <= askMoreAfter {
 		return known
 	}
-	if g.tier != tierUrgent && d.queriesInFlight >= queriesPerSlot*max(d.advisorSlots, 1) {
+	if g.tier != tierUrgent && !d.mayAsk(q) {
 		return known
 	}
 	more := d.unasked(g, q)
@@ -237,6 +248,9 @@
 		}
 	}
 	if len(renew) > 0 {
+		if waiting > 0 {
+			renew = d.addExpired(g, q, renew)
+		}
 		d.ask(g, q, renew, PurposeRenew)
 	}
 	d.reserveForLarge(g, q, waiting)
--- a/sched/placementorder_test.go
+++ b/sched/placementorder_test.go
@@ -32,7 +32,8 @@
 	return j.Steps[step].Estimate + longest
 }
 
-// key returns what the stages are sorted by: class, priority and slack.
+// key returns what the stages are sorted by: class, age if they earn nothing any more,
+// priority and slack.
 func (m *rankModel) key(j sched.Job, id sched.StageID) []int64 {
 	q := m.queues[j.Queue]
 	var longest time.Duration
@@ -61,7 +62,11 @@
 	if m.overShare[j.ID] {
 		class = max(class, overShare)
 	}
-	return []int64{int64(class), int64(q.Priority), int64(slack)}
+	byAge := int64(0)
+	if class == worthless {
+		byAge = -int64(m.wall.Sub(since))
+	}
+	return []int64{int64(class), byAge, int64(q.Priority), int64(slack)}
 }
 
 // placedStages returns the stages in the order in which their first tasks were placed.
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -17,17 +17,21 @@
 	tierWorthless             // earns nothing any more
 )
 
-// A rank orders stages by tier, then by the priority of their queue, then by slack.
+// A rank orders stages by tier, then by the priority of their queue, then by slack. Those that
+// earn nothing any more are ordered by age alone, so that no queue is always last.
 type rank struct {
 	tier     tier
 	priority int
 	slack    time.Duration
+	waited   time.Duration // since the job was submitted or the round was due
 }
 
 func (r rank) compare(o rank) int {
 	switch {
 	case r.tier != o.tier:
 		return cmp.Compare(r.tier, o.tier)
+	case r.tier == tierWorthless && r.waited != o.waited:
+		return cmp.Compare(o.waited, r.waited)
 	case r.priority != o.priority:
 		return cmp.Compare(r.priority, o.priority)
 	default:
@@ -75,6 +79,7 @@
 		tier:     tierOnTime,
 		priority: q.Priority,
 		slack:    slack,
+		waited:   waited,
 	}
 	switch {
 	case g.step.Lasting:
