leader: tell what stages wait for and what the advisor's queries cost

The load of the cell told how many stages wait, not for what, and how many queries are ordered, not how many of them hosts have. After a loss of power 300 stages waited with a third of the cores free, and advice, room and quota could be told apart for the longest wait only.

It now also tells by what stages wait, how many have no query, the queries at hosts and their bound, the mean time of an answer on its way and at the advisor, and the rows of progress with their bytes.

--- a/leader/advice.go
+++ b/leader/advice.go
@@ -246,6 +246,15 @@
 	return min(max(marginFactor*a.overhead, minAskMargin), maxAskMargin)
 }
 
+// atHosts returns how many queries hosts have in flight.
+func (a *adviceDispatcher) atHosts() int {
+	n := 0
+	for _, l := range a.loads {
+		n += l.queries
+	}
+	return n
+}
+
 // depth returns how many queries of average cost keep a host busy. The scheduler orders queries
 // in proportion to it.
 func (a *adviceDispatcher) depth() int {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -119,6 +119,7 @@
 	decideTook    time.Duration
 	lag           time.Duration // moving average of the delay of the event loop
 	loadLogged    time.Time     // when the load of the cell was last logged
+	written       writtenRows   // since loadLogged
 	lastReconcile time.Time     // when renewers were last compared with the workers
 	// feedsStarted is set once the progress of all jobs has been read and the feeds are
 	// started; loaded is set once all jobs have been read as well.
--- a/leader/log.go
+++ b/leader/log.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
 )
 
 // logInterval is how often the load of the cell and stale feeds are logged.
@@ -28,15 +29,44 @@
 		"runs_in_doubt": load.Doubtful,
 		"stages_wait":   load.Stages,
 		"stages_late":   load.Late,
+		"wait_advice":   load.WaitAdvice,
+		"wait_unasked":  load.Unasked,
+		"wait_room":     load.WaitRoom,
+		"wait_quota":    load.WaitQuota,
 		"unseatable":    load.Unseatable,
 		"questions":     load.Asking,
+		"questions_max": load.MaxAsking,
+		"at_hosts":      l.advice.atHosts(),
+		"underway_ms":   l.advice.overhead.Milliseconds(),
+		"advisor_ms":    l.advice.averageCost.Milliseconds(),
+		"writes":        l.written.batches,
+		"rows":          l.written.rows,
+		"row_bytes":     l.written.bytes,
 		"suspects":      load.Suspects,
 		"crashed":       load.Crashed,
 		"answers_ms":    l.ResponseLatency().Milliseconds(),
 	}).Info("load of the cell")
+	l.written = writtenRows{}
 	l.logLongestWait(now)
 }
 
+// writtenRows counts the batches with rows of progress that have been sent to the store since the
+// load of the cell was last logged.
+type writtenRows struct {
+	batches, rows, bytes int
+}
+
+func (w *writtenRows) add(b sched.Batch) {
+	if len(b.Rows) == 0 {
+		return
+	}
+	w.batches++
+	w.rows += len(b.Rows)
+	for _, r := range b.Rows {
+		w.bytes += len(r.Value)
+	}
+}
+
 // longWaitThreshold is the waiting time from which the log gives the reason why a stage is not
 // placed: far longer than stages wait for capacity under normal load.
 const longWaitThreshold = 10 * time.Second
--- a/leader/write.go
+++ b/leader/write.go
@@ -23,6 +23,7 @@
 		return nil
 	}
 	l.writing = true
+	l.written.add(b)
 	if l.loaded {
 		l.config.Chain.MarkLoaded()
 	}
--- a/sched/load.go
+++ b/sched/load.go
@@ -20,11 +20,20 @@
 	// meet their objective any more.
 	Stages int
 	Late   int
+	// WaitAdvice counts the stages that wait for an answer of the advisor, Unasked those of
+	// them without an answer or a query in flight, WaitRoom those that wait for capacity and
+	// WaitQuota those that wait for their team's quota.
+	WaitAdvice int
+	Unasked    int
+	WaitRoom   int
+	WaitQuota  int
 	// Unseatable counts the gangs among the stages that would not fit on the workers that
 	// they may use even if those had no runs.
 	Unseatable int
 	// Asking counts the advisor queries in flight.
 	Asking int
+	// MaxAsking is how many advisor queries the hosts can make concurrently.
+	MaxAsking int
 	// Suspects counts the tasks that were on workers when these were lost and have not
 	// been cleared since, Crashed the machines whose workers crashed in the last minute.
 	Suspects int
@@ -53,6 +62,7 @@
 			continue
 		}
 		l.Stages++
+		l.countWait(g)
 		if s.rank(g).tier >= tierLate {
 			l.Late++
 		}
@@ -61,10 +71,27 @@
 		}
 	}
 	l.Asking = s.queriesInFlight
+	l.MaxAsking = s.advisorSlots
 	l.Suspects, l.Crashed = s.Suspects()
 	return l
 }
 
+// countWait adds the stage g, which waits, by what it waits for.
+func (l *Load) countWait(g *stage) {
+	switch g.waitingFor {
+	case waitAdvice:
+		l.WaitAdvice++
+		if g.advice.asked == nil && g.advice.learnQueriesInFlight == 0 {
+			l.Unasked++
+		}
+	case waitCapacity:
+		l.WaitRoom++
+	case waitQuota:
+		l.WaitQuota++
+	default:
+	}
+}
+
 // Suspects counts the tasks that were on workers when these were lost and have not been
 // cleared since, and the machines whose workers crashed in the last minute.
 func (s *State) Suspects() (tasks, crashed int) {
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/sched"
 )
 
@@ -23,5 +24,26 @@
 		Doubtful: 1,
 		Stages:   1,
 		Late:     1, // its submission time is the zero time
+		WaitRoom: 1,
 	})
 }
+
+// What a backlog waits for tells whether the advisor, the capacity or a quota is the bottleneck,
+// and a stage without a query is one that the limit on queries holds up.
+func TestLoadReportsWhatStagesWaitFor(t *testing.T) {
+	x := newCell(t)
+	x.state.SetMaxQueries(1)
+	x.addWorker("a")
+	x.state.AddJob(x.now, job("j", "q", tasks(2, 10)), sched.Progress{})
+	for _, id := range []spoolsill.JobID{"k", "l", "m"} {
+		x.state.AddJob(x.now, job(id, "advised", tasks(1, 1)), sched.Progress{})
+	}
+	x.step()
+	l := x.state.Load()
+	x.c.Check(l.Stages, qt.Equals, 4)
+	x.c.Check(l.WaitRoom, qt.Equals, 1)
+	x.c.Check(l.WaitAdvice, qt.Equals, 3)
+	x.c.Check(l.Asking, qt.Equals, 2)
+	x.c.Check(l.MaxAsking, qt.Equals, 1)
+	x.c.Check(l.Unasked, qt.Equals, 1)
+}
