--- a/sched/advice.go
+++ b/sched/advice.go
@@ -19,7 +19,7 @@
 	// queriesPerSlot times the number of queries that the hosts can make concurrently
 	// bounds the queries in flight: one being answered and one queued. With many more, the
 	// queries of the stages ranked first would be queued behind others. The shares of
-	// the queues can at most double it.
+	// the queues add at most as many, or one for each queue if that is more.
 	queriesPerSlot = 2
 	// perWorkerCostShare limits what the workers of one query cost in total, as a share of
 	// the advisor's base cost, as far as minQueryWorkers allows.
