--- a/leader/advice.go
+++ b/leader/advice.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -39,9 +40,6 @@
 	maxDepth = 8
 	// maxSlots bounds depth: the scheduler ranks stages only until it has ordered their queries.
 	maxSlots = 3
-	// holdingWeight is how many times as much of the advisor's time queries that hold
-	// capacity get as those to learn, while both wait.
-	holdingWeight = 2
 	// overheadWeight is the weight of the newest answer in the moving averages.
 	overheadWeight = 0.1
 	// hostsCacheTime is how long the list of hosts is cached: many queries are sent
@@ -54,10 +52,8 @@
 // would be idle while an answer is in transit.
 type adviceDispatcher struct {
 	leader *Leader
-	queues [queryClasses]classQueue
-	// lastReceived is what the class of the query sent last has received.
-	lastReceived time.Duration
-	loads        map[spoolsill.HostID]hostLoad
+	queue  []sched.AdviceOrder // most urgent first
+	loads  map[spoolsill.HostID]hostLoad
 	// overhead is a moving average of the latency of answers beyond the cost of the
 	// query; averageCost is that of the cost.
 	overhead, averageCost time.Duration
@@ -68,42 +64,6 @@
 	listed time.Time
 }
 
-// A queryClass is a class of queries that share the hosts with the others.
-type queryClass int
-
-const (
-	classUrgent   queryClass = iota
-	classHolding             // those that renew tickets of stages with capacity held or reserved
-	classLearning            // all others
-	queryClasses
-)
-
-func classOf(o sched.AdviceOrder) queryClass {
-	switch {
-	case o.Urgent:
-		return classUrgent
-	case o.Purpose == sched.PurposeLearn:
-		return classLearning
-	default:
-		return classHolding
-	}
-}
-
-func (c queryClass) weight() time.Duration {
-	if c == classHolding {
-		return holdingWeight
-	}
-	return 1
-}
-
-// A classQueue has the waiting queries of a class, the oldest first.
-type classQueue struct {
-	orders []sched.AdviceOrder
-	// received is the advisor's time for the queries sent, divided by the weight of the
-	// class.
-	received time.Duration
-}
-
 // A hostLoad describes the queries that a host has in flight.
 type hostLoad struct {
 	queries int
@@ -133,83 +93,41 @@
 }
 
 func (a *adviceDispatcher) enqueue(o sched.AdviceOrder) {
-	c := classOf(o)
-	q := &a.queues[c]
-	if len(q.orders) == 0 {
-		// A class has no claim to the time in which it had no queries.
-		q.received = max(q.received, a.lastReceived)
-	}
-	q.orders = append(q.orders, o)
+	i, _ := slices.BinarySearchFunc(a.queue, o, func(e, o sched.AdviceOrder) int {
+		return cmp.Or(compareQueries(e, o), -1) // insert after equal elements
+	})
+	a.queue = slices.Insert(a.queue, i, o)
 }
 
-// dispatch sends queries to free hosts: urgent ones first, then the oldest of the class that
-// has had the least of the advisor's time by its weight. So no query waits without end
-// behind newer ones, and those that hold capacity wait little.
+// dispatch sends queries to free hosts, the most urgent first.
 func (a *adviceDispatcher) dispatch(ctx context.Context) {
 	a.collectAnswers()
-	if !a.waiting() {
+	if len(a.queue) == 0 {
 		return
 	}
-	p := dispatchPass{
-		adviceDispatcher: a,
-		now:              a.leader.config.Clock.Now(),
-	}
-	p.hosts = a.availableHosts(p.now)
-	for p.sendOldest(ctx, classUrgent) {
-	}
-	for {
-		first, second := classHolding, classLearning
-		if a.queues[second].received < a.queues[first].received {
-			first, second = second, first
-		}
-		if !p.sendOldest(ctx, first) && !p.sendOldest(ctx, second) {
-			return
-		}
-	}
-}
-
-func (a *adviceDispatcher) waiting() bool {
-	return slices.ContainsFunc(a.queues[:], func(q classQueue) bool { return len(q.orders) > 0 })
-}
-
-// A dispatchPass is one attempt to send the waiting queries.
-type dispatchPass struct {
-	*adviceDispatcher
-	now   time.Time
-	hosts []spoolsill.HostID
-	// longBusy is set when no host can use a long query yet, and allBusy when none can
-	// use any.
-	longBusy, allBusy bool
-}
-
-// sendOldest sends the oldest query of a class for which there is a host.
-func (p *dispatchPass) sendOldest(ctx context.Context, c queryClass) bool {
-	q := &p.queues[c]
-	for i, o := range q.orders {
-		if p.allBusy {
-			return false
-		}
+	now := a.leader.config.Clock.Now()
+	hosts := a.availableHosts(now)
+	rest := a.queue[:0]
+	longBusy := false // all hosts for long queries are busy
+	for i, o := range a.queue {
 		long := o.Cost > longQueryCost
-		if long && p.longBusy {
+		if long && longBusy {
+			rest = append(rest, o)
 			continue
 		}
-		h, ok := p.pickHost(p.hosts, p.now, long)
+		h, ok := a.pickHost(hosts, now, long)
 		switch {
 		case ok:
-			q.orders = slices.Delete(q.orders, i, i+1)
-			if c != classUrgent {
-				q.received += o.Cost / c.weight()
-				p.lastReceived = q.received
-			}
-			p.ask(ctx, h, o)
-			return true
+			a.ask(ctx, h, o)
 		case long:
-			p.longBusy = true
-		default:
-			p.allBusy = true
+			longBusy = true
+			rest = append(rest, o)
+		default: // all hosts are busy
+			a.queue = slices.Delete(a.queue, len(rest), i)
+			return
 		}
 	}
-	return false
+	a.queue = rest
 }
 
 func (a *adviceDispatcher) collectAnswers() {
@@ -285,6 +203,28 @@
 	return available
 }
 
+// compareQueries orders urgent queries first, then by purpose: those for runs whose capacity is
+// held, those for waiting gangs, and all others. Then it orders by priority.
+func compareQueries(a, b sched.AdviceOrder) int {
+	return cmp.Or(
+		-compareBools(a.Urgent, b.Urgent),
+		cmp.Compare(b.Purpose, a.Purpose),
+		cmp.Compare(a.Priority, b.Priority),
+	)
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // pickHost returns the host whose service is expected to be free first, the last one if there
 // are several. It returns false if none can use a query yet. Long queries don't go to the last
 // reservedHosts hosts, or fewer if that were more than half of them, so that short ones find a
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -80,7 +80,7 @@
 // queries of the stages ranked first keep those of other queues waiting without end.
 func (d *decider) mayAsk(q *Queue) bool {
 	limit := queriesPerSlot * max(d.advisorSlots, 1)
-	return d.queriesInFlight < limit || d.queueQueriesInFlight[q.ID] < max(limit/len(d.waitingQueues), 1)
+	return d.queriesInFlight < limit || d.queueQueriesInFlight[q.ID] < max(limit/max(len(d.waitingQueues), 1), 1)
 }
 
 // ask queues a query to the advisor about workers.
