peer, node: compressors take a quarter of a host's memory at most

A node now has a number of compressors, by the memory of the host, and a connection without one sends plain frames; which connections get one is decided by who carries 16 KB first, and a closed one leaves its compressor. The buffer of a large frame is not kept, and a frame with much more than a message is refused.

--- a/node/node.go
+++ b/node/node.go
@@ -211,13 +211,24 @@
 // other hosts: 5 Mbit/s. Faster links are not saturated by it.
 const compressedLinkRate spoolsill.Bytes = 625_000
 
+// compressorMemoryDivisor limits the memory for compressors to that fraction of the host's.
+const compressorMemoryDivisor = 4
+
+// maxCompressors returns over how many connections this host sends compressed frames.
+func (n *Node) maxCompressors() int {
+	if n.settings.LinkRate <= 0 || n.settings.LinkRate > compressedLinkRate {
+		return 0
+	}
+	return int(n.settings.Memory / compressorMemoryDivisor / peer.CompressorMemory)
+}
+
 // newPeers returns the peer that calls the other hosts and serves their calls.
 func (n *Node) newPeers(d platform.Dialer) *peer.Node {
 	return peer.NewNode(peer.Config{
 		Host:        n.settings.Host,
 		Incarnation: n.incarnation,
 		Dial:        peerDial(d),
-		Compress:    n.settings.LinkRate > 0 && n.settings.LinkRate <= compressedLinkRate,
+		Compressors: n.maxCompressors(),
 		Report: func(remote string, err error) {
 			n.log.WithError(err).WithField("address", remote).Info("connection to a host ended")
 		},
--- a/peer/deflate.go
+++ b/peer/deflate.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"sync"
 )
 
 // The compressed frames of one direction of a connection form one DEFLATE stream that is
@@ -22,8 +23,16 @@
 	// deflateLevel is the lowest level that finds repetitions across flushes.
 	deflateLevel = 2
 	// compressAfter is how many bytes are sent over a connection before it is worth the
-	// memory of a compressor, which is almost 1 MB.
+	// memory of a compressor.
 	compressAfter = 16 << 10
+	// CompressorMemory is the approximate memory of a compressor, in bytes, together with
+	// its counterpart that reads the other direction.
+	CompressorMemory = 900 << 10
+	// maxRetainedFrame is the size of the largest frame whose buffer is kept.
+	maxRetainedFrame = 64 << 10
+	// maxUnread is the maximum size of what a compressed frame has after its message: marks
+	// of the end of a block and of a flush.
+	maxUnread = 64
 	// maxCompressedFrame is the maximum length of a compressed frame. Data that can't be
 	// compressed grows by 5 bytes in 64 KiB.
 	maxCompressedFrame = MaxFrame + MaxFrame>>10
@@ -52,6 +61,9 @@
 // deflate returns a compressed frame that holds frame. The result is valid until the next
 // call and must be sent before it, unless reset is called.
 func (d *deflater) deflate(frame []byte) ([]byte, error) {
+	if d.out.Cap() > maxRetainedFrame {
+		d.out = bytes.Buffer{}
+	}
 	d.out.Reset()
 	d.out.Write(make([]byte, headerLength))
 	if _, err := d.writer.Write(frame); err != nil {
@@ -78,6 +90,35 @@
 	d.newStream = true
 }
 
+// A compressorBudget limits the compressors of a node. It is safe for concurrent use.
+type compressorBudget struct {
+	mu   sync.Mutex
+	left int
+}
+
+// acquire reports whether w may have a compressor.
+func (b *compressorBudget) acquire(w *connWriter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left <= 0 || w.closed {
+		return false
+	}
+	b.left--
+	w.compresses = true
+	return true
+}
+
+// release returns the share of w, whose connection is closed.
+func (b *compressorBudget) release(w *connWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.closed = true
+	if w.compresses {
+		w.compresses = false
+		b.left++
+	}
+}
+
 // A frameReader reads the frames of one direction of a connection.
 type frameReader struct {
 	from io.Reader
@@ -104,6 +145,9 @@
 		// The frame is complete, so that the end of its data is no end of the connection.
 		return nil, fmt.Errorf("%w: compressed: %v", ErrBadFrame, err) //nolint:errorlint // see above
 	}
+	if r.compressed.Len() > maxUnread {
+		return nil, fmt.Errorf("%w: compressed: %d bytes after the message", ErrBadFrame, r.compressed.Len())
+	}
 	m.length = headerLength + n
 	return m, nil
 }
--- a/peer/deflate_test.go
+++ b/peer/deflate_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -50,17 +51,16 @@
 }
 
 // compressingPair returns a calling node and a node that serves as host "b" and returns
-// payloads, and the connection between them. Each of them compresses if its argument says
-// so.
-func compressingPair(t *testing.T, a, b bool) (*peer.Node, *stallingConn) {
+// payloads, and the connection between them. The arguments are their numbers of compressors.
+func compressingPair(t *testing.T, a, b int) (*peer.Node, *stallingConn) {
 	local, remote := net.Pipe()
 	conn := &stallingConn{
 		Conn: local,
 	}
 	l := newNetwork(0)
 	server := peer.NewNode(peer.Config{
-		Host:     "b",
-		Compress: b,
+		Host:        "b",
+		Compressors: b,
 		Report: func(_ string, err error) {
 			if !errors.Is(err, io.ErrClosedPipe) {
 				t.Error(err)
@@ -71,8 +71,8 @@
 	peer.Handle(server, "renew", func(_ context.Context, _ peer.Caller, q renewal) (renewal, error) { return q, nil })
 	var dials atomic.Int64
 	client := peer.NewNode(peer.Config{
-		Host:     "a",
-		Compress: a,
+		Host:        "a",
+		Compressors: a,
 		Addresses: map[spoolsill.HostID]string{
 			"b": "b",
 		},
@@ -116,13 +116,13 @@
 // Guards against a link of 2 Mbit/s that is saturated by frames that repeat each other.
 // Both sides must agree, since hosts of earlier releases don't read compressed frames.
 func TestFramesAreCompressedIfBothSidesDo(t *testing.T) {
-	for _, both := range []bool{false, true} {
-		t.Run(fmt.Sprint(both), func(t *testing.T) {
+	for _, compressors := range []int{0, 2} {
+		t.Run(fmt.Sprint(compressors), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				a, _ := compressingPair(t, true, both)
+				a, _ := compressingPair(t, 2, compressors)
 				renewAll(t, a, 400)
 				sent, received := renewAll(t, a, 1000)
-				if !both {
+				if compressors == 0 {
 					qt.Check(t, sent > 80 && received > 70, qt.IsTrue, qt.Commentf("%d and %d bytes", sent, received))
 					return
 				}
@@ -133,6 +133,73 @@
 	}
 }
 
+// Guards against a host whose memory is used up by compressors, one for each of the other
+// hosts. A connection that is closed leaves its compressor to another one.
+func TestCompressorsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		networks := map[string]*network{
+			"b": newNetwork(0),
+			"c": newNetwork(0),
+		}
+		a := peer.NewNode(peer.Config{
+			Host:        "a",
+			Compressors: 1,
+			Addresses: map[spoolsill.HostID]string{
+				"b": "b",
+				"c": "c",
+			},
+			Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				return networks[address].dial(ctx, address)
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var servers sync.WaitGroup
+		defer servers.Wait()
+		defer cancel()
+		defer a.Close()
+		for h, l := range networks {
+			s := peer.NewNode(peer.Config{
+				Host:        spoolsill.HostID(h),
+				Compressors: 1,
+			})
+			peer.Handle(s, "renew", func(_ context.Context, _ peer.Caller, q renewal) (renewal, error) { return q, nil })
+			servers.Go(func() { _ = s.Serve(ctx, l) })
+		}
+		bytesPerCall := func(to spoolsill.HostID) int {
+			const calls = 400
+			before, _ := a.Traffic()
+			for range calls {
+				_, err := peer.Call[renewal](t.Context(), a, to, "renew", typicalRenewal())
+				qt.Assert(t, err, qt.IsNil)
+			}
+			after, _ := a.Traffic()
+			return int(after-before) / calls
+		}
+		for range 2 {
+			bytesPerCall("b")
+			bytesPerCall("c")
+		}
+		qt.Check(t, bytesPerCall("b") < 45, qt.IsTrue)
+		qt.Check(t, bytesPerCall("c") > 80, qt.IsTrue)
+		a.SetAddress("b", "elsewhere")
+		bytesPerCall("c")
+		qt.Check(t, bytesPerCall("c") < 45, qt.IsTrue)
+	})
+}
+
+// Guards against much data after the message of a compressed frame, which would be kept for as
+// long as the connection lasts.
+func TestCompressedFrameWithMoreThanAMessage(t *testing.T) {
+	frame, err := peer.EncodeCall("a body")
+	qt.Assert(t, err, qt.IsNil)
+	random := make([]byte, 256<<10)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(random)
+	b, err := peer.CompressFrames(append(frame, random...))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = peer.ReadBodies(bytes.NewReader(b))
+	qt.Check(t, errors.Is(err, peer.ErrBadFrame), qt.IsTrue, qt.Commentf("%v", err))
+}
+
 // Guards against frames that end where the window of the stream is full: the mark of their
 // end is read with the next frame.
 func TestCompressedFramesThatFillTheWindow(t *testing.T) {
@@ -159,7 +226,7 @@
 // Frames of all sizes arrive unchanged, also those that can't be made shorter.
 func TestCompressedFramesOfAllSizes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, _ := compressingPair(t, true, true)
+		a, _ := compressingPair(t, 2, 2)
 		renewAll(t, a, 400)
 		random := rand.NewChaCha8([32]byte{})
 		sizes := []int{0, 1, 100, 1 << 10, 32 << 10, 64 << 10, 1 << 20, peer.MaxFrame - 1<<10}
@@ -187,7 +254,7 @@
 // were sent: the connection stays in use, and later frames must not refer to that call.
 func TestUnsentCallDoesNotDamageCompressedStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, conn := compressingPair(t, true, true)
+		a, conn := compressingPair(t, 2, 2)
 		renewAll(t, a, 400)
 		for range 3 {
 			conn.stalled.Store(true)
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -19,7 +19,7 @@
 // side sends nothing for a second while calls with a timeout of at most a second expire,
 // or when the accepting side receives nothing for a minute and has no call in progress.
 //
-// Two nodes that have [Config].Compress set compress the frames between them once a
+// Two nodes that have [Config].Compressors set compress the frames between them once a
 // connection has carried some.
 //
 // A received frame that is too long or can't be decoded closes its connection and is
--- a/peer/link.go
+++ b/peer/link.go
@@ -140,6 +140,7 @@
 	now := time.Now()
 	if l.conn != nil && len(l.pending) == 0 && now.Sub(l.lastUsed) >= linkIdleTimeout {
 		_ = l.conn.conn.Close()
+		l.node.compressors.release(l.conn.connWriter)
 		l.conn = nil
 	}
 	l.lastUsed = now
@@ -210,6 +211,7 @@
 // drop closes w and fails the calls in flight on it.
 func (l *link) drop(w *linkConn) {
 	_ = w.conn.Close()
+	l.node.compressors.release(w.connWriter)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != w {
--- a/peer/node.go
+++ b/peer/node.go
@@ -52,9 +52,10 @@
 	// Handlers limits the received calls in progress per connection; 0 means
 	// DefaultHandlers. Calls beyond the limit are rejected with CodeBusy.
 	Handlers int
-	// Compress makes the node exchange compressed frames with the hosts that have it set
-	// too. It trades processor time and memory for the bandwidth of a slow link.
-	Compress bool
+	// Compressors is the maximum number of connections over which the node sends
+	// compressed frames, each of which takes CompressorMemory. Only hosts that have it set
+	// too read them. It trades memory and processor time for the bandwidth of a slow link.
+	Compressors int
 	// Report, if not nil, is called with the remote address of each connection that fails,
 	// and with the address of the listener if a connection can't be accepted.
 	Report func(remote string, err error)
@@ -71,6 +72,7 @@
 	methods       sync.Map // string -> handler
 	mu            sync.Mutex
 	links         map[spoolsill.HostID]*link
+	compressors   compressorBudget
 	lastID        atomic.Uint64
 	bytesSent     atomic.Uint64
 	bytesReceived atomic.Uint64
@@ -101,6 +103,9 @@
 	n := &Node{
 		config: c,
 		links:  map[spoolsill.HostID]*link{},
+		compressors: compressorBudget{
+			left: c.Compressors,
+		},
 	}
 	for h, a := range c.Addresses {
 		n.SetAddress(h, a)
@@ -251,7 +256,7 @@
 func (n *Node) stamp(m *message) {
 	m.From = n.config.Host
 	m.Incarnation = n.config.Incarnation
-	m.Inflates = n.config.Compress
+	m.Inflates = n.config.Compressors > 0
 	m.Timestamp = n.config.Clock.Tick()
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,6 +22,7 @@
 	defer wg.Wait()
 	defer cancel()
 	w := newConnWriter(n, c)
+	defer n.compressors.release(w)
 	slots := make(chan struct{}, n.config.Handlers)
 	r := bufio.NewReader(&countingReader{
 		node: n,
@@ -151,11 +152,14 @@
 	// by mu.
 	uncompressed int
 	deflater     *deflater
+	// compresses and closed are guarded by the node's compressorBudget.
+	compresses bool
+	closed     bool
 }
 
 // received records what the remote side has said about itself in a message.
 func (w *connWriter) received(m *message) {
-	if m.Inflates && w.node.config.Compress {
+	if m.Inflates && w.node.config.Compressors > 0 {
 		w.inflates.Store(true)
 	}
 }
@@ -239,6 +243,9 @@
 		w.uncompressed += len(frame)
 		return frame, nil
 	}
+	if w.deflater == nil && !w.node.compressors.acquire(w) {
+		return frame, nil
+	}
 	if w.deflater == nil {
 		w.deflater, err = newDeflater()
 		if err != nil {
