--- a/leader/advice.go
+++ b/leader/advice.go
@@ -38,7 +38,7 @@
 	// maxDepth bounds the queries in flight from one host. The service accepts 32 at most,
 	// also from a host that still has those of a former leader.
 	maxDepth = 8
-	// maxSlots bounds depth: the scheduler ranks stages only until it has ordered their queries.
+	// maxSlots bounds depth, so that the scheduler decides late which stages to ask about.
 	maxSlots = 3
 	// overheadWeight is the weight of the newest answer in the moving averages.
 	overheadWeight = 0.1
