--- a/node/admission.go
+++ b/node/admission.go
@@ -56,8 +56,7 @@
 	return n.updateShedLocked(now, l)
 }
 
-// updateShedLocked is like updateShed. On a faster link a leader loads the jobs so soon that
-// what is accepted meanwhile is placed in time. n.mu must be held.
+// updateShedLocked is like updateShed. n.mu must be held.
 func (n *Node) updateShedLocked(now time.Time, l *leader.Leader) shedStatus {
 	s := shedStatus{
 		loading:    !l.Loaded(),
@@ -65,7 +64,7 @@
 		latency:    l.ResponseLatency(),
 		reportedAt: now,
 	}
-	if n.hasSlowLink() && (s.loading || s.unmeasured) {
+	if s.loading || s.unmeasured {
 		s.share = 1 - n.admission.UpdateUnknown(now)
 	} else {
 		s.share = 1 - n.admission.Update(now, s.latency, maxWorkerLatency)
--- a/node/node.go
+++ b/node/node.go
@@ -207,20 +207,16 @@
 	return n
 }
 
-// slowLinkRate is the link rate up to which the calls of a leader saturate its link: 5 Mbit/s.
-const slowLinkRate spoolsill.Bytes = 625_000
-
-// hasSlowLink reports whether this host's link is known to be slow.
-func (n *Node) hasSlowLink() bool {
-	return n.settings.LinkRate > 0 && n.settings.LinkRate <= slowLinkRate
-}
+// compressedLinkRate is the link rate up to which a host compresses what it exchanges with
+// other hosts: 5 Mbit/s. Faster links are not saturated by it.
+const compressedLinkRate spoolsill.Bytes = 625_000
 
 // compressorMemoryDivisor limits the memory for compressors to that fraction of the host's.
 const compressorMemoryDivisor = 4
 
 // maxCompressors returns over how many connections this host sends compressed frames.
 func (n *Node) maxCompressors() int {
-	if !n.hasSlowLink() {
+	if n.settings.LinkRate <= 0 || n.settings.LinkRate > compressedLinkRate {
 		return 0
 	}
 	return int(n.settings.Memory / compressorMemoryDivisor / peer.CompressorMemory)
