--- a/node/leaderconfig.go
+++ b/node/leaderconfig.go
@@ -52,6 +52,8 @@
 			FarFactor:  b.FarFactor,
 			EntriesAge: max(b.RoomKnown-orderMargin, 0),
 
+			EntryInterval: b.EntryInterval,
+
 			BatchBytes: int(batchLinkTime.Seconds() * float64(n.settings.LinkRate) * rowDataFraction),
 
 			ConfigInForce: cmp.Or(b.ConfigInForce, defaultConfigInForce),
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -100,6 +100,8 @@
 				confirm(x, o)
 				x.listWorker(o.Worker, true)
 				x.now = x.now.Add(3 * time.Second)
+				x.state.EntriesSynced(x.now, x.now)
+				x.listWorker(o.Worker, true)
 				x.renewLease(o.Worker, o.Run)
 				x.state.WorkerUnlisted(x.now, o.Worker)
 				x.state.WorkerConnRefused(x.now, o.WorkerIncarnation)
--- a/sched/event.go
+++ b/sched/event.go
@@ -20,8 +20,13 @@
 	Draining bool
 	// Remaining is the least time for which a draining worker still runs.
 	Remaining time.Duration
+	// Version is the version of the entry, which rises with each write.
+	Version EntryVersion
 }
 
+// An EntryVersion is the version of a worker's entry; 0 if it is not known.
+type EntryVersion uint64
+
 // Incarnation returns the incarnation that the entry is for.
 func (w Worker) Incarnation() spoolsill.WorkerIncarnation {
 	return spoolsill.WorkerIncarnation{
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -14,6 +14,7 @@
 const (
 	lease             = 6 * time.Second
 	configPropagation = 3 * time.Second
+	entryInterval     = 1500 * time.Millisecond
 )
 
 // A cell is a State under test with its own clock and simulated workers.
@@ -24,6 +25,8 @@
 	started []sched.StartOrder
 	// ends has the latest end sequence number of each worker.
 	ends map[spoolsill.WorkerID]uint64
+	// entryVersion is the version of the latest entry that a worker wrote.
+	entryVersion sched.EntryVersion
 }
 
 func newCell(t *testing.T) *cell {
@@ -46,6 +49,7 @@
 		DrainTime:      2 * time.Second,
 		FarFactor:      2,
 		ConfigInForce:  configPropagation,
+		EntryInterval:  entryInterval,
 	})
 	s.SetQueues([]sched.Queue{
 		{
@@ -90,13 +94,16 @@
 	x.renewLease(id)
 }
 
+// listWorker has a worker write its entry.
 func (x *cell) listWorker(id spoolsill.WorkerID, draining bool) {
+	x.entryVersion++
 	x.state.WorkerListed(x.now, sched.Worker{
 		ID:       id,
 		Service:  "work",
 		Address:  string(id),
 		Capacity: cores(10),
 		Draining: draining,
+		Version:  x.entryVersion,
 	})
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -22,6 +22,9 @@
 	EntriesAge time.Duration
 	// Ahead is how far the times passed to the State are ahead of the time of day.
 	Ahead time.Duration
+	// EntryInterval is how often workers rewrite their entries; 0 if unknown. An entry that
+	// is not rewritten expires after three intervals.
+	EntryInterval time.Duration
 	// SettleTime is the delay before anything is placed after the first worker has
 	// answered under this leadership, so that the other workers are known too. Without
 	// it each waiting stage queries the advisor about the first worker alone, and about
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -66,6 +66,12 @@
 	// listed, may exit; unlistedAt is when its entry was deleted.
 	earliestExit time.Time
 	unlistedAt   time.Time
+	// rewrittenAfter is a time before the latest known rewrite of its entry; zero if none is
+	// known.
+	rewrittenAfter time.Time
+	// withdrawn is set while the worker is not listed and its entry was certainly deleted
+	// rather than expired.
+	withdrawn bool
 	// graceUntil is until when a worker whose entry was lost in an outage of the store
 	// is treated as listed.
 	graceUntil   time.Time
@@ -134,7 +140,11 @@
 	if w.entryInvalid {
 		s.noteWorker(w, "its entry is whole again", 0)
 	}
+	if w.Version != 0 && l.Version > w.Version {
+		w.rewrittenAfter = s.entriesAsOf
+	}
 	w.listed = true
+	w.withdrawn = false
 	w.entryInvalid = false
 	w.graceUntil = time.Time{}
 	w.Worker = l
@@ -190,6 +200,7 @@
 	w.listed = false
 	s.noteWorker(w, "no longer listed", now.Sub(w.answeredAt))
 	w.unlistedAt = now
+	w.withdrawn = s.entryWithdrawn(w)
 	if !w.Draining {
 		w.earliestExit = now.Add(s.config.DrainTime)
 		s.startOutageGrace(w)
@@ -213,16 +224,33 @@
 }
 
 // WorkerConnRefused records that connections to a worker's address are refused. That alone
-// proves nothing, since a network partition may look the same; but a worker that was
-// draining and is no longer listed has exited.
+// proves nothing, since a network partition may look the same, and a worker in a partition is
+// no longer listed either once its entry has expired. But a worker that was draining and whose
+// entry was deleted before it could expire has exited.
 func (s *State) WorkerConnRefused(now time.Time, l spoolsill.WorkerIncarnation) {
 	s.now = now
 	w := s.workerOf(l)
-	if w != nil && !w.dead && w.Draining && !w.listed {
+	if w != nil && !w.dead && w.Draining && !w.listed && w.withdrawn {
 		s.declareDead(w, "it was draining and has exited")
 	}
 }
 
+// maxRewriteIntervals is the age of an entry, in intervals of Config.EntryInterval, up to which
+// it can't have expired. A worker that is alive rewrites its entry within one interval; the rest
+// is for the delay of the feed.
+const maxRewriteIntervals = 2
+
+// entryWithdrawn reports whether an entry whose deletion was just received can't have expired:
+// the worker rewrote it and answered recently, and no outage of the store came between, in
+// which entries may expire early.
+func (s *State) entryWithdrawn(w *worker) bool {
+	interval := s.config.EntryInterval
+	return s.now.Sub(w.rewrittenAfter) <= maxRewriteIntervals*interval &&
+		s.now.Sub(w.answeredAt) <= interval &&
+		s.now.Sub(s.entriesAsOf) <= interval &&
+		s.storeRecoveredAt.Before(w.rewrittenAfter)
+}
+
 // WorkerUnresponsive records that an order to a worker had no answer, and that it has
 // answered nothing since. Nothing new is started there until it answers: otherwise every
 // start in a hall that is cut off would be in doubt until a lease has expired.
@@ -247,7 +275,11 @@
 	s.now = now
 	s.storeRecoveredAt = now
 	for _, w := range s.workerList {
-		if !w.listed && !w.dead && !w.Draining && now.Sub(w.unlistedAt) < relistDelay {
+		if w.listed || w.dead || now.Sub(w.unlistedAt) >= relistDelay {
+			continue
+		}
+		w.withdrawn = false
+		if !w.Draining {
 			s.startOutageGrace(w)
 		}
 	}
