sched: workers that exit in a take-over are known to have exited

Cause: a draining worker that was not listed and refused a connection counted as exited. All three are true of a worker behind a cut as well. Change: the entry must have been deleted before it could expire: the worker rewrote it within two intervals of three, the feed was not interrupted, no outage of the store came between, and the worker had not fallen silent.

--- a/sched/departure_test.go
+++ b/sched/departure_test.go
@@ -46,6 +46,28 @@
 	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#2"})
 }
 
+// A worker may exit before a new leader has called it.
+func TestTasksOfAWorkerThatDepartsInATakeoverRestartAtOnce(t *testing.T) {
+	x := newCell(t)
+	x.addWorker("a")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	row, err := x.jobRow()
+	x.c.Assert(err, qt.IsNil)
+	p, err := sched.DecodeProgress(row)
+	x.c.Assert(err, qt.IsNil)
+	x.state = x.newState()
+	x.listWorker("a", true)
+	x.addWorker("b")
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), p)
+	x.pass(time.Second)
+	x.listWorker("a", true)
+	x.pass(time.Second)
+	x.state.WorkerUnlisted(x.now, "a")
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	x.state.WorkerConnRefused(x.now, incarnationOf("a"))
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"j.0.0.0#2"})
+}
+
 // A hall that is cut off refuses connections, and the entries of its workers expire. A draining
 // worker there goes on running its tasks until its lease ends.
 func TestTasksOfADrainingWorkerInAPartitionAreNotRestarted(t *testing.T) {
--- a/sched/load.go
+++ b/sched/load.go
@@ -76,6 +76,22 @@
 	return l
 }
 
+// Backlog returns the demand of the tasks that wait to be placed, and the free capacity of the
+// ready workers. Cost: O(workers + stages).
+func (s *State) Backlog() (waiting, free spoolsill.Resources) {
+	for _, g := range s.openStages {
+		if g.placeable() && !g.job.state.Final() {
+			waiting = waiting.Add(g.step.demand().Times(g.waiting))
+		}
+	}
+	for _, w := range s.workerList {
+		if w.ready {
+			free = free.Add(w.free())
+		}
+	}
+	return waiting, free
+}
+
 // countWait adds the stage g, which waits, by what it waits for.
 func (l *Load) countWait(g *stage) {
 	switch g.waitingFor {
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -241,12 +241,12 @@
 const maxRewriteIntervals = 2
 
 // entryWithdrawn reports whether an entry whose deletion was just received can't have expired:
-// the worker rewrote it and answered recently, and no outage of the store came between, in
-// which entries may expire early.
+// the worker rewrote it recently, did not fall silent before, and no outage of the store came
+// between, in which entries may expire early.
 func (s *State) entryWithdrawn(w *worker) bool {
 	interval := s.config.EntryInterval
 	return s.now.Sub(w.rewrittenAfter) <= maxRewriteIntervals*interval &&
-		s.now.Sub(w.answeredAt) <= interval &&
+		(w.answeredAt.IsZero() || s.now.Sub(w.answeredAt) <= interval) &&
 		s.now.Sub(s.entriesAsOf) <= interval &&
 		s.storeRecoveredAt.Before(w.rewrittenAfter)
 }
