delegate: a failed host costs no more than its workers

What was seen: the fleet's leader and each one of 301 hosts of 0.4 core fall behind just when hosts come or go: in a take-over, or when a hall is cut off. Cause: each change of the hosts and each call that a delegate left unanswered threw away the delegates of all workers. Each was chosen anew among all hosts of its hall, with a list and a string for each host: workers x hosts for each host that fails, and again for each worker that does not respond. Change: the directory keeps the hosts by hall and compares only added hosts with the present choice, or chooses anew for the workers of a host that is gone. Calls to workers that do not respond pick a host by its index. TestDelegatesDependOnTheHostsAlone holds the choices against those of a directory that learns of the hosts at once.

--- a/delegate/directory.go
+++ b/delegate/directory.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,12 +38,42 @@
 type Directory struct {
 	hosts   []Host
 	avoided map[spoolsill.HostID]time.Time // hosts to avoid, and until when
-	// chosen caches the delegates of workers. It is valid until the hosts change, a host
-	// fails, or validUntil, when a host stops being avoided.
-	chosen     map[spoolsill.WorkerID]spoolsill.HostID
+	// available are the hosts that are not avoided, or all hosts when too many would be.
+	available candidates
+	// chosen caches the delegates of workers. A change of the hosts only affects the workers
+	// of a host that is gone and those that a new host takes over.
+	chosen map[spoolsill.WorkerID]choice
+	// validUntil is when a host stops being avoided.
 	validUntil time.Time
 }
 
+// A candidate is a host with the hash of its id.
+type candidate struct {
+	Host
+	hash uint64
+}
+
+// candidates are hosts, sorted by id, and the same by hall.
+type candidates struct {
+	all    []candidate
+	byHall map[spoolsill.HallID][]candidate
+}
+
+// of returns the hosts of a hall, or all if it has none.
+func (c candidates) of(hall spoolsill.HallID) []candidate {
+	if hs := c.byHall[hall]; len(hs) > 0 {
+		return hs
+	}
+	return c.all
+}
+
+// A choice is the delegate of a worker.
+type choice struct {
+	host  candidate
+	score float64
+	hall  spoolsill.HallID // the worker's
+}
+
 // SetHosts sets the hosts that can carry out calls.
 func (d *Directory) SetHosts(hosts []Host) {
 	hosts = slices.Clone(hosts)
@@ -52,7 +82,7 @@
 		return
 	}
 	d.hosts = hosts
-	d.chosen = nil
+	d.update()
 }
 
 // MarkFailed records that a host left a call unanswered or rejected it.
@@ -61,7 +91,8 @@
 		d.avoided = map[spoolsill.HostID]time.Time{}
 	}
 	d.avoided[h] = now.Add(avoidTime)
-	d.chosen = nil
+	d.validUntil = d.pruneAvoided(now)
+	d.update()
 }
 
 // Count returns the number of hosts, and how many of them are avoided at the moment.
@@ -78,25 +109,31 @@
 // the number of calls to the worker since its last response. Each unanswered call changes the
 // choice, and every other one extends it to the hosts of all halls. It returns false when there are
 // no hosts.
-// Cost: O(1), O(hosts) after a change and for a worker that does not respond.
+// Cost: O(1), and O(hosts of a hall) for the first call and the workers of a host that is gone.
 func (d *Directory) DelegateFor(w spoolsill.WorkerID, hall spoolsill.HallID, unanswered int, now time.Time) (spoolsill.HostID, bool) {
+	if len(d.avoided) > 0 && !now.Before(d.validUntil) {
+		d.validUntil = d.pruneAvoided(now)
+		d.update()
+	}
+	if len(d.available.all) == 0 {
+		return "", false
+	}
 	if unanswered > 0 {
+		hs := d.available.of(hall)
 		if unanswered%2 == 1 {
-			hall = ""
+			hs = d.available.all
 		}
-		h := choose(d.available(now), w, hall, unanswered)
-		return h, h != ""
+		return hs[spread(hashOf(w), unanswered, len(hs))].ID, true
 	}
-	if d.chosen == nil || !now.Before(d.validUntil) {
-		d.chosen = map[spoolsill.WorkerID]spoolsill.HostID{}
-		d.validUntil = d.pruneAvoided(now)
-	}
-	h, ok := d.chosen[w]
-	if !ok {
-		h = choose(d.available(now), w, hall, 0)
-		d.chosen[w] = h
+	c, ok := d.chosen[w]
+	if !ok || c.hall != hall {
+		c = choose(d.available.of(hall), w, hall)
+		if d.chosen == nil {
+			d.chosen = map[spoolsill.WorkerID]choice{}
+		}
+		d.chosen[w] = c
 	}
-	return h, h != ""
+	return c.host.ID, true
 }
 
 // pruneAvoided removes the hosts whose time of avoidance is over, and returns when the next one
@@ -113,47 +150,118 @@
 	return next
 }
 
-// available returns the hosts that are not avoided, or all hosts when too many would be.
-func (d *Directory) available(now time.Time) []Host {
-	usable := make([]Host, 0, len(d.hosts))
+// update determines the available hosts anew and adapts the choices to them.
+// Cost: O(hosts + workers * added hosts).
+func (d *Directory) update() {
+	old := d.available.all
+	d.available = d.findAvailable()
+	gone := map[spoolsill.HostID]bool{}
+	added := slices.Clone(d.available.all)
+	for _, h := range old {
+		i, ok := slices.BinarySearchFunc(added, h.ID, func(c candidate, id spoolsill.HostID) int { return cmp.Compare(c.ID, id) })
+		if ok && added[i].Host == h.Host {
+			added = slices.Delete(added, i, i+1)
+			continue
+		}
+		gone[h.ID] = true
+	}
+	if len(gone) == 0 && len(added) == 0 {
+		return
+	}
+	for w, c := range d.chosen {
+		if gone[c.host.ID] {
+			delete(d.chosen, w)
+			continue
+		}
+		if better := c.best(added, w); better.host.ID != c.host.ID {
+			d.chosen[w] = better
+		}
+	}
+}
+
+// findAvailable returns the hosts that are not avoided, or all hosts when too many would be.
+func (d *Directory) findAvailable() candidates {
+	usable := make([]candidate, 0, len(d.hosts))
+	all := make([]candidate, 0, len(d.hosts))
 	for _, h := range d.hosts {
-		if !now.Before(d.avoided[h.ID]) {
-			usable = append(usable, h)
+		c := candidate{
+			Host: h,
+			hash: hashOf(h.ID),
 		}
+		all = append(all, c)
+		if _, avoided := d.avoided[h.ID]; !avoided {
+			usable = append(usable, c)
+		}
+	}
+	if (len(all)-len(usable))*minHostsPerAvoided > len(all) {
+		usable = all
+	}
+	x := candidates{
+		all:    usable,
+		byHall: map[spoolsill.HallID][]candidate{},
 	}
-	if (len(d.hosts)-len(usable))*minHostsPerAvoided > len(d.hosts) {
-		return d.hosts
+	for _, c := range usable {
+		x.byHall[c.Hall] = append(x.byHall[c.Hall], c)
 	}
-	return usable
+	return x
 }
 
-// choose returns the host with the highest score for a worker in a round, among those of a hall or
-// among all if the hall has none. It returns "" when there are no hosts.
-func choose(hosts []Host, w spoolsill.WorkerID, hall spoolsill.HallID, round int) spoolsill.HostID {
-	candidates := make([]Host, 0, len(hosts))
-	for _, h := range hosts {
-		if h.Hall == hall {
-			candidates = append(candidates, h)
+// best returns the choice for a worker among its present delegate and added hosts. Hosts of the
+// worker's hall come before others.
+func (c choice) best(added []candidate, w spoolsill.WorkerID) choice {
+	for _, h := range added {
+		local := c.host.Hall == c.hall
+		if h.Hall != c.hall && local {
+			continue
+		}
+		s := score(h, hashOf(w))
+		if h.Hall == c.hall && !local || s > c.score {
+			c.host = h
+			c.score = s
 		}
 	}
-	if len(candidates) == 0 {
-		candidates = hosts
+	return c
+}
+
+// choose returns the host with the highest score for a worker, among at least one.
+func choose(hosts []candidate, w spoolsill.WorkerID, hall spoolsill.HallID) choice {
+	best := choice{
+		score: math.Inf(-1),
+		hall:  hall,
 	}
-	var best spoolsill.HostID
-	highest := math.Inf(-1)
-	for _, h := range candidates {
-		if s := score(h, w, round); s > highest {
-			highest = s
-			best = h.ID
+	hash := hashOf(w)
+	for _, h := range hosts {
+		if s := score(h, hash); s > best.score {
+			best.host = h
+			best.score = s
 		}
 	}
 	return best
 }
 
+func hashOf[ID ~string](id ID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
 // score returns the score of a host in weighted rendezvous hashing: the probability that a host has
 // the highest score is its share of the total weight.
-func score(h Host, w spoolsill.WorkerID, round int) float64 {
-	x := xxhash.Sum64String(string(h.ID) + "/" + string(w) + "/" + strconv.Itoa(round))
-	u := (float64(x>>11) + 0.5) / (1 << 53)
+func score(h candidate, worker uint64) float64 {
+	u := (float64(mix(h.hash^worker)>>11) + 0.5) / (1 << 53)
 	return -max(h.Cores, minCores) / math.Log(u)
 }
+
+// spread returns an index below n. Successive values of i give indexes that are far apart.
+func spread(hash uint64, i, n int) int {
+	const goldenRatio = 0x9e3779b97f4a7c15 // of 2^64
+	index, _ := bits.Mul64(hash+uint64(i)*goldenRatio, uint64(n))
+	return int(index)
+}
+
+// mix is the finalizer of MurmurHash3, so that hashes that differ in one bit are far apart.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/delegate/directory_test.go
+++ b/delegate/directory_test.go
@@ -157,3 +157,98 @@
 	qt.Check(t, len(delegates) >= 6, qt.IsTrue, qt.Commentf("%d hosts", len(delegates)))
 	qt.Check(t, len(halls) >= 3, qt.IsTrue, qt.Commentf("%d halls", len(halls)))
 }
+
+// Whatever happens before, the delegates are those of a directory that learns of the hosts at
+// once.
+func TestDelegatesDependOnTheHostsAlone(t *testing.T) {
+	const halls, workers = 3, 60
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		all := hosts(12, halls)
+		var d delegate.Directory
+		var set []delegate.Host
+		failedAt := map[spoolsill.HostID]time.Time{}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "fails") && len(set) > 0 {
+				h := rapid.SampledFrom(set).Draw(t, "failed").ID
+				failedAt[h] = now
+				d.MarkFailed(h, now)
+			} else {
+				set = rapid.SliceOfNDistinct(rapid.SampledFrom(all), 0, len(all), func(h delegate.Host) spoolsill.HostID { return h.ID }).Draw(t, "hosts")
+				d.SetHosts(set)
+			}
+			var fresh delegate.Directory
+			fresh.SetHosts(set)
+			for h, at := range failedAt {
+				if now.Sub(at) < 3*time.Second {
+					fresh.MarkFailed(h, at)
+				}
+			}
+			for i := range workers {
+				w := spoolsill.WorkerID(fmt.Sprintf("w%d", i))
+				hall := spoolsill.HallID(fmt.Sprintf("hall%d", i%halls))
+				got, _ := d.DelegateFor(w, hall, 0, now)
+				want, _ := fresh.DelegateFor(w, hall, 0, now)
+				if got != want {
+					t.Fatalf("delegate of %s in %s is %q, want %q", w, hall, got, want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a leader that is busy with its directory: while a hall is cut off, its hosts
+// fail one after the other, and the delegates of all workers were chosen anew each time. Each
+// choice took memory, so that the allocations tell how many were made.
+func TestFailedHostCostsOnlyItsWorkers(t *testing.T) {
+	const n, halls, workers = 500, 5, 5000
+	var d delegate.Directory
+	hs := hosts(n, halls)
+	d.SetHosts(hs)
+	now := time.Unix(1000, 0)
+	delegates := func(unanswered int) {
+		for i := range workers {
+			d.DelegateFor(workerIDs[i], hallIDs[i%halls], unanswered, now)
+		}
+	}
+	delegates(0)
+	next := 0
+	allocs := testing.AllocsPerRun(20, func() {
+		d.MarkFailed(hs[next].ID, now)
+		next++
+		delegates(0)
+		delegates(1)
+	})
+	qt.Check(t, allocs < workers/10, qt.IsTrue, qt.Commentf("%.0f allocations after a failure", allocs))
+}
+
+var (
+	workerIDs = ids[spoolsill.WorkerID]("w", 5000)
+	hallIDs   = ids[spoolsill.HallID]("hall", 5)
+)
+
+func ids[ID ~string](prefix string, n int) []ID {
+	out := make([]ID, n)
+	for i := range out {
+		out[i] = ID(fmt.Sprintf("%s%d", prefix, i))
+	}
+	return out
+}
+
+// BenchmarkFailedHost fails the hosts of a hall of a cell of 585 hosts and 6,000 workers, one
+// after the other, and finds the delegates of all workers after each.
+func BenchmarkFailedHost(b *testing.B) {
+	const n, halls = 585, 5
+	hs := hosts(n, halls)
+	now := time.Unix(1000, 0)
+	var d delegate.Directory
+	d.SetHosts(hs)
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(30 * time.Millisecond)
+		d.MarkFailed(hs[i*halls%n].ID, now)
+		for j, w := range workerIDs {
+			d.DelegateFor(w, hallIDs[j%halls], 0, now)
+		}
+	}
+}
