leader, node: one call renews the leases of a delegate's idle workers

Cause: a leader renewed each worker by a call of its own twice a second, whether anything ran there or not: 130 to 215 bytes of its link and some 0.1 ms of its processor for each worker and second. Change: workers without runs are renewed in groups, one call to each delegate every 0.6 s, which does not wait for the end of a run. The delegate remembers the workers by numbers. A worker gets calls of its own as soon as something is started there, or when it does not answer as an idle worker does. So does the first call of a new leader. Hosts of earlier releases are called as before. The test of compressed links counts these calls too, and has more jobs: its leader sent too little for its connections to be worth compressing.

--- a/leader/fixture_test.go
+++ b/leader/fixture_test.go
@@ -126,6 +126,9 @@
 			Store:   x.store,
 			Chain:   c,
 			Workers: cmp.Or[leader.Workers](x.workersOverride, x.workers),
+			Groups: &cellfake.Groups{
+				Workers: cmp.Or[leader.Workers](x.workersOverride, x.workers),
+			},
 			Advisor: cmp.Or[leader.Advisor](x.advisor, &cellfake.Advisor{
 				HostIDs: []spoolsill.HostID{host, "other"},
 				Cut:     x.hostWithoutAdvisor,
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -57,6 +57,9 @@
 	Store   store.Store
 	Chain   *Chain
 	Workers Workers
+	// Groups renews the leases of workers without runs; nil means that each worker is called
+	// by itself.
+	Groups  GroupRenewer
 	Advisor Advisor
 	// WorkersTable is the table of the worker entries; DecodeWorker decodes one of its rows.
 	WorkersTable string
@@ -102,6 +105,7 @@
 	renewers       map[spoolsill.WorkerIncarnation]*renewer
 	wanted         map[spoolsill.WorkerIncarnation]bool // reused by reconcileRenewers
 	advice         *adviceDispatcher
+	idle           *idlePool
 	sweeper        *sweeper
 	losses         lossEstimator
 	responses      latencyEstimator
@@ -164,6 +168,9 @@
 		incarnation spoolsill.WorkerIncarnation
 		until       time.Time
 	}
+	leasesRequested    struct{ leases []leaseRequested }
+	heartbeatsReceived struct{ heartbeats []sched.Heartbeat }
+
 	startAnswered  struct{ answer sched.StartAnswer }
 	stopAnswered   struct{ answer sched.StopAnswer }
 	adviceReceived struct{ advice sched.Advice }
@@ -192,6 +199,7 @@
 		jobsAsOfChanged: make(chan struct{}),
 	}
 	l.advice = newAdviceDispatcher(l)
+	l.idle = newIdlePool(l)
 	l.sweeper = newSweeper(l)
 	return l
 }
@@ -343,6 +351,7 @@
 	l.state = sched.New(l.config.Sched)
 	l.spawn(func() { l.loadProgress(ctx) })
 	l.spawn(func() { l.probe(ctx) })
+	l.spawn(func() { l.idle.run(ctx) })
 	return l.loop(ctx)
 }
 
@@ -434,6 +443,14 @@
 		l.state.WorkerUnresponsive(now, e.incarnation)
 	case leaseRequested:
 		l.state.LeaseRequested(e.incarnation, e.until)
+	case leasesRequested:
+		for _, r := range e.leases {
+			l.state.LeaseRequested(r.incarnation, r.until)
+		}
+	case heartbeatsReceived:
+		for _, h := range e.heartbeats {
+			l.state.Heartbeat(now, h)
+		}
 	case startAnswered:
 		l.state.StartAnswered(now, e.answer)
 	case stopAnswered:
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -52,6 +52,17 @@
 	// starting has the runs whose start order is unanswered so far. The value is true
 	// once the worker has listed the run in a heartbeat.
 	starting map[sched.RunID]bool
+	// orders counts how often the sending of a start order has begun or ended.
+	orders int
+
+	// renews is set while the last call was answered, so that the next one renews the lease.
+	renews bool
+
+	// leave receives a value when the worker needs calls of its own; see idlePool. The
+	// fields after it are guarded by the pool.
+	leave  chan poolResult
+	phase  int
+	called bool // a call of the pool is in progress
 }
 
 // reconcileInterval is how often renewers are compared with the workers, and the hosts that can
@@ -100,6 +111,7 @@
 		cancel:   cancel,
 		wake:     make(chan struct{}, 1),
 		starting: map[sched.RunID]bool{},
+		leave:    make(chan poolResult, 1),
 	}
 	l.renewers[incarnation] = h
 	l.spawn(func() { h.run(ctx) })
@@ -151,13 +163,15 @@
 func (h *renewer) run(ctx context.Context) {
 	var seen uint64
 	unanswered := 1 // consecutive calls without a response
+	pooled := h.canPool()
 	for ctx.Err() == nil {
-		acked, _, _ := h.read()
-		wait := h.leader.endWait()
-		if seen > acked {
-			wait = 0
+		orders := h.orderCount()
+		b, r, ok := h.next(ctx, pooled, seen, &unanswered)
+		if !ok {
+			pooled = false
+			continue
 		}
-		b, r := h.renew(ctx, acked, wait, unanswered)
+		renewed := unanswered == 0
 		unanswered++
 		if r.Kind == Accepted && !h.target.Matches(b.StartTime) {
 			// The response is from another incarnation: from the next one, or a delayed one
@@ -166,6 +180,7 @@
 			h.leader.send(heartbeatReceived{
 				heartbeat: b,
 			})
+			pooled = false
 			pause.For(ctx, renewRetryDelay)
 			continue
 		}
@@ -182,6 +197,8 @@
 				heartbeat: b,
 			})
 			h.awaitAck(ctx, seen)
+			pooled = renewed && len(b.Running) == 0 && h.canPool() && h.isIdle(orders, seen)
+			continue
 		case Fenced:
 			h.handleFenced()
 			return
@@ -194,13 +211,33 @@
 			h.leader.send(workerConnRefused{
 				incarnation: h.target.WorkerIncarnation,
 			})
-			pause.For(ctx, renewRetryDelay)
 		default:
-			pause.For(ctx, renewRetryDelay)
 		}
+		pooled = false
+		pause.For(ctx, renewRetryDelay)
 	}
 }
 
+// next makes the next call, or waits in the pool for an answer that is not an idle worker's. It
+// reports false if there is no answer and the worker has to be called.
+func (h *renewer) next(ctx context.Context, pooled bool, seen uint64, unanswered *int) (sched.Heartbeat, Reply, bool) {
+	if pooled {
+		h.setRenews(*unanswered == 0)
+		r := h.leader.idle.await(ctx, h)
+		if h.renewsNext() {
+			*unanswered = 0
+		}
+		return r.heartbeat, r.reply, r.answered
+	}
+	acked, _, _ := h.read()
+	wait := h.leader.endWait()
+	if seen > acked {
+		wait = 0
+	}
+	b, r := h.renew(ctx, acked, wait, *unanswered)
+	return b, r, true
+}
+
 // markListed records which of the runs that are being started are listed in a heartbeat.
 func (h *renewer) markListed(b sched.Heartbeat) {
 	h.mu.Lock()
@@ -230,14 +267,57 @@
 
 func (h *renewer) beginStart(r sched.RunID) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.starting[r] = false
+	h.orders++
+	h.mu.Unlock()
+	h.leavePool(poolResult{})
 }
 
 func (h *renewer) endStart(r sched.RunID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.starting, r)
+	h.orders++
+}
+
+func (h *renewer) orderCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.orders
+}
+
+func (h *renewer) setRenews(renews bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.renews = renews
+}
+
+func (h *renewer) renewsNext() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.renews
+}
+
+// isIdle reports whether a worker that listed no runs has none: no start order was under way
+// since orderCount returned orders, before the worker was called. The ends up to seen must be
+// stored. Any earlier wake-up for the pool is discarded.
+func (h *renewer) isIdle(orders int, seen uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.starting) > 0 || h.orders != orders || h.acked < seen {
+		return false
+	}
+	select {
+	case <-h.leave:
+	default:
+	}
+	return true
+}
+
+// canPool reports whether calls to the worker can share one with others.
+func (h *renewer) canPool() bool {
+	g := h.leader.config.Groups
+	return g != nil && g.Route(h.target) != ""
 }
 
 // isDone reports whether the worker is known to have restarted or is no longer renewed. Then
@@ -285,7 +365,10 @@
 	begun := h.leader.config.Clock.Now()
 	var deadline sched.ClockMillis
 	if unanswered == 0 {
-		deadline = h.leaseDeadline(begun)
+		var l leaseRequested
+		if deadline, l = h.leaseDeadline(begun); deadline != 0 {
+			h.leader.send(l)
+		}
 	} else {
 		acked = 0
 	}
@@ -349,22 +432,22 @@
 	return baseEndWait
 }
 
-// leaseDeadline returns the end of the lease to request, on the worker's clock. It is at most
-// twice the lease after this leader's last successful write: the next leader waits that long
-// for workers that it can't reach.
-func (h *renewer) leaseDeadline(now time.Time) sched.ClockMillis {
+// leaseDeadline returns the end of the lease to request, on the worker's clock, or 0 if none
+// can be, and the event that must be sent before the request. It is at most twice the lease
+// after this leader's last successful write: the next leader waits that long for workers that
+// it can't reach.
+func (h *renewer) leaseDeadline(now time.Time) (sched.ClockMillis, leaseRequested) {
 	c := h.workerTime(now)
 	if c == 0 {
-		return 0
+		return 0, leaseRequested{}
 	}
 	lease := h.leader.config.Sched.Lease
 	left := min(lease, h.leader.LastWriteTime().Add(2*lease).Sub(now))
 	if left <= 0 {
-		return 0
+		return 0, leaseRequested{}
 	}
-	h.leader.send(leaseRequested{
+	return c + sched.ClockMillis(left.Milliseconds()), leaseRequested{
 		incarnation: h.target.WorkerIncarnation,
 		until:       sched.LeaseEnd(now, left),
-	})
-	return c + sched.ClockMillis(left.Milliseconds())
+	}
 }
--- a/node/compress_test.go
+++ b/node/compress_test.go
@@ -13,7 +13,7 @@
 // Guards against a leader whose link of 2 Mbit/s is saturated by calls that repeat the ids
 // and addresses of earlier ones. Hosts on faster links don't spend processor time on that.
 func TestHostsOnSlowLinksCompressTheirCalls(t *testing.T) {
-	const hosts, workers, jobs = 5, 40, 60
+	const hosts, workers, jobs = 5, 40, 400
 	sent := map[spoolsill.Bytes]int{}
 	for _, link := range []spoolsill.Bytes{smallLink, tinyLink} {
 		run(t, hosts, workers, func(x *cell) {
@@ -21,7 +21,7 @@
 			x.restartAll(hosts, link)
 			pause.For(x.ctx, 20*time.Second)
 			x.c.Check(x.workers.StartCount() >= 2*jobs, qt.IsTrue, qt.Commentf("%d starts", x.workers.StartCount()))
-			for _, p := range []string{"peer renewlife", "peer startof", "peer advise"} {
+			for _, p := range []string{"peer renewlife", "peer renewgroup", "peer startof", "peer advise"} {
 				sent[link] += x.sentFor(x.leader(), p)
 			}
 		})
--- a/node/delegated.go
+++ b/node/delegated.go
@@ -35,7 +35,8 @@
 	// unanswered counts the consecutive unanswered calls to each worker.
 	unanswered map[spoolsill.WorkerID]int
 
-	specs specHosts
+	specs   specHosts
+	numbers targetNumbers
 }
 
 // delegateFor returns the host that should make the next call to a worker.
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -40,6 +40,7 @@
 
 		StoredSpecs: true,
 		Lives:       true,
+		Groups:      true,
 		MayLead:     n.readyToLead(),
 		Link:        n.settings.LinkRate,
 	})
--- a/node/leaderconfig.go
+++ b/node/leaderconfig.go
@@ -34,10 +34,12 @@
 // newLeader returns a leader that writes to c, a newly acquired chain.
 func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
 	b := n.settings.Bounds
+	n.delegated.numbers.begin(c.Epoch())
 	return leader.New(leader.Config{
 		Store:        n.store,
 		Chain:        c,
 		Workers:      n.delegated,
+		Groups:       n.delegated,
 		Advisor:      n,
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,8 @@
 	leaderLatency leaderLatency
 	configs       *configTracker
 	hosts         hostList
+	// groupTargets has the workers that the leader has this host call in groups.
+	groupTargets groupTargets
 	// specs caches the specs of jobs that this host accepted or starts as a delegate.
 	specs       specCache
 	specFetches singleflight.Group // of specs, by job
--- a/node/peers.go
+++ b/node/peers.go
@@ -31,6 +31,7 @@
 	methodPiece            = "piece"
 	methodRenew            = "renew"
 	methodRenewIncarnation = "renewlife"
+	methodRenewGroup       = "renewgroup"
 	methodStart            = "start"
 	methodStop             = "stop"
 	methodStartByRef       = "startof"
@@ -69,6 +70,9 @@
 	// Lives is set if the caller, as a delegate, reports which incarnation of a worker
 	// answered. Hosts of earlier releases do not.
 	Lives bool
+	// Groups is set if the caller, as a delegate, renews the leases of many workers in one
+	// call. Hosts of earlier releases do not.
+	Groups bool
 	// MayLead is set if the caller could take over the leadership now. Link is its link
 	// capacity in bytes a second. Hosts of earlier releases send neither.
 	MayLead bool
@@ -170,6 +174,7 @@
 	peer.Handle(n.peers, methodPiece, n.handlePiece)
 	peer.Handle(n.peers, methodRenew, n.handleRenew)
 	peer.Handle(n.peers, methodRenewIncarnation, n.handleRenewIncarnation)
+	peer.Handle(n.peers, methodRenewGroup, n.handleRenewGroup)
 	peer.Handle(n.peers, methodStart, n.handleStart)
 	peer.Handle(n.peers, methodStop, n.handleStop)
 	peer.Handle(n.peers, methodStartByRef, n.handleStartByRef)
@@ -187,6 +192,7 @@
 		cachesSpecs:         q.Specs,
 		readsStoredSpecs:    q.StoredSpecs,
 		reportsIncarnations: q.Lives,
+		renewsGroups:        q.Groups,
 		address:             q.Address,
 	})
 	n.configs.recordOffer(c.Host, q.Held, now)
@@ -344,6 +350,7 @@
 	cachesSpecs         bool
 	readsStoredSpecs    bool
 	reportsIncarnations bool
+	renewsGroups        bool
 	address             string
 }
 
@@ -406,6 +413,14 @@
 	return l.seen[h].reportsIncarnations
 }
 
+// renewsGroups reports whether a host, as a delegate, renews the leases of many workers in one
+// call.
+func (l *hostList) renewsGroups(h spoolsill.HostID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen[h].renewsGroups
+}
+
 func (l *hostList) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
