admit, node: a new leader with room accepts again at once

Change: when the latency is known and low, and the free capacity is four times what waits, the share returns to what it was before the latency was unknown. A latency that was late since then keeps the slow rise, and so does a backlog. Tests: the loads of both cells as replays of one decision.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/admit"
 )
 
@@ -110,3 +111,94 @@
 	}
 	qt.Check(t, c.Update(begin.Add(time.Second), time.Millisecond, latencyLimit), qt.Equals, 1.0)
 }
+
+// A takeover is the load of a cell while a new leader loads its jobs and works off what waits.
+type takeover struct {
+	loading time.Duration            // no latency is known
+	free    spoolsill.Resources      // once the workers have responded
+	waiting spoolsill.Resources      // once the jobs are loaded
+	drained time.Duration            // after which nothing waits any more, from the takeover on
+	late    func(time.Duration) bool // whether responses are late, at a time after the takeover
+}
+
+// accepted simulates d from a takeover on and returns the share of the jobs that are accepted.
+func (o takeover) accepted(d time.Duration) float64 {
+	const step = 50 * time.Millisecond
+	var c admit.Controller
+	begin := time.Unix(1000, 0)
+	c.Begin(begin)
+	sum, n := 0.0, 0
+	for at := time.Duration(0); at < d; at += step {
+		now := begin.Add(at)
+		latency := 8 * time.Millisecond
+		if o.late != nil && o.late(at) {
+			latency = 300 * time.Millisecond
+		}
+		waiting := o.waiting
+		if at >= o.drained {
+			waiting = spoolsill.Resources{}
+		}
+		var share float64
+		switch {
+		case at < o.loading:
+			share = c.UpdateUnknown(now)
+		default:
+			share = c.Update(now, latency, latencyLimit)
+			if latency <= latencyLimit && admit.HasRoom(waiting, o.free) {
+				share = c.Restore()
+			}
+		}
+		sum += share
+		n++
+	}
+	return sum / float64(n)
+}
+
+func processors(cores int) spoolsill.Resources {
+	return spoolsill.Resources{
+		Processors: spoolsill.Millicores(cores) * spoolsill.Core,
+		Memory:     spoolsill.Bytes(cores) * spoolsill.MiB,
+	}
+}
+
+// A cell of 6,000 workers, nine tenths of it idle, loads its jobs in 0.6 s. It refuses few jobs,
+// since there is room for all.
+func TestTakeoverOfAnIdleCellRefusesFewJobs(t *testing.T) {
+	o := takeover{
+		loading: 600 * time.Millisecond,
+		free:    processors(337_000),
+		waiting: processors(3_200),
+		drained: 2 * time.Second,
+	}
+	share := o.accepted(4 * time.Second)
+	qt.Check(t, share > 0.9, qt.IsTrue, qt.Commentf("%.2f of the jobs accepted", share))
+}
+
+// Guards against accepting jobs that are lost: after a loss of power, a cell on links of 2 Mbit/s
+// loads for 3 s, and 450 stages then wait for more than it has, for half a minute.
+func TestTakeoverOfAFullCellAcceptsFewJobs(t *testing.T) {
+	o := takeover{
+		loading: 3 * time.Second,
+		free:    processors(3_000),
+		waiting: processors(7_500),
+		drained: 30 * time.Second,
+		late:    func(at time.Duration) bool { return at.Milliseconds()/1000%2 == 0 },
+	}
+	share := o.accepted(10 * time.Second)
+	qt.Check(t, share < 0.35, qt.IsTrue, qt.Commentf("%.2f of the jobs accepted", share))
+}
+
+// A share that was lowered since responses were late is not restored by an unknown latency
+// after it, nor one that was lowered by both.
+func TestLateResponsesAreNotForgotten(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	var before, after admit.Controller
+	at := func(i int) time.Time { return begin.Add(time.Duration(i) * 200 * time.Millisecond) }
+	low := before.Update(at(0), time.Second, latencyLimit)
+	before.UpdateUnknown(at(1))
+	before.Update(at(2), time.Millisecond, latencyLimit)
+	qt.Check(t, before.Restore() <= low+0.06, qt.IsTrue)
+	after.UpdateUnknown(at(0))
+	after.Update(at(1), time.Second, latencyLimit)
+	qt.Check(t, after.Restore() < 0.5, qt.IsTrue)
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -125,6 +125,7 @@
 	loadLogged    time.Time     // when the load of the cell was last logged
 	written       writtenRows   // since loadLogged
 	lastReconcile time.Time     // when renewers were last compared with the workers
+	lastBacklog   time.Time     // when the backlog was last published
 	// feedsStarted is set once the progress of all jobs has been read and the feeds are
 	// started; loaded is set once all jobs have been read as well.
 	feedsStarted bool
@@ -136,6 +137,8 @@
 	publishedWrite time.Time // copy of lastWrite, for other goroutines
 	writes         uint64    // number of successful writes, as of publishedWrite
 	statuses       map[spoolsill.JobID]sched.JobStatus
+	waitingWork    spoolsill.Resources // see Backlog
+	freeCapacity   spoolsill.Resources
 	waiting        map[sched.QueueID]int
 	jobsKnown      bool
 	// jobsAsOf is when the latest request to the job feed was sent for which the loop has
@@ -263,6 +266,30 @@
 	return l.jobsKnown
 }
 
+// Backlog returns the demand of the tasks that wait to be placed, and the free capacity of the
+// workers that accept tasks. Both are zero until the jobs are loaded and workers have responded.
+func (l *Leader) Backlog() (waiting, free spoolsill.Resources) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waitingWork, l.freeCapacity
+}
+
+// backlogInterval is the interval at which the backlog is published: the share of jobs to accept
+// changes half as often.
+const backlogInterval = 100 * time.Millisecond
+
+func (l *Leader) publishBacklog(now time.Time) {
+	if !l.loaded || now.Sub(l.lastBacklog) < backlogInterval {
+		return
+	}
+	l.lastBacklog = now
+	waiting, free := l.state.Backlog()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waitingWork = waiting
+	l.freeCapacity = free
+}
+
 // jobsReadTime returns when the latest response of the job feed was requested, and a
 // channel that is closed at the next one.
 func (l *Leader) jobsReadTime() (time.Time, <-chan struct{}) {
@@ -499,6 +526,7 @@
 		// job is not known would be lost.
 		l.reconcileRenewers(ctx, now)
 	}
+	l.publishBacklog(now)
 	l.logNotes()
 	l.logLoad(now)
 	l.logFeeds(now)
--- a/node/admission.go
+++ b/node/admission.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/spoolsill/spoolsill/admit"
 	"github.com/spoolsill/spoolsill/leader"
 )
 
@@ -66,8 +67,11 @@
 	}
 	if s.loading || s.unmeasured {
 		s.share = 1 - n.admission.UpdateUnknown(now)
-	} else {
-		s.share = 1 - n.admission.Update(now, s.latency, maxWorkerLatency)
+		return s
+	}
+	s.share = 1 - n.admission.Update(now, s.latency, maxWorkerLatency)
+	if s.latency <= maxWorkerLatency && admit.HasRoom(l.Backlog()) {
+		s.share = 1 - n.admission.Restore()
 	}
 	return s
 }
