leader, node, sched: a take-over logs no line for each worker

Cause: a new leader logged two lines for each worker, that it is listed and that it answers, and each call that a delegate left unanswered: 12,000 lines in the second in which it loads with 6,000 workers, 1,862 in the second in which a hall of the fleet was cut off. A line costs some ten microseconds. Change: the first listing is one line with the number of workers, the first answer none, and a delegate that fails is logged once until it is used again.

--- a/delegate/directory.go
+++ b/delegate/directory.go
@@ -85,14 +85,18 @@
 	d.update()
 }
 
-// MarkFailed records that a host left a call unanswered or rejected it.
-func (d *Directory) MarkFailed(h spoolsill.HostID, now time.Time) {
+// MarkFailed records that a host left a call unanswered or rejected it. It reports whether the
+// host was not avoided before.
+func (d *Directory) MarkFailed(h spoolsill.HostID, now time.Time) bool {
 	if d.avoided == nil {
 		d.avoided = map[spoolsill.HostID]time.Time{}
 	}
+	avoided := now.Before(d.avoided[h])
 	d.avoided[h] = now.Add(avoidTime)
-	d.validUntil = d.pruneAvoided(now)
-	d.update()
+	if pruned := d.pruneAvoided(now); pruned || !avoided {
+		d.update()
+	}
+	return !avoided
 }
 
 // Count returns the number of hosts, and how many of them are avoided at the moment.
@@ -112,7 +116,7 @@
 // Cost: O(1), and O(hosts of a hall) for the first call and the workers of a host that is gone.
 func (d *Directory) DelegateFor(w spoolsill.WorkerID, hall spoolsill.HallID, unanswered int, now time.Time) (spoolsill.HostID, bool) {
 	if len(d.avoided) > 0 && !now.Before(d.validUntil) {
-		d.validUntil = d.pruneAvoided(now)
+		d.pruneAvoided(now)
 		d.update()
 	}
 	if len(d.available.all) == 0 {
@@ -136,18 +140,20 @@
 	return c.host.ID, true
 }
 
-// pruneAvoided removes the hosts whose time of avoidance is over, and returns when the next one
-// will be removed, at most avoidTime from now.
-func (d *Directory) pruneAvoided(now time.Time) time.Time {
-	next := now.Add(avoidTime)
+// pruneAvoided removes the hosts whose time of avoidance is over from avoided, and reports
+// whether there were any.
+func (d *Directory) pruneAvoided(now time.Time) bool {
+	pruned := false
+	d.validUntil = now.Add(avoidTime)
 	for h, until := range d.avoided {
 		if !now.Before(until) {
 			delete(d.avoided, h)
-		} else if until.Before(next) {
-			next = until
+			pruned = true
+		} else if until.Before(d.validUntil) {
+			d.validUntil = until
 		}
 	}
-	return next
+	return pruned
 }
 
 // update determines the available hosts anew and adapts the choices to them.
--- a/leader/load.go
+++ b/leader/load.go
@@ -70,6 +70,7 @@
 	for _, r := range rows {
 		l.handleWorkerRow(now, r)
 	}
+	l.config.Log.WithField("epoch", uint64(l.Epoch())).WithField("workers", len(rows)).Info("workers listed")
 }
 
 func (l *Leader) handleWorkerRow(now time.Time, r store.Row) {
--- a/node/delegated.go
+++ b/node/delegated.go
@@ -59,11 +59,15 @@
 	return d.directory.Count(d.node.clock.Now())
 }
 
-// markFailed records that a delegate left a call unanswered or did not accept it.
-func (d *delegatedWorkers) markFailed(h spoolsill.HostID) {
+// markFailed records that a delegate left a call unanswered or did not accept it. The first of
+// several failures is logged, with the number of workers that the call was for.
+func (d *delegatedWorkers) markFailed(h spoolsill.HostID, workers int, err error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.directory.MarkFailed(h, d.node.clock.Now())
+	first := d.directory.MarkFailed(h, d.node.clock.Now())
+	d.mu.Unlock()
+	if first {
+		d.node.log.WithError(err).WithField("delegate", string(h)).WithField("workers", workers).Info("delegate left a call unanswered")
+	}
 }
 
 // recordReply records the outcome of a call to a worker. After an unanswered call, the
@@ -90,17 +94,16 @@
 	if !ok {
 		return r, false, nil
 	}
-	return callDelegate[R](ctx, d, h, t, method, q)
+	return callDelegate[R](ctx, d, h, method, q)
 }
 
 // callDelegate makes a call through the given delegate.
-func callDelegate[R, Q any](ctx context.Context, d *delegatedWorkers, h spoolsill.HostID, t leader.Target, method string, q Q) (r R, made bool, err error) {
+func callDelegate[R, Q any](ctx context.Context, d *delegatedWorkers, h spoolsill.HostID, method string, q Q) (r R, made bool, err error) {
 	r, err = peer.Call[R](ctx, d.node.peers, h, method, q)
 	if err == nil || errors.Is(ctx.Err(), context.Canceled) {
 		return r, true, err
 	}
-	d.markFailed(h)
-	d.node.log.WithError(err).WithField("delegate", string(h)).WithField("worker", string(t.Worker)).Info("delegate left a call unanswered")
+	d.markFailed(h, 1, err)
 	return r, !callNotMade(err), err
 }
 
@@ -150,11 +153,11 @@
 	case !ok:
 		return r, false, nil
 	case d.node.hosts.reportsIncarnations(h):
-		return callDelegate[renewIncarnationReply](ctx, d, h, l.Target, methodRenewIncarnation, renewRequestOf(l))
+		return callDelegate[renewIncarnationReply](ctx, d, h, methodRenewIncarnation, renewRequestOf(l))
 	case l.StartTime != 0:
 		return r, false, nil
 	default:
-		r.Renew, made, err = callDelegate[renewReply](ctx, d, h, l.Target, methodRenew, renewRequestOf(l))
+		r.Renew, made, err = callDelegate[renewReply](ctx, d, h, methodRenew, renewRequestOf(l))
 		return r, made, err
 	}
 }
@@ -168,7 +171,7 @@
 	if q, ok := d.startByRef(h, o); ok {
 		callCtx, cancel := context.WithTimeout(ctx, o.Timeout+delegateOverhead+specTimeout)
 		defer cancel()
-		r, made, err := callDelegate[startByRefReply](callCtx, d, h, o.Target, methodStartByRef, q)
+		r, made, err := callDelegate[startByRefReply](callCtx, d, h, methodStartByRef, q)
 		switch {
 		case !made:
 			return d.direct.Start(ctx, o)
@@ -179,7 +182,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, o.Timeout+delegateOverhead)
 	defer cancel()
-	r, made, err := callDelegate[orderReply](callCtx, d, h, o.Target, methodStart, startRequestOf(o))
+	r, made, err := callDelegate[orderReply](callCtx, d, h, methodStart, startRequestOf(o))
 	if !made {
 		return d.direct.Start(ctx, o)
 	}
--- a/node/delegatedgroup.go
+++ b/node/delegatedgroup.go
@@ -162,8 +162,7 @@
 	defer cancel()
 	r, err := d.callGroup(callCtx, h, rs)
 	if err != nil && ctx.Err() == nil {
-		d.markFailed(h)
-		d.node.log.WithError(err).WithField("delegate", route).WithField("workers", len(rs)).Info("delegate left a call for idle workers unanswered")
+		d.markFailed(h, len(rs), err)
 	}
 	answers := make([]leader.GroupAnswer, len(rs))
 	for i, l := range rs {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -200,7 +200,7 @@
 		w.leaseExpired = false
 		s.retractLosses(w)
 	}
-	if now.Sub(w.answeredAt) > maxAnswerAge {
+	if !w.answeredAt.IsZero() && now.Sub(w.answeredAt) > maxAnswerAge {
 		s.noteWorker(w, "answers", now.Sub(w.answeredAt))
 	}
 	w.answeredAt = now
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -134,7 +134,7 @@
 		s.noteWorker(w, "draining", 0)
 		w.earliestExit = now.Add(l.Remaining)
 	}
-	if !w.listed {
+	if !w.listed && !s.entriesAsOf.IsZero() { // the first listing has all workers of the cell
 		s.noteWorker(w, "listed", 0)
 	}
 	if w.entryInvalid {
