platform, node, sched: nothing is started in a hall that is evacuated

Rows op/evacuate/ZONE were not read. Change: hosts follow them beside the configuration, and the leader starts nothing in such a hall, nor sends an order that it had recorded, until the row is deleted. What runs there goes on.

--- a/internal/standin/wire/platform.go
+++ b/internal/standin/wire/platform.go
@@ -23,6 +23,7 @@
 	ID       spoolsill.WorkerID
 	Born     spoolsill.StartTime // omitted if zero
 	Address  string
+	Hall     spoolsill.HallID // omitted if empty
 	Machine  string
 	Rack     string
 	Capacity spoolsill.Resources
@@ -50,6 +51,9 @@
 		"remainingMs": e.Remaining.Milliseconds(),
 		"new":         "fields that nobody knows are skipped",
 	}
+	if e.Hall != "" {
+		entry["zone"] = e.Hall
+	}
 	if e.Born != 0 {
 		entry["born"] = e.Born
 	}
@@ -115,6 +119,18 @@
 	return put(s, platform.OperatorTable, platform.ConfigRow, c)
 }
 
+// Evacuate writes or deletes the row by which the operators evacuate a hall.
+func Evacuate(s *cellfake.Store, h spoolsill.HallID, evacuate bool) error {
+	if evacuate {
+		return put(s, platform.OperatorTable, platform.EvacuationRow(h), map[string]any{})
+	}
+	s.Delete(store.Key{
+		Table: platform.OperatorTable,
+		Name:  platform.EvacuationRow(h),
+	})
+	return nil
+}
+
 func newConfig(version int, routes []Route) map[string]any {
 	var list []any
 	for _, r := range routes {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -156,6 +156,7 @@
 		queues  []sched.Queue
 		teams   []sched.Team
 	}
+	evacuationsChanged struct{ halls []spoolsill.HallID }
 	progressLoaded     struct{ rows []store.Row }
 	workersListed      struct{ rows []store.Row }
 	workerChanged      struct{ row store.Row }
@@ -222,6 +223,13 @@
 	})
 }
 
+// SetEvacuated sets the halls in which nothing may be started.
+func (l *Leader) SetEvacuated(halls []spoolsill.HallID) {
+	l.send(evacuationsChanged{
+		halls: halls,
+	})
+}
+
 // NotifyRow passes on a row of the jobs table from the host that has stored it. The feed
 // delivers the same row later.
 func (l *Leader) NotifyRow(r store.Row) {
@@ -446,6 +454,8 @@
 	switch e := e.(type) {
 	case configChanged:
 		l.handleConfig(e)
+	case evacuationsChanged:
+		l.state.SetEvacuated(now, e.halls)
 	case progressLoaded:
 		l.handleProgress(e.rows)
 	case workersListed:
--- a/node/config.go
+++ b/node/config.go
@@ -157,9 +157,12 @@
 	return n.configs.isCurrent(v, n.clock.Now(), cmp.Or(n.settings.Bounds.ConfigInForce, defaultConfigInForce))
 }
 
-// followConfig follows the operators' configuration in the store.
+// followConfig follows the operators' configuration and evacuations in the store.
 func (n *Node) followConfig(ctx context.Context) {
 	applyRow := func(r store.Row) {
+		if n.evacuations.apply(r) {
+			n.applyEvacuations()
+		}
 		if r.Key.Name == platform.ConfigRow && !r.Deleted {
 			n.configs.setFeedInvalid(!n.applyConfig(r.Value, "store"))
 		}
@@ -172,6 +175,8 @@
 		Clock:  n.clock,
 		Listed: func(rows []store.Row) {
 			n.log.WithField("rows", len(rows)).Info("configuration table listed")
+			n.evacuations.list(rows)
+			n.applyEvacuations()
 			for _, r := range rows {
 				applyRow(r)
 			}
--- a/node/election.go
+++ b/node/election.go
@@ -268,6 +268,7 @@
 	n.setActiveLeader(l, c.Epoch())
 	n.log.WithField("epoch", uint64(c.Epoch())).WithField("former", string(old.Host)).Info("this host leads")
 	n.configs.applyTo(l)
+	n.applyEvacuations()
 	n.leadershipChanged(true)
 	err = l.Lead(ctx, releaseTimeout)
 	n.leadershipChanged(false)
--- a/node/node.go
+++ b/node/node.go
@@ -108,6 +108,7 @@
 
 	leaderLatency leaderLatency
 	configs       *configTracker
+	evacuations   evacuationTracker
 	hosts         hostList
 	// groupTargets has the workers that the leader has this host call in groups.
 	groupTargets groupTargets
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -57,6 +57,7 @@
 	// advisorOf returns the advisor's address for a host; nil means advisorAddress.
 	advisorOf func(host int) string
 	capacity  spoolsill.Resources // of the workers added next
+	hall      spoolsill.HallID    // of the workers whose entries are written next
 	cancel    context.CancelFunc
 	running   sync.WaitGroup // hosts
 	serving   sync.WaitGroup // fakes
@@ -147,6 +148,7 @@
 		ID:      id,
 		Born:    x.workers.CurrentIncarnation(id).StartTime,
 		Address: workerAddress(i),
+		Hall:    x.hall,
 		Machine: "m" + string(id),
 		Rack:    "r1-1",
 		Capacity: cmp.Or(x.capacity, spoolsill.Resources{
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -267,7 +267,7 @@
 }
 
 func (s *State) startable(r *run) bool {
-	return r.worker.acceptsStarts(s.now) && r.worker.hasCapacity() && !r.task.stage.job.team.overQuota() && r.task.stage.advice.valid(r.worker, s.now)
+	return s.acceptsStarts(r.worker) && r.worker.hasCapacity() && !r.task.stage.job.team.overQuota() && r.task.stage.advice.valid(r.worker, s.now)
 }
 
 // plan reserves capacity for a run while its ticket is renewed.
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -166,7 +166,7 @@
 	g := r.task.stage
 	return !r.task.done && !g.job.state.Final() && !r.stopping &&
 		s.entriesFresh() && r.worker.hasCapacity() && !g.job.team.overQuota() &&
-		r.worker.present(s.now) && !r.worker.entryInvalid && !r.worker.Draining
+		r.worker.present(s.now) && !r.worker.entryInvalid && !r.worker.Draining && !s.evacuated[r.worker.Hall]
 }
 
 // HeartbeatTargets returns the incarnations of the workers to send heartbeats to: the listed
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -70,7 +70,7 @@
 // fit anywhere are rejected cheaply.
 func (d *decider) collectReady() {
 	for _, w := range d.workerList {
-		w.ready = w.acceptsStarts(d.now) && w.health.available(d.now)
+		w.ready = d.acceptsStarts(w) && w.health.available(d.now)
 		if !w.ready {
 			continue
 		}
--- a/sched/event.go
+++ b/sched/event.go
@@ -259,6 +259,7 @@
 	NoteStopNotAccepted NoteKind = "task stop not taken"
 	NoteJobEnded        NoteKind = "job ended"
 	NoteWorkerChanged   NoteKind = "worker changed"
+	NoteEvacuated       NoteKind = "halls evacuated"
 	NoteWorkerRestarted NoteKind = "worker started again"
 	NoteUnknownRun      NoteKind = "unknown run at worker"
 	NoteAdvised         NoteKind = "advice received"
--- a/sched/state.go
+++ b/sched/state.go
@@ -57,6 +57,7 @@
 	workerList []*worker // in the order of first appearance, for deterministic placement
 	// incarnations has the incarnations of each machine that are not known to be dead.
 	incarnations map[string][]*worker
+	evacuated    map[spoolsill.HallID]bool
 	openStages   []*stage      // may have tasks to place
 	rankedStages []rankedStage // the buffer of ranked
 	timedStages  []*stage      // wait for their due time
