node, store: the feeds of the configuration share the store in large cells

Change: from 175 hosts on a call waits longer, up to a third of the time within which a configuration must be in force. A change still answers it at once, and hosts hear of newer versions from each other as before. The leader no longer goes through all hosts for the largest one at each heartbeat.

--- a/node/config.go
+++ b/node/config.go
@@ -23,8 +23,21 @@
 	// as unknown only if its information is at most defaultConfigInForce old: with 1 s,
 	// it was too old for one request in a hundred.
 	configFeedWait = 700 * time.Millisecond
+	// configFeedSpacing is the average time between calls of the feeds of all hosts together,
+	// as far as maxConfigFeedShare allows: the store's capacity is shared by all hosts.
+	configFeedSpacing = 4 * time.Millisecond
+	// maxConfigFeedShare is the maximum wait as a share of the time within which a
+	// configuration must be in force.
+	maxConfigFeedShare = 1.0 / 3
 )
 
+// configFeedWaitFor returns how long one call of the feed waits in a cell of n hosts: each of
+// them makes such calls all the time.
+func configFeedWaitFor(n int, inForce time.Duration) time.Duration {
+	longest := time.Duration(maxConfigFeedShare * float64(inForce))
+	return max(configFeedWait, min(time.Duration(n)*configFeedSpacing, longest))
+}
+
 // A knownConfig is a decoded configuration along with its encoded form.
 type knownConfig struct {
 	version spoolsill.Version
@@ -154,7 +167,12 @@
 
 // ConfigIsCurrent implements [platform.JobService].
 func (n *Node) ConfigIsCurrent(v spoolsill.Version) bool {
-	return n.configs.isCurrent(v, n.clock.Now(), cmp.Or(n.settings.Bounds.ConfigInForce, defaultConfigInForce))
+	return n.configs.isCurrent(v, n.clock.Now(), n.configInForce())
+}
+
+// configInForce returns the time within which a configuration must be in force.
+func (n *Node) configInForce() time.Duration {
+	return cmp.Or(n.settings.Bounds.ConfigInForce, defaultConfigInForce)
 }
 
 // followConfig follows the operators' configuration and evacuations in the store.
@@ -172,7 +190,10 @@
 		Table:  platform.OperatorTable,
 		Wait:   configFeedWait,
 		Synced: n.configs.confirm,
-		Clock:  n.clock,
+		LongerWait: func() time.Duration {
+			return configFeedWaitFor(n.estimatedHosts(), n.configInForce())
+		},
+		Clock: n.clock,
 		Listed: func(rows []store.Row) {
 			n.log.WithField("rows", len(rows)).Info("configuration table listed")
 			n.evacuations.list(rows)
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -15,6 +15,9 @@
 	PieceBytes      = pieceBytes
 )
 
+// ConfigFeedWaitFor exports configFeedWaitFor.
+var ConfigFeedWaitFor = configFeedWaitFor
+
 // ConfigTracker exports the configurations known to a host.
 type ConfigTracker struct {
 	tracker *configTracker
--- a/node/leaderconfig.go
+++ b/node/leaderconfig.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/spoolsill/spoolsill/leader"
@@ -58,7 +57,7 @@
 
 			BatchBytes: int(batchLinkTime.Seconds() * float64(n.settings.LinkRate) * rowDataFraction),
 
-			ConfigInForce: cmp.Or(b.ConfigInForce, defaultConfigInForce),
+			ConfigInForce: n.configInForce(),
 		},
 		Log:      n.log,
 		Observer: n.metrics,
--- a/node/peers.go
+++ b/node/peers.go
@@ -338,8 +338,9 @@
 
 // A hostList records the hosts that send heartbeats to this one.
 type hostList struct {
-	mu   sync.Mutex
-	seen map[spoolsill.HostID]hostInfo
+	mu      sync.Mutex
+	seen    map[spoolsill.HostID]hostInfo
+	largest float64 // processor capacity of the largest host
 }
 
 type hostInfo struct {
@@ -361,6 +362,7 @@
 		l.seen = map[spoolsill.HostID]hostInfo{}
 	}
 	l.seen[h] = info
+	l.largest = max(l.largest, info.cores)
 }
 
 // delegates returns the hosts that make calls to workers for the leader and have sent a
@@ -431,11 +433,7 @@
 func (l *hostList) maxCores() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var largest float64
-	for _, info := range l.seen {
-		largest = max(largest, info.cores)
-	}
-	return largest
+	return l.largest
 }
 
 // activeSince returns the hosts that have sent a heartbeat at or after t, and removes
@@ -444,11 +442,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var hosts []spoolsill.HostID
+	l.largest = 0
 	for h, info := range l.seen {
 		if info.lastHeartbeat.Before(t) {
 			delete(l.seen, h)
 			continue
 		}
+		l.largest = max(l.largest, info.cores)
 		hosts = append(hosts, h)
 	}
 	slices.Sort(hosts)
--- a/node/yield.go
+++ b/node/yield.go
@@ -15,9 +15,9 @@
 	// yields to it. By then all other hosts have learned its size and let it take over
 	// first.
 	yieldDelay = time.Second
-	// storeContactAge is how recently the store must have answered a host that could
-	// lead. Its configuration feed is answered at least every 0.7 s.
-	storeContactAge = 1500 * time.Millisecond
+	// storeContactWaits is how recently the store must have answered a host that could
+	// lead, in waits of its configuration feed.
+	storeContactWaits = 2
 	// yieldCooldown is how long a host that has yielded the leadership does not yield
 	// again. It leads again within that time only if no larger host could.
 	yieldCooldown = 30 * time.Second
@@ -80,5 +80,5 @@
 	n.mu.Lock()
 	recentlyResigned := !n.resignedAt.IsZero() && n.clock.Since(n.resignedAt) < resignPeriod
 	n.mu.Unlock()
-	return known && !recentlyResigned && !n.stopping.Load() && n.health.succeededWithin(n.clock.Now(), storeContactAge)
+	return known && !recentlyResigned && !n.stopping.Load() && n.health.succeededWithin(n.clock.Now(), storeContactWaits*configFeedWaitFor(n.estimatedHosts(), n.configInForce()))
 }
--- a/store/watch.go
+++ b/store/watch.go
@@ -33,6 +33,9 @@
 	// Wait is how long one call of the feed waits for a change. It is also how long it
 	// takes to detect a feed that is cut off without an error.
 	Wait time.Duration
+	// LongerWait returns a wait that replaces Wait if it is longer. It is called before each
+	// call and may be nil.
+	LongerWait func() time.Duration
 	// Pause is the delay after a call that returned changes; 0 means DefaultPause.
 	Pause time.Duration
 	// Pace limits the concurrent reads of a listing; nil means no limit.
@@ -168,6 +171,9 @@
 // poll makes one call of the feed.
 func (w *Watcher) poll(ctx context.Context, st *watchState) (callResult, error) {
 	wait := w.Wait
+	if w.LongerWait != nil {
+		wait = max(wait, w.LongerWait())
+	}
 	if st.failing {
 		wait = 0 // so that recovery is detected without delay
 	}
