--- a/leader/leader.go
+++ b/leader/leader.go
@@ -172,6 +172,7 @@
 		incarnation spoolsill.WorkerIncarnation
 		until       time.Time
 	}
+	// leasesRequested and heartbeatsReceived are the events of a group of workers.
 	leasesRequested    struct{ leases []leaseRequested }
 	heartbeatsReceived struct{ heartbeats []sched.Heartbeat }
 
@@ -458,16 +459,37 @@
 		l.state.SetEvacuated(now, e.halls)
 	case progressLoaded:
 		l.handleProgress(e.rows)
-	case workersListed:
-		l.handleWorkerList(now, e.rows)
-	case workerChanged:
-		l.handleWorkerRow(now, e.row)
 	case jobsListed:
 		l.handleJobList(now, e.rows)
 	case jobChanged:
 		l.handleJobRow(now, e.row)
 	case jobsSynced:
 		l.handleJobsSynced(e.sent)
+	case startAnswered:
+		l.state.StartAnswered(now, e.answer)
+	case stopAnswered:
+		l.state.StopAnswered(now, e.answer)
+	case adviceReceived:
+		l.state.AdviceReceived(now, e.advice)
+	case batchWritten:
+		l.handleWritten(now, e)
+	case probeSent:
+		return l.handleProbe(now, e.at)
+	case leadershipEnded:
+		return e.err
+	default:
+		l.handleWorkerEvent(now, e)
+	}
+	return nil
+}
+
+// handleWorkerEvent handles an event that concerns workers.
+func (l *Leader) handleWorkerEvent(now time.Time, e event) {
+	switch e := e.(type) {
+	case workersListed:
+		l.handleWorkerList(now, e.rows)
+	case workerChanged:
+		l.handleWorkerRow(now, e.row)
 	case workersSynced:
 		l.state.EntriesSynced(now, e.sent)
 	case heartbeatReceived:
@@ -488,20 +510,7 @@
 		for _, h := range e.heartbeats {
 			l.state.Heartbeat(now, h)
 		}
-	case startAnswered:
-		l.state.StartAnswered(now, e.answer)
-	case stopAnswered:
-		l.state.StopAnswered(now, e.answer)
-	case adviceReceived:
-		l.state.AdviceReceived(now, e.advice)
-	case batchWritten:
-		l.handleWritten(now, e)
-	case probeSent:
-		return l.handleProbe(now, e.at)
-	case leadershipEnded:
-		return e.err
 	}
-	return nil
 }
 
 func (l *Leader) handleConfig(e configChanged) {
