node: a host that does not know the evacuated halls leaves a take-over to others

A host that has just started may have its configuration from another host before it has listed the operators' table, and would lead without knowing which halls are evacuated. It waits as one without a configuration does.

--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -125,8 +125,9 @@
 }
 
 // takeoverAllowed reports whether this host may take over from a leader whose row has
-// remained unchanged for the given time.
+// remained unchanged for the given time. A host that lacks the configuration, or does not know
+// yet which halls are evacuated, waits for one that has them.
 func (n *Node) takeoverAllowed(unchanged time.Duration) bool {
 	_, ok := n.Config()
-	return ok || unchanged >= unconfiguredTakeoverDelay
+	return ok && n.evacuations.listed() || unchanged >= unconfiguredTakeoverDelay
 }
--- a/node/config.go
+++ b/node/config.go
@@ -178,9 +178,6 @@
 // followConfig follows the operators' configuration and evacuations in the store.
 func (n *Node) followConfig(ctx context.Context) {
 	applyRow := func(r store.Row) {
-		if n.evacuations.apply(r) {
-			n.applyEvacuations()
-		}
 		if r.Key.Name == platform.ConfigRow && !r.Deleted {
 			n.configs.setFeedInvalid(!n.applyConfig(r.Value, "store"))
 		}
@@ -202,7 +199,12 @@
 				applyRow(r)
 			}
 		},
-		Changed: applyRow,
+		Changed: func(r store.Row) {
+			if n.evacuations.apply(r) {
+				n.applyEvacuations()
+			}
+			applyRow(r)
+		},
 		Failed: func(err error) {
 			n.configs.setFeedFailed(err != nil)
 			if err != nil {
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -14,22 +14,26 @@
 // use. The zero value has none.
 type evacuationTracker struct {
 	mu    sync.Mutex
-	halls map[spoolsill.HallID]bool
+	halls map[spoolsill.HallID]bool // nil before the first listing
 	// publishMu is held while the halls are read and passed on, so that the newest come last.
 	publishMu sync.Mutex
 }
 
 // list replaces the halls by those of a listing of the operators' table.
 func (t *evacuationTracker) list(rows []store.Row) {
-	t.mu.Lock()
-	t.halls = map[spoolsill.HallID]bool{}
-	t.mu.Unlock()
+	halls := map[spoolsill.HallID]bool{}
 	for _, r := range rows {
-		t.apply(r)
+		if h, ok := platform.EvacuatedHall(r.Key.Name); ok && !r.Deleted {
+			halls[h] = true
+		}
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.halls = halls
 }
 
-// apply applies a row of the operators' table and reports whether it concerns an evacuation.
+// apply applies a changed row of the operators' table, which has been listed before, and reports
+// whether it concerns an evacuation.
 func (t *evacuationTracker) apply(r store.Row) bool {
 	h, ok := platform.EvacuatedHall(r.Key.Name)
 	if !ok {
@@ -37,9 +41,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.halls == nil {
-		t.halls = map[spoolsill.HallID]bool{}
-	}
 	if r.Deleted {
 		delete(t.halls, h)
 	} else {
@@ -48,6 +49,13 @@
 	return true
 }
 
+// listed reports whether the table has been listed.
+func (t *evacuationTracker) listed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.halls != nil
+}
+
 func (t *evacuationTracker) get() []spoolsill.HallID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
