cellfake, node, leader: hooks of workers that are being called change under their lock

Idle workers are called more often at that moment than before; the writes were unsynchronized before too. The checks are the same.

--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -35,12 +35,14 @@
 func TestJobsAreRefusedWhileWorkersAreSlow(t *testing.T) {
 	run(t, 3, 4, func(x *cell) {
 		var slow atomic.Bool
-		x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
-			if slow.Load() {
-				return 300 * time.Millisecond
+		x.workers.Update(func() {
+			x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
+				if slow.Load() {
+					return 300 * time.Millisecond
+				}
+				return time.Millisecond
 			}
-			return time.Millisecond
-		}
+		})
 		host := (x.leader() + 1) % 3
 		_, refused := x.submitFor(2*time.Second, host, 0)
 		x.c.Check(refused, qt.Equals, 0)
@@ -62,12 +64,14 @@
 func TestSheddingEndsAtIsolatedHost(t *testing.T) {
 	run(t, 3, 4, func(x *cell) {
 		var slow atomic.Bool
-		x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
-			if slow.Load() {
-				return 300 * time.Millisecond
+		x.workers.Update(func() {
+			x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
+				if slow.Load() {
+					return 300 * time.Millisecond
+				}
+				return time.Millisecond
 			}
-			return time.Millisecond
-		}
+		})
 		host := (x.leader() + 1) % 3
 		slow.Store(true)
 		x.submitFor(4*time.Second, host, 100)
--- a/node/delegated_test.go
+++ b/node/delegated_test.go
@@ -125,9 +125,11 @@
 		orderRand := rand.New(rand.NewPCG(seed, 2))
 		var orderFaults faultRate
 		x.workers.Capacity = 8
-		x.workers.Fault = func(spoolsill.WorkerID) cellfake.OrderFault {
-			return orderFaults.draw(orderRand)
-		}
+		x.workers.Update(func() {
+			x.workers.Fault = func(spoolsill.WorkerID) cellfake.OrderFault {
+				return orderFaults.draw(orderRand)
+			}
+		})
 		for i := range hosts { // they call the workers from now on
 			x.start(i)
 		}
--- a/node/shedloading_test.go
+++ b/node/shedloading_test.go
@@ -107,12 +107,14 @@
 func TestJobsAreRefusedUntilWorkersRespond(t *testing.T) {
 	run(t, 3, 4, func(x *cell) {
 		var silent atomic.Bool
-		x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
-			if silent.Load() {
-				return 5 * time.Second
+		x.workers.Update(func() {
+			x.workers.Delay = func(spoolsill.WorkerID) time.Duration {
+				if silent.Load() {
+					return 5 * time.Second
+				}
+				return time.Millisecond
 			}
-			return time.Millisecond
-		}
+		})
 		silent.Store(true)
 		old := x.leader()
 		x.hosts[old].stop()
