leader: log starts that were sent more than once

No log line told of a second try, nor which incarnation an order was for, so that a retry could not be told apart from an order that the network delivered late. Change: one line for each start that took more than one try, with the start time of the incarnation, the tries, the outcome and the time taken. Starts that are answered at once log nothing more.

--- a/leader/order.go
+++ b/leader/order.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/sched"
 )
@@ -46,14 +48,16 @@
 	})
 }
 
-func (h *renewer) start(ctx context.Context, o sched.StartOrder, partition string) sched.StartAnswer {
-	a := sched.StartAnswer{
+func (h *renewer) start(ctx context.Context, o sched.StartOrder, partition string) (a sched.StartAnswer) {
+	a = sched.StartAnswer{
 		WorkerIncarnation: o.WorkerIncarnation,
 		Run:               o.Run,
 		Outcome:           sched.StartUnknown,
 	}
+	tries := 0
 	h.beginStart(o.Run)
 	defer h.endStart(o.Run)
+	defer func(begun time.Time) { h.logRetries(a, tries, begun) }(h.leader.config.Clock.Now())
 	timeout := h.leader.responses.orderTimeout()
 	end := h.leader.config.Clock.Now().Add(startTimeout)
 	for try := range maxStartTries {
@@ -71,6 +75,7 @@
 			break
 		}
 		begun := h.leader.config.Clock.Now()
+		tries++
 		r, deadline := h.startOnce(ctx, o, partition, timeout)
 		switch r.Kind {
 		case NoAnswer:
@@ -92,6 +97,25 @@
 	return a
 }
 
+// logRetries logs the outcome of a start order that was sent more than once, with the incarnation
+// that it was for.
+func (h *renewer) logRetries(a sched.StartAnswer, tries int, begun time.Time) {
+	if tries < 2 {
+		return
+	}
+	h.leader.config.Log.WithFields(logrus.Fields{
+		"epoch":       uint64(h.leader.Epoch()),
+		"worker":      string(h.target.Worker),
+		"incarnation": int64(h.target.StartTime),
+		"task":        a.Run.Task.String(),
+		"run":         uint32(a.Run.Number),
+		"tries":       tries,
+		"doubt":       a.Doubt,
+		"reason":      a.Outcome.String(),
+		"took_ms":     h.leader.config.Clock.Since(begun).Milliseconds(),
+	}).Info("start order was retried")
+}
+
 // reportNoResponse reports an unanswered order to the event loop, unless the worker has responded
 // to another call since: then only this response was lost.
 func (h *renewer) reportNoResponse(since time.Time) {
