--- a/node/node.go
+++ b/node/node.go
@@ -283,6 +283,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	defer n.workers.Close()
 	ls, err := n.listenAll()
 	if err != nil {
 		return err
