leader: an unanswered start is retried only on the incarnation that it was for

What callers saw: a task started twice under one number, on two incarnations of a worker; a task that crashes its workers started a third time after it had crashed three of them. Cause: a start without an answer was sent again after 20 ms, up to five times, whatever had become of the worker. If the worker had carried it out, crashed, and was back under its id, the retry reached the next incarnation before any call of its own: it has seen no fence, its clock begins anew, and a call names the id. Change: before each retry of a start that may have been carried out, the worker is asked for its runs, by a call that renews and acknowledges nothing. The retry is sent only if the incarnation that the order was for responds and does not list the run. The response of another one ends all tries for the former at once. The call takes another delegate than the one that left the start unanswered. Why it works: an incarnation that has responded after the lost try has not crashed by it, and one that does not list the run has not carried it out. Left: a first try that is delivered only after that response, if the worker then crashes and is back within one round trip.

--- a/leader/order.go
+++ b/leader/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,8 +27,8 @@
 	startLease = startTimeout + startWindow
 )
 
-// sendStart sends a start order, and retries it unchanged while it is unanswered: orders are
-// idempotent, and a run that exists is not started twice.
+// sendStart sends a start order, and retries it unchanged while it is unanswered. Orders are
+// idempotent, but only within an incarnation of a worker: the next one does not know of the run.
 func (l *Leader) sendStart(o sched.StartOrder) {
 	h := l.renewers[o.WorkerIncarnation]
 	if h == nil {
@@ -75,8 +76,12 @@
 			break
 		}
 		begun := h.leader.config.Clock.Now()
+		send := h.startOnce
+		if a.Doubt {
+			send = h.retryStart
+		}
 		tries++
-		r, deadline := h.startOnce(ctx, o, partition, timeout)
+		r, deadline := send(ctx, o, partition, timeout)
 		switch r.Kind {
 		case NoAnswer:
 			a.Doubt = true
@@ -143,6 +148,60 @@
 	return r, deadline
 }
 
+// retryStart sends a start order of which an earlier try was not answered, once the incarnation
+// that it is for has responded without listing the run. That try may have been carried out by an
+// incarnation that has crashed since. The next one may have received no call yet: it would reject
+// the retry neither by its fence nor by its clock, and would start the run again.
+func (h *renewer) retryStart(ctx context.Context, o sched.StartOrder, partition string, timeout time.Duration) (Reply, sched.ClockMillis) {
+	r, listed := h.findRun(ctx, o.Run, timeout)
+	if r.Kind != Accepted || listed {
+		return r, 0
+	}
+	return h.startOnce(ctx, o, partition, timeout)
+}
+
+// findRun asks the worker for its runs, and reports whether r is among them or has been listed
+// before. The reply is Accepted only if the incarnation that is renewed has responded with all its
+// runs. The call renews and acknowledges nothing.
+func (h *renewer) findRun(ctx context.Context, r sched.RunID, timeout time.Duration) (Reply, bool) {
+	if h.leader.suspended() {
+		return unsentReply(), false
+	}
+	b, p := h.leader.config.Workers.Renew(ctx, Renewal{
+		Target:  h.target,
+		Fence:   h.fence,
+		Timeout: timeout,
+	})
+	if p.Kind != Accepted {
+		return p, false
+	}
+	b.Asked = h.target.WorkerIncarnation
+	if !h.recordIncarnation(b) {
+		h.leader.send(heartbeatReceived{
+			heartbeat: b,
+		})
+		return Reply{
+			Kind: OtherIncarnation,
+			Err:  errOtherIncarnation,
+		}, false
+	}
+	h.setClock(p.Clock, h.leader.config.Clock.Now())
+	h.markListed(b)
+	listed := h.isListed(r)
+	if b.Partial && !listed {
+		return Reply{
+			Kind: NoAnswer,
+			Err:  errPartialList,
+		}, false
+	}
+	return p, listed
+}
+
+var (
+	errOtherIncarnation = errors.New("leader: the worker has restarted")
+	errPartialList      = errors.New("leader: the worker has not listed all of its runs")
+)
+
 func startOutcome(k ReplyKind) sched.StartOutcome {
 	switch k {
 	case Accepted:
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -52,6 +52,8 @@
 	// starting has the runs whose start order is unanswered so far. The value is true
 	// once the worker has listed the run in a heartbeat.
 	starting map[sched.RunID]bool
+	// superseded is set while the latest response was from another incarnation.
+	superseded bool
 	// orders counts how often the sending of a start order has begun or ended.
 	orders int
 
@@ -173,7 +175,7 @@
 		}
 		renewed := unanswered == 0
 		unanswered++
-		if r.Kind == Accepted && !h.target.Matches(b.StartTime) {
+		if r.Kind == Accepted && !h.recordIncarnation(b) {
 			// The response is from another incarnation: from the next one, or a delayed one
 			// from an earlier one. The event loop handles it by its start time, and the
 			// renewer of the next incarnation starts from scratch.
@@ -238,6 +240,15 @@
 	return b, r, true
 }
 
+// recordIncarnation records which incarnation has responded, and reports whether it is the one
+// that is renewed.
+func (h *renewer) recordIncarnation(b sched.Heartbeat) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.superseded = !h.target.Matches(b.StartTime)
+	return !h.superseded
+}
+
 // markListed records which of the runs that are being started are listed in a heartbeat.
 func (h *renewer) markListed(b sched.Heartbeat) {
 	h.mu.Lock()
@@ -328,8 +339,10 @@
 	case <-h.done:
 		return true
 	default:
-		return false
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.superseded
 }
 
 // handleFenced handles a rejection because the worker has seen a higher fence: that of the next
