--- a/forecast/cost.go
+++ b/forecast/cost.go
@@ -44,6 +44,12 @@
 	Queries int
 }
 
+// Known reports whether any worker accepts tasks. After a take-over, none does until workers
+// have answered.
+func (s Supply) Known() bool {
+	return s.Processors > 0
+}
+
 // Never is a time that no work takes.
 const Never = time.Duration(math.MaxInt64)
 
--- a/forecast/outlook.go
+++ b/forecast/outlook.go
@@ -57,8 +57,11 @@
 }
 
 // Overloaded reports whether some of the jobs that could be in time will not be, even if those due
-// first are served first.
+// first are served first. A cell whose supply is not known is not overloaded.
 func (o Outlook) Overloaded() bool {
+	if !o.supply.Known() {
+		return false
+	}
 	var feasible []Job
 	for _, j := range o.jobs {
 		if j.Feasible() {
--- a/sched/state.go
+++ b/sched/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/forecast"
 )
 
 // Config configures a [State].
@@ -92,6 +93,9 @@
 	firstAnswerAt time.Time
 	endedJobs     []endedJob
 	pendingJobs   map[QueueID]int
+	// outlook caches Outlook as of outlookAt.
+	outlook   forecast.Outlook
+	outlookAt time.Time
 }
 
 // New returns an empty State.
