sched: shares of teams by work instead of jobs a second

Cause: a team that hands in six times its usual wide jobs stays within its weight in jobs a second, and the wide jobs of all other teams are late. Change: jobs are charged once the supply of the cell is known, in order of receipt, so that a take-over gives the same result whatever order rows are read in. Jobs over a share are ranked behind while the cell can't do all work in time; otherwise unused shares are lent. Cancelled jobs return what they have not used. Lasting and timed work is not charged.

--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -296,3 +296,44 @@
 		})
 	}
 }
+
+// BenchmarkDecideTeams measures a pass and the job that is added before it, in a full cell in which 400
+// jobs of 20 teams wait, most of them over the share of their team.
+func BenchmarkDecideTeams(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := fullState(350, 0, now)
+	var teams []sched.Team
+	for i := range 20 {
+		teams = append(teams, sched.Team{
+			ID:     spoolsill.TeamID(fmt.Sprintf("team-%d", i)),
+			Weight: 1,
+		})
+	}
+	s.SetTeams(now, teams)
+	add := func(id spoolsill.JobID, n int) {
+		p := tasks(200, 5)
+		p.Estimate = time.Minute
+		j := job(id, "q", p)
+		j.Team = teams[n%len(teams)].ID
+		j.Received = now
+		s.AddJob(now, j, sched.Progress{})
+	}
+	for i := range 400 {
+		add(spoolsill.JobID(fmt.Sprintf("wait-%d", i)), i)
+	}
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		now = now.Add(time.Millisecond)
+		id := spoolsill.JobID(fmt.Sprintf("job-%d", n))
+		add(id, n)
+		s.Decide(now)
+		s.CancelJob(now, id)
+		if _, _, err := s.Batch(now); err != nil {
+			b.Fatal(err)
+		}
+		s.Notes()
+		s.StatusUpdates()
+	}
+}
--- a/sched/event.go
+++ b/sched/event.go
@@ -293,6 +293,8 @@
 	Advice time.Duration
 	Room   time.Duration
 	Quota  time.Duration
+	// Share is the part of Advice and Room in which the job exceeded the share of its team.
+	Share time.Duration
 	// Failed counts the job's runs that failed, Lost those whose worker was lost.
 	Failed int
 	Lost   int
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -26,7 +26,6 @@
 		s.retainEnded(j.ID)
 		return
 	}
-	x.overShare = x.team.share.observe(j.Received, x.team.Weight)
 	s.makeStages(x)
 	for _, sp := range p.Stages {
 		s.restoreStage(x, sp)
@@ -36,6 +35,7 @@
 		s.stopJob(x, "job has ended")
 		return
 	}
+	s.chargeLater(x)
 	if !x.provablyStarted() {
 		// A recorded start may never have reached its worker: the job stays pending
 		// until a worker reports a run of it.
@@ -270,6 +270,7 @@
 
 // endJob moves a job to a final state and stops its runs.
 func (s *State) endJob(j *job, to JobState, reason string) {
+	s.releaseShare(j)
 	s.setState(j, to)
 	s.stopJob(j, reason)
 	s.markDirty(j)
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -9,19 +9,19 @@
 // A Team is the configuration of one team.
 type Team struct {
 	ID spoolsill.TeamID
-	// Weight is the team's share under full load, in jobs per second; 0 means unlimited.
+	// Weight is the team's part of a full cell, relative to the weights of all teams; 0 means
+	// unlimited.
 	Weight float64
 	// Most is the quota: the maximum of the resources of all its runs in the cell. A zero
 	// entry means no limit.
 	Most spoolsill.Resources
 }
 
-// A teamState is the configuration, share and resource usage of a team. A run counts from
+// A teamState is the configuration and resource usage of a team. A run counts from
 // the decision to start it until it has certainly ended: an unanswered start may still be
 // carried out, and a run that is being stopped still uses its resources.
 type teamState struct {
 	Team
-	share shareTracker
 	// configured means that a configuration has named the team.
 	configured bool
 	// used is the total of the recorded runs, unknownUsage that of unknown runs, as of the
@@ -53,15 +53,18 @@
 func (s *State) SetTeams(now time.Time, teams []Team) {
 	s.now = now
 	named := map[spoolsill.TeamID]bool{}
+	var first []Team
 	for _, t := range teams {
 		if named[t.ID] {
 			continue // of several teams with one id, the first counts
 		}
 		named[t.ID] = true
+		first = append(first, t)
 		a := s.team(t.ID)
 		a.Team = t
 		a.configured = true
 	}
+	s.setShares(first)
 }
 
 // team returns the state of a team and creates it if necessary.
--- a/sched/state.go
+++ b/sched/state.go
@@ -64,6 +64,7 @@
 	timedStages  []*stage      // wait for their due time
 	runTimes     map[QueueID]*runTimeEstimate
 	teams        map[spoolsill.TeamID]*teamState
+	shares       shareState
 
 	dirty []*job
 	acks  map[spoolsill.WorkerIncarnation]uint64
@@ -113,6 +114,9 @@
 		crashedAt:            map[string]time.Time{},
 		queueQueriesInFlight: map[QueueID]int{},
 		pendingJobs:          map[QueueID]int{},
+		shares: shareState{
+			excess: map[spoolsill.JobID]*job{},
+		},
 	}
 }
 
@@ -127,7 +131,7 @@
 	Job
 	team      *teamState
 	queue     *Queue // caches State.queue, nil if not known
-	overShare bool   // submitted over its team's share
+	overShare bool   // exceeds its team's share while the cell is overloaded; see chargeTeams
 	state     JobState
 	stages    []*stage
 	// activeRuns counts the runs that occupy capacity at a worker.
--- a/sched/waittime.go
+++ b/sched/waittime.go
@@ -13,6 +13,9 @@
 // recordWait adds the time since the last update of g's wait reason to its job's account.
 func (d *decider) recordWait(g *stage) {
 	t := d.now.Sub(g.waitUpdatedAt)
+	if g.job.overShare && (g.waitingFor == waitAdvice || g.waitingFor == waitCapacity) {
+		g.job.account.Share += t
+	}
 	switch g.waitingFor {
 	case waitAdvice:
 		g.job.account.Advice += t
