leader, node, logloss: work over the shares of teams is shown

Cause: an operator could not tell work that waits because its team is over its share from too little room. Change: the load of the cell has the jobs and teams over a share and the team with the most excess, jobs the time that they waited so; two gauges; losses names the reason. Result: TestCausesAreCountedByReason has such a job.

--- a/leader/log.go
+++ b/leader/log.go
@@ -19,6 +19,8 @@
 	}
 	l.loadLogged = now
 	load := l.state.Load()
+	shares := l.state.ShareLoad()
+	l.gauges.setShares(shares)
 	l.config.Log.WithFields(logrus.Fields{
 		"epoch":         uint64(l.Epoch()),
 		"workers":       load.Workers,
@@ -33,6 +35,9 @@
 		"wait_unasked":  load.Unasked,
 		"wait_room":     load.WaitRoom,
 		"wait_quota":    load.WaitQuota,
+		"over_share":    shares.Jobs,
+		"teams_over":    shares.Teams,
+		"team_most":     string(shares.Largest),
 		"unseatable":    load.Unseatable,
 		"questions":     load.Asking,
 		"questions_max": load.MaxAsking,
@@ -83,6 +88,7 @@
 		"stage":           w.Stage.String(),
 		"waited_ms":       w.Waited.Milliseconds(),
 		"waits_for":       w.For,
+		"over_share":      l.state.OverShare(w.Stage.Job),
 		"workers_usable":  w.Usable,
 		"workers_ready":   w.Ready,
 		"workers_fitting": w.Fitting,
@@ -142,6 +148,7 @@
 			f["waited_advice_ms"] = a.Advice.Milliseconds()
 			f["waited_room_ms"] = a.Room.Milliseconds()
 			f["waited_quota_ms"] = a.Quota.Milliseconds()
+			f["waited_share_ms"] = a.Share.Milliseconds()
 			f["runs_failed"] = a.Failed
 			f["runs_lost"] = a.Lost
 		}
--- a/logloss/logloss.go
+++ b/logloss/logloss.go
@@ -34,6 +34,7 @@
 	LeaderChanged     Reason = "the leader changed"
 	StoreUnreachable  Reason = "the store was away"
 	WaitedForQuota    Reason = "waited for its team's quota"
+	WaitedBehindShare Reason = "waited beyond its team's share"
 	WaitedForAdvice   Reason = "waited for advice"
 	WaitedForCapacity Reason = "waited for room"
 	RanLong           Reason = "ran"
@@ -69,7 +70,10 @@
 
 	age, objective                      time.Duration
 	adviceWait, capacityWait, quotaWait time.Duration
-	failedRuns, lostRuns                int
+	// shareWait is the part of adviceWait and capacityWait in which the job exceeded the share of
+	// its team.
+	shareWait            time.Duration
+	failedRuns, lostRuns int
 }
 
 // Summarize counts the jobs of saved logs by queue and returns the queues sorted by
@@ -161,6 +165,7 @@
 	j.adviceWait = l.Millis("waited_advice_ms")
 	j.capacityWait = l.Millis("waited_room_ms")
 	j.quotaWait = l.Millis("waited_quota_ms")
+	j.shareWait = l.Millis("waited_share_ms")
 	j.failedRuns = int(l.Number("runs_failed"))
 	j.lostRuns = int(l.Number("runs_lost"))
 }
@@ -200,6 +205,8 @@
 		return LeaderChanged
 	case j.quotaWait > minWait && j.quotaWait >= j.capacityWait+j.adviceWait:
 		return WaitedForQuota
+	case j.shareWait > minWait && 2*j.shareWait >= j.adviceWait+j.capacityWait:
+		return WaitedBehindShare
 	case j.adviceWait > minWait && j.adviceWait >= j.capacityWait:
 		return WaitedForAdvice
 	case j.capacityWait > minWait:
--- a/logloss/logloss_test.go
+++ b/logloss/logloss_test.go
@@ -11,7 +11,7 @@
 	"github.com/spoolsill/spoolsill/logstory"
 )
 
-// log holds six jobs of queue "q", a job that no host accepted, a change of leader and
+// log holds seven jobs of queue "q", a job that no host accepted, a change of leader and
 // an outage of the store.
 const log = `
 {"time":"2026-05-12T01:00:00Z","msg":"job accepted","job":"in-time","queue":"q"}
@@ -20,6 +20,8 @@
 {"time":"2026-05-12T01:00:01Z","msg":"job ended","job":"in-time","reason":"completed: all tasks are done","age_ms":900,"objective_ms":1000}
 {"time":"2026-05-12T01:00:02Z","msg":"job ended","job":"room","reason":"completed: all tasks are done","age_ms":2000,"objective_ms":1000,"waited_room_ms":1200,"waited_advice_ms":300}
 {"time":"2026-05-12T01:00:03Z","msg":"job ended","job":"lost","reason":"completed: all tasks are done","age_ms":3000,"objective_ms":1000,"waited_room_ms":1200,"runs_lost":1}
+{"time":"2026-05-12T01:00:00Z","msg":"job accepted","job":"share","queue":"q"}
+{"time":"2026-05-12T01:00:04Z","msg":"job ended","job":"share","reason":"completed: all tasks are done","age_ms":4000,"objective_ms":1000,"waited_room_ms":2200,"waited_advice_ms":300,"waited_share_ms":2000}
 {"time":"2026-05-12T01:01:00Z","msg":"job accepted","job":"leader","queue":"q"}
 {"time":"2026-05-12T01:01:00Z","msg":"job accepted","job":"open","queue":"q"}
 {"time":"2026-05-12T01:01:01Z","msg":"this host leads","host":"b"}
@@ -48,7 +50,7 @@
 		},
 	})
 	q := queues[1]
-	qt.Assert(t, q.Jobs, qt.Equals, 6)
+	qt.Assert(t, q.Jobs, qt.Equals, 7)
 	qt.Assert(t, q.InTime, qt.Equals, 1)
 	var got []string
 	for _, c := range q.Causes {
@@ -56,6 +58,7 @@
 	}
 	qt.Assert(t, got, qt.ContentEquals, []string{
 		"late: waited for room",
+		"late: waited beyond its team's share",
 		"late: a worker with its work was lost",
 		"late: the leader changed",
 		"not ended: ran",
@@ -73,5 +76,5 @@
 	}
 	// Output:
 	// /orders/ 1 0
-	// q 6 1
+	// q 7 1
 }
--- a/node/node.go
+++ b/node/node.go
@@ -469,6 +469,8 @@
 	n.metrics.RegisterGauge("spoolsill.tasks.suspect", "tasks under which workers went and that are not cleared, at the leader", func() int64 { tasks, _ := n.suspects(); return tasks })
 	n.metrics.RegisterGauge("spoolsill.workers.crashed", "machines whose workers crashed in the last minute, at the leader", func() int64 { _, crashed := n.suspects(); return crashed })
 	n.metrics.RegisterGauge("spoolsill.workers.unclear", "workers' entries that can't be understood, at the leader", n.invalidWorkerEntries)
+	n.metrics.RegisterGauge("spoolsill.share.jobs.over", "waiting jobs that exceed the share of their team, at the leader", func() int64 { jobs, _ := n.overShare(); return jobs })
+	n.metrics.RegisterGauge("spoolsill.share.teams.over", "teams with waiting jobs that exceed their share, at the leader", func() int64 { _, teams := n.overShare(); return teams })
 	n.metrics.RegisterGauge("spoolsill.suspended.milliseconds", "for how long this machine has been suspended since the host started", func() int64 { return n.clock.SuspendedTime().Milliseconds() })
 	n.metrics.RegisterGauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return boolToInt(n.health.reachable(n.clock.Now())) })
 }
@@ -482,6 +484,15 @@
 	return 0, 0
 }
 
+// overShare returns how many waiting jobs exceed the share of their team, and the number of these
+// teams, or zeros if this host does not lead.
+func (n *Node) overShare() (jobs, teams int64) {
+	if l := n.localLeader(); l != nil {
+		return l.OverShare()
+	}
+	return 0, 0
+}
+
 // invalidWorkerEntries returns how many worker entries the leader cannot decode, or 0 if
 // this host does not lead.
 func (n *Node) invalidWorkerEntries() int64 {
