--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -32,6 +32,10 @@
 // the most urgent work.
 const reviewInterval = 100 * time.Millisecond
 
+// maxReviews bounds the reviews of one call of [Ledger.Advance], so that a leader which takes over jobs
+// received hours ago is not held up. Calls that are a second apart are not affected.
+const maxReviews = 10
+
 // A Ledger answers the load in which one team hands in many times its usual work, or jobs
 // that each use many times what those of others do: it charges teams with the time that the
 // whole cell takes for their work.
@@ -252,14 +256,15 @@
 // Advance moves the ideal cell on to a time. Jobs over a share that have come to be within it are
 // then reported by [Ledger.Admitted]. It does nothing if the time has passed.
 func (l *Ledger) Advance(to time.Time) {
+	interval := max(reviewInterval, to.Sub(l.now)/maxReviews)
 	for l.now.Before(to) {
-		next := l.now.Truncate(reviewInterval).Add(reviewInterval)
+		next := l.now.Truncate(interval).Add(interval)
 		if len(l.active) == 0 || next.After(to) {
 			next = to
 		}
 		l.drain(seconds(next.Sub(l.now).Seconds()))
 		l.now = next
-		if l.now.Equal(l.now.Truncate(reviewInterval)) {
+		if l.now.Equal(l.now.Truncate(interval)) {
 			l.review()
 		}
 	}
