--- a/leader/log.go
+++ b/leader/log.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,6 +45,9 @@
 		"row_bytes":     l.written.bytes,
 		"suspects":      load.Suspects,
 		"crashed":       load.Crashed,
+		"backlog_ms":    load.Backlog.Milliseconds(),
+		"strain":        math.Round(100*load.Strain) / 100,
+		"overloaded":    load.Overloaded,
 		"answers_ms":    l.ResponseLatency().Milliseconds(),
 	}).Info("load of the cell")
 	l.written = writtenRows{}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -32,6 +32,7 @@
 		waitingQueues: map[QueueID]bool{},
 	}
 	d.collectReady()
+	s.Outlook(now)
 	ranked := s.ranked()
 	var last QueueID
 	for _, r := range ranked {
--- a/sched/load.go
+++ b/sched/load.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"github.com/spoolsill/spoolsill"
 )
 
@@ -38,6 +40,12 @@
 	// been cleared since, Crashed the machines whose workers crashed in the last minute.
 	Suspects int
 	Crashed  int
+	// Backlog is how long the cell takes for the accepted work that ends by itself, Strain the
+	// highest of [forecast.Outlook.Strains]: above 1 not all jobs can be in time. Overloaded
+	// counts the groups of jobs whose order is by work left instead of by slack.
+	Backlog    time.Duration
+	Strain     float64
+	Overloaded int
 }
 
 // Load returns the utilization of the cell. Cost: O(workers + runs + stages).
@@ -73,6 +81,11 @@
 	l.Asking = s.queriesInFlight
 	l.MaxAsking = s.advisorSlots
 	l.Suspects, l.Crashed = s.Suspects()
+	l.Backlog = s.outlook.Backlog()
+	for _, f := range s.outlook.Strains() {
+		l.Strain = max(l.Strain, f)
+	}
+	l.Overloaded = len(s.overloaded)
 	return l
 }
 
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -25,6 +26,7 @@
 		Stages:   1,
 		Late:     1, // its submission time is the zero time
 		WaitRoom: 1,
+		Backlog:  1200 * time.Millisecond,
 	})
 }
 
--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -21,21 +21,72 @@
 	if s.outlookAt.IsZero() || now.Sub(s.outlookAt) >= outlookTTL {
 		s.outlook = forecast.NewOutlook(s.supply(), s.describeAccepted())
 		s.outlookAt = now
+		s.overloaded = overloadedGroups(s.outlook, s.overloaded)
 	}
 	return s.outlook
 }
 
+// relievedStrain is the strain below which an overload is over. Expected run times change with
+// each task that ends, so that the strain of a steady load varies.
+const relievedStrain = 0.8
+
+// overloadedGroups returns the groups that are overloaded, given those that were.
+func overloadedGroups(o forecast.Outlook, were map[forecast.Group]bool) map[forecast.Group]bool {
+	are := map[forecast.Group]bool{}
+	for g, f := range o.Strains() {
+		if f > 1 || were[g] && f > relievedStrain {
+			are[g] = true
+		}
+	}
+	return are
+}
+
+// orderKey returns the position of g among the stages of its tier and priority while not all of
+// their jobs can be in time, and 0 if they can. Lasting stages go first.
+func (s *State) orderKey(g *stage, q *Queue) float64 {
+	if len(s.overloaded) == 0 || g.step.Lasting {
+		return 0
+	}
+	group := forecast.Group{
+		OverShare: g.job.overShare,
+		Priority:  q.Priority,
+	}
+	if !s.overloaded[group] {
+		return 0
+	}
+	if g.keyAt != s.outlookAt {
+		g.keyAt = s.outlookAt
+		g.key = s.describe(g, q).Key(s.outlook.Supply())
+	}
+	return g.key
+}
+
+// sizeBlindEvery is one job in how many is ranked regardless of its size under overload. Large
+// jobs are then served at least half as often as the others; more would
+// put more of the others behind them.
+const sizeBlindEvery = 4
+
+// sizeBlind reports whether j is one of those. It depends on nothing but the job's row, so that
+// the next leader ranks the job alike.
+func (j *Job) sizeBlind() bool {
+	return j.Received.UnixMilli()%sizeBlindEvery == 0
+}
+
 // Describe returns the forecast's view of a job that has not been accepted, or of the first
 // round of a timed one, whose time until it is due counts as time left.
 func (s *State) Describe(j Job) forecast.Job {
+	if len(j.Steps) == 0 {
+		return forecast.Job{}
+	}
 	x := &job{
 		Job: j,
 	}
 	q := s.queue(x)
 	paths := s.criticalPathsOf(x, q)
 	f := forecast.Job{
-		Priority: q.Priority,
-		Due:      q.objective(paths),
+		Priority:  q.Priority,
+		SizeBlind: j.sizeBlind(),
+		Due:       q.objective(paths),
 	}
 	since := j.Received
 	if j.Rounds > 0 {
@@ -52,6 +103,7 @@
 		f.Left = f.Left.Add(s.costOf(q, p))
 		f.Chain = max(f.Chain, paths[i])
 	}
+	f.Whole = f.Left
 	return f
 }
 
@@ -125,10 +177,15 @@
 	f := forecast.Job{
 		Priority:  q.Priority,
 		OverShare: g.job.overShare,
+		SizeBlind: g.job.sizeBlind(),
 		Due:       q.objective(paths) - s.wallClock().Sub(since),
 	}
 	for _, o := range g.round() {
-		if o.done() || o.step.Lasting {
+		if o.step.Lasting {
+			continue
+		}
+		f.Whole = f.Whole.Add(s.costOf(q, o.step))
+		if o.done() {
 			continue
 		}
 		left, longest := s.left(o, q)
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -17,11 +17,12 @@
 	tierWorthless             // earns nothing any more
 )
 
-// A rank orders stages by tier, then by the priority of their queue, then by slack. Those that
-// earn nothing any more are ordered by age alone, so that no queue is always last.
+// A rank orders stages by tier, then by the priority of their queue, then by key and slack.
+// Those that earn nothing any more are ordered by age alone, so that no queue is always last.
 type rank struct {
 	tier     tier
 	priority int
+	key      float64 // 0 while the jobs can all be in time, otherwise that of forecast.Job.Key
 	slack    time.Duration
 	waited   time.Duration // since the job was submitted or the round was due
 }
@@ -35,7 +36,7 @@
 	case r.priority != o.priority:
 		return cmp.Compare(r.priority, o.priority)
 	default:
-		return cmp.Compare(r.slack, o.slack)
+		return cmp.Or(cmp.Compare(r.key, o.key), cmp.Compare(r.slack, o.slack))
 	}
 }
 
@@ -91,6 +92,7 @@
 	case q.Priority == 0:
 		r.tier = tierUrgent
 	}
+	r.key = s.orderKey(g, q)
 	if g.job.overShare {
 		r.tier = max(r.tier, tierOverShare)
 	}
--- a/sched/state.go
+++ b/sched/state.go
@@ -96,6 +96,8 @@
 	// outlook caches Outlook as of outlookAt.
 	outlook   forecast.Outlook
 	outlookAt time.Time
+	// overloaded has the groups of jobs that can't all be in time as of outlookAt.
+	overloaded map[forecast.Group]bool
 }
 
 // New returns an empty State.
@@ -161,6 +163,9 @@
 	// openedAt is when its dependencies were done.
 	openedAt time.Time
 	tier     tier // as of the current pass
+	// key caches orderKey as of keyAt.
+	key   float64
+	keyAt time.Time
 	// waitingFor is the reason for waiting since waitUpdatedAt.
 	waitingFor    waitKind
 	waitUpdatedAt time.Time
