--- a/forecast/outlook.go
+++ b/forecast/outlook.go
@@ -11,7 +11,7 @@
 	supply Supply
 	jobs   []Job           // in the order in which they are served
 	before []time.Duration // before[i] is the time that the cell takes for jobs[:i]
-	strain map[Group]float64
+	groups map[Group]GroupLoad
 }
 
 // NewOutlook returns the outlook of a cell with some supply that has accepted jobs.
@@ -28,7 +28,7 @@
 		sum = sum.Add(j.Left)
 		o.before[i+1] = s.Time(sum)
 	}
-	o.strain = o.strains()
+	o.groups = o.groupLoads()
 	return o
 }
 
@@ -65,42 +65,50 @@
 	return w + max(j.Chain, o.supply.Time(j.Left))
 }
 
-// Strains returns for each group with jobs that can be in time how much of the time until one of
-// them is due the cell needs, at most, if those due first are served first within the group. Above 1
-// not all of the group can be in time in any order. It returns nothing as long as the
-// supply is not known. The result must not be modified.
-func (o Outlook) Strains() map[Group]float64 {
-	return o.strain
+// A GroupLoad describes the load of a group of jobs.
+type GroupLoad struct {
+	// Strain is the highest share that the cell needs of the time until one of the jobs is due, if
+	// those due first are served first within the group. Above 1 not all jobs that could be
+	// in time will be, in any order.
+	Strain float64
+	// Late counts the jobs that can't be in time any more.
+	Late int
+}
+
+// Groups returns the loads of the groups that have jobs, or nothing as long as the supply is not
+// known. The result must not be modified.
+func (o Outlook) Groups() map[Group]GroupLoad {
+	return o.groups
 }
 
 // Overloaded reports whether some of the jobs that could be in time will not be, even if those due
 // first are served first. A cell whose supply is not known is not overloaded.
 func (o Outlook) Overloaded() bool {
-	for _, f := range o.strain {
-		if f > 1 {
+	for _, l := range o.groups {
+		if l.Strain > 1 {
 			return true
 		}
 	}
 	return false
 }
 
-func (o Outlook) strains() map[Group]float64 {
+func (o Outlook) groupLoads() map[Group]GroupLoad {
 	if !o.supply.Known() {
 		return nil
 	}
-	jobs := make([]Job, 0, len(o.jobs))
-	for _, j := range o.jobs {
-		if j.Feasible() {
-			jobs = append(jobs, j)
-		}
-	}
+	groups := map[Group]GroupLoad{}
+	jobs := slices.Clone(o.jobs)
 	slices.SortStableFunc(jobs, Job.compareDue)
-	strain := map[Group]float64{}
 	var sum Cost
 	for _, j := range jobs {
-		sum = sum.Add(j.Left)
-		f := float64(o.supply.Time(sum)) / float64(max(j.Due, 1))
-		strain[j.Group()] = max(strain[j.Group()], f)
+		l := groups[j.Group()]
+		if j.Feasible() {
+			sum = sum.Add(j.Left)
+			l.Strain = max(l.Strain, float64(o.supply.Time(sum))/float64(max(j.Due, 1)))
+		} else {
+			l.Late++
+		}
+		groups[j.Group()] = l
 	}
-	return strain
+	return groups
 }
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -51,6 +51,8 @@
 	learnQueriesInFlight int
 	warmQueryInFlight    bool
 	learnedAt            time.Time // when the latest answer about new workers was received
+	// spent is the expected time of the advisor for all queries so far.
+	spent time.Duration
 }
 
 type ticket struct {
@@ -95,6 +97,8 @@
 		g.advice.warmQueryInFlight = true
 		s.warmQueriesInFlight++
 	}
+	cost := q.Advisor.queryTime(len(workers))
+	g.advice.spent += cost
 	s.queriesInFlight++
 	s.queueQueriesInFlight[q.ID]++
 	s.adviceOrders = append(s.adviceOrders, AdviceOrder{
@@ -104,7 +108,7 @@
 		Priority: q.Priority,
 		Urgent:   g.tier == tierUrgent,
 		Purpose:  p,
-		Cost:     q.Advisor.queryTime(len(workers)),
+		Cost:     cost,
 		Ordered:  s.now,
 	})
 }
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -33,6 +33,33 @@
 	return time.Duration(e.ratio * float64(p.Estimate))
 }
 
+// adviceWeight is the weight of the newest stage in the moving average of what stages cost the
+// advisor. That depends on how full the cell is, which changes within seconds.
+const adviceWeight = 0.1
+
+// adviceCost returns how long the advisor is expected to take for all queries about a stage of a
+// queue: as long as for the former ones, or for one query if none has ended yet.
+func (s *State) adviceCost(q *Queue) time.Duration {
+	if q.Advisor == nil {
+		return 0
+	}
+	if c, known := s.adviceCosts[q.ID]; known {
+		return c
+	}
+	return q.Advisor.queryTime(q.Advisor.querySize())
+}
+
+// observeAdvice updates adviceCost from a stage that is done. Stages that were asked about by a
+// former leader may have cost more than is known.
+func (s *State) observeAdvice(g *stage) {
+	q := s.queue(g.job)
+	if q.Advisor == nil || g.advice.spent == 0 {
+		return
+	}
+	c := s.adviceCost(q)
+	s.adviceCosts[q.ID] = c + time.Duration(adviceWeight*float64(g.advice.spent-c))
+}
+
 // observeEnd updates the run time and worker estimates from the end of a run.
 func (s *State) observeEnd(r *run, k EndKind) {
 	switch k {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -307,6 +307,7 @@
 // last task of g is done.
 func (s *State) completeStage(g *stage) {
 	j := g.job
+	s.observeAdvice(g)
 	j.stagesLeft--
 	if j.stagesLeft == 0 {
 		s.endJob(j, Completed, "all tasks are done")
--- a/sched/load.go
+++ b/sched/load.go
@@ -41,7 +41,7 @@
 	Suspects int
 	Crashed  int
 	// Backlog is how long the cell takes for the accepted work that ends by itself, Strain the
-	// highest of [forecast.Outlook.Strains]: above 1 not all jobs can be in time. Overloaded
+	// highest of [forecast.GroupLoad]: above 1 not all jobs can be in time. Overloaded
 	// counts the groups of jobs whose order is by work left instead of by slack.
 	Backlog    time.Duration
 	Strain     float64
@@ -82,8 +82,8 @@
 	l.MaxAsking = s.advisorSlots
 	l.Suspects, l.Crashed = s.Suspects()
 	l.Backlog = s.outlook.Backlog()
-	for _, f := range s.outlook.Strains() {
-		l.Strain = max(l.Strain, f)
+	for _, g := range s.outlook.Groups() {
+		l.Strain = max(l.Strain, g.Strain)
 	}
 	l.Overloaded = len(s.overloaded)
 	return l
--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -26,15 +26,13 @@
 	return s.outlook
 }
 
-// relievedStrain is the strain below which an overload is over. Expected run times change with
-// each task that ends, so that the strain of a steady load varies.
-const relievedStrain = 0.8
-
-// overloadedGroups returns the groups that are overloaded, given those that were.
+// overloadedGroups returns the groups that are overloaded, given those that were. An overload is
+// over once the jobs that it has made late have ended: until then they wait for what the others
+// leave, and would take it from those that have begun.
 func overloadedGroups(o forecast.Outlook, were map[forecast.Group]bool) map[forecast.Group]bool {
 	are := map[forecast.Group]bool{}
-	for g, f := range o.Strains() {
-		if f > 1 || were[g] && f > relievedStrain {
+	for g, l := range o.Groups() {
+		if l.Strain > 1 || were[g] && l.Late > 0 {
 			are[g] = true
 		}
 	}
@@ -200,23 +198,21 @@
 	c := forecast.Cost{
 		Processor: forecast.ProcessorTime(p.Tasks, p.demand().Processors, s.expected(q, p)),
 	}
-	if q.Advisor != nil {
-		c.Advice = q.Advisor.queryTime(q.Advisor.querySize())
+	if p.Tasks > 0 {
+		c.Advice = s.adviceCost(q)
 	}
 	return c
 }
 
 // left returns the cost of what is left of a stage, and the longest expected time of one of its
-// tasks. The advisor's answers are counted until the first one has arrived.
+// tasks. Tasks that have a run need no more answers of the advisor.
 func (s *State) left(g *stage, q *Queue) (c forecast.Cost, longest time.Duration) {
 	p := g.step
 	e := s.expected(q, p)
 	if g.tasks == nil {
 		return s.costOf(q, p), e
 	}
-	if q.Advisor != nil && g.advice.asked == nil {
-		c.Advice = q.Advisor.queryTime(q.Advisor.querySize())
-	}
+	c.Advice = s.adviceCost(q) * time.Duration(g.waiting) / time.Duration(max(len(g.tasks), 1))
 	var total time.Duration
 	for _, t := range g.tasks {
 		if t.done {
--- a/sched/state.go
+++ b/sched/state.go
@@ -63,6 +63,7 @@
 	rankedStages []rankedStage // the buffer of ranked
 	timedStages  []*stage      // wait for their due time
 	runTimes     map[QueueID]*runTimeEstimate
+	adviceCosts  map[QueueID]time.Duration // of a stage; see adviceCost
 	teams        map[spoolsill.TeamID]*teamState
 
 	dirty []*job
@@ -109,6 +110,7 @@
 		workers:      map[spoolsill.WorkerID]*worker{},
 		incarnations: map[string][]*worker{},
 		runTimes:     map[QueueID]*runTimeEstimate{},
+		adviceCosts:  map[QueueID]time.Duration{},
 		teams:        map[spoolsill.TeamID]*teamState{},
 		acks:         map[spoolsill.WorkerIncarnation]uint64{},
 
