--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		n := len(g.tasks)
-		if g.waitingFor == waitQuota {
+		if !g.job.team.allows(g.step.demand()) {
 			n -= g.waiting
 		}
 		f.Processors -= g.step.demand().Times(n).Processors
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -288,6 +288,7 @@
 		},
 	} {
 		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
 			q := wideQueue()
 			if v.hosts > 0 {
 				q.Advisor = &sched.Advisor{
