sched, leader, node: the load against what can be in time, and the forecast's error, for operators

Fields backlog_ms, strain, overloaded and forecast_miss_ms of 'load of the cell', forecast_ms of 'job ended', and three gauges. The zero Outlook is that of an unknown supply.

--- a/forecast/outlook.go
+++ b/forecast/outlook.go
@@ -6,7 +6,7 @@
 )
 
 // An Outlook tells when new work would end, given the work that has been accepted. It is
-// immutable.
+// immutable. The zero Outlook is that of a cell whose supply is not known.
 type Outlook struct {
 	supply Supply
 	jobs   []Job           // in the order in which they are served
@@ -45,8 +45,12 @@
 	return o.before[len(o.jobs)]
 }
 
-// Wait returns how long the cell works on jobs that go before j. Cost: O(log n).
+// Wait returns how long the cell works on jobs that go before j, or Never if its supply is not
+// known. Cost: O(log n).
 func (o Outlook) Wait(j Job) time.Duration {
+	if !o.supply.Known() {
+		return Never
+	}
 	i, _ := slices.BinarySearchFunc(o.jobs, j, func(e, j Job) int {
 		if e.Compare(j, o.supply) <= 0 {
 			return -1 // jobs of equal rank were there first
--- a/forecast/outlook_test.go
+++ b/forecast/outlook_test.go
@@ -113,6 +113,8 @@
 	c.Check(o.Groups(), qt.HasLen, 0)
 	c.Check(o.Backlog(), qt.Equals, time.Duration(0))
 	c.Check(o.Ends(task(time.Second, time.Minute)), qt.Equals, forecast.Never)
+	c.Check(forecast.Outlook{}.Ends(task(time.Second, time.Minute)), qt.Equals, forecast.Never)
+	c.Check(forecast.Outlook{}.Overloaded(), qt.IsFalse)
 }
 
 // Urgent jobs that can all be in time are not overloaded by those that wait behind them.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -561,6 +561,7 @@
 	l.lastDecide = now
 	l.state.Decide(now)
 	l.gauges.setSuspects(l.state.Suspects())
+	l.gauges.setOverload(l.state.Overload())
 	l.decideTook = l.config.Clock.Since(now)
 }
 
--- a/leader/log.go
+++ b/leader/log.go
@@ -21,34 +21,35 @@
 	l.loadLogged = now
 	load := l.state.Load()
 	l.config.Log.WithFields(logrus.Fields{
-		"epoch":         uint64(l.Epoch()),
-		"workers":       load.Workers,
-		"ready":         load.Ready,
-		"cores":         int64(load.Capacity.Processors / spoolsill.Core),
-		"cores_used":    int64(load.Used.Processors / spoolsill.Core),
-		"runs":          load.Runs,
-		"runs_in_doubt": load.Doubtful,
-		"stages_wait":   load.Stages,
-		"stages_late":   load.Late,
-		"wait_advice":   load.WaitAdvice,
-		"wait_unasked":  load.Unasked,
-		"wait_room":     load.WaitRoom,
-		"wait_quota":    load.WaitQuota,
-		"unseatable":    load.Unseatable,
-		"questions":     load.Asking,
-		"questions_max": load.MaxAsking,
-		"at_hosts":      l.advice.atHosts(),
-		"underway_ms":   l.advice.overhead.Milliseconds(),
-		"advisor_ms":    l.advice.averageCost.Milliseconds(),
-		"writes":        l.written.batches,
-		"rows":          l.written.rows,
-		"row_bytes":     l.written.bytes,
-		"suspects":      load.Suspects,
-		"crashed":       load.Crashed,
-		"backlog_ms":    load.Backlog.Milliseconds(),
-		"strain":        math.Round(100*load.Strain) / 100,
-		"overloaded":    load.Overloaded,
-		"answers_ms":    l.ResponseLatency().Milliseconds(),
+		"epoch":            uint64(l.Epoch()),
+		"workers":          load.Workers,
+		"ready":            load.Ready,
+		"cores":            int64(load.Capacity.Processors / spoolsill.Core),
+		"cores_used":       int64(load.Used.Processors / spoolsill.Core),
+		"runs":             load.Runs,
+		"runs_in_doubt":    load.Doubtful,
+		"stages_wait":      load.Stages,
+		"stages_late":      load.Late,
+		"wait_advice":      load.WaitAdvice,
+		"wait_unasked":     load.Unasked,
+		"wait_room":        load.WaitRoom,
+		"wait_quota":       load.WaitQuota,
+		"unseatable":       load.Unseatable,
+		"questions":        load.Asking,
+		"questions_max":    load.MaxAsking,
+		"at_hosts":         l.advice.atHosts(),
+		"underway_ms":      l.advice.overhead.Milliseconds(),
+		"advisor_ms":       l.advice.averageCost.Milliseconds(),
+		"writes":           l.written.batches,
+		"rows":             l.written.rows,
+		"row_bytes":        l.written.bytes,
+		"suspects":         load.Suspects,
+		"crashed":          load.Crashed,
+		"backlog_ms":       load.Backlog.Milliseconds(),
+		"strain":           math.Round(100*load.Strain) / 100,
+		"overloaded":       load.Groups,
+		"forecast_miss_ms": load.ForecastError.Milliseconds(),
+		"answers_ms":       l.ResponseLatency().Milliseconds(),
 	}).Info("load of the cell")
 	l.written = writtenRows{}
 	l.logLongestWait(now)
@@ -143,6 +144,7 @@
 		}
 		if a := n.Account; a != nil {
 			f["objective_ms"] = a.Objective.Milliseconds()
+			f["forecast_ms"] = a.Forecast.Milliseconds()
 			f["waited_advice_ms"] = a.Advice.Milliseconds()
 			f["waited_room_ms"] = a.Room.Milliseconds()
 			f["waited_quota_ms"] = a.Quota.Milliseconds()
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 	"github.com/spoolsill/spoolsill/telemetry"
 	"github.com/spoolsill/spoolsill/traffic"
@@ -469,6 +470,9 @@
 	n.metrics.RegisterGauge("spoolsill.tasks.suspect", "tasks under which workers went and that are not cleared, at the leader", func() int64 { tasks, _ := n.suspects(); return tasks })
 	n.metrics.RegisterGauge("spoolsill.workers.crashed", "machines whose workers crashed in the last minute, at the leader", func() int64 { _, crashed := n.suspects(); return crashed })
 	n.metrics.RegisterGauge("spoolsill.workers.unclear", "workers' entries that can't be understood, at the leader", n.invalidWorkerEntries)
+	n.metrics.RegisterGauge("spoolsill.overload.groups", "groups of jobs that can't all be in time and go by what is left of them, at the leader", func() int64 { return int64(n.overload().Groups) })
+	n.metrics.RegisterGauge("spoolsill.overload.backlog.milliseconds", "how long the cell takes for the accepted work, at the leader", func() int64 { return n.overload().Backlog.Milliseconds() })
+	n.metrics.RegisterGauge("spoolsill.forecast.error.milliseconds", "mean difference between the forecast and the actual end of jobs, at the leader", func() int64 { return n.overload().ForecastError.Milliseconds() })
 	n.metrics.RegisterGauge("spoolsill.suspended.milliseconds", "for how long this machine has been suspended since the host started", func() int64 { return n.clock.SuspendedTime().Milliseconds() })
 	n.metrics.RegisterGauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return boolToInt(n.health.reachable(n.clock.Now())) })
 }
@@ -482,6 +486,14 @@
 	return 0, 0
 }
 
+// overload returns the load of the cell as known here, or zeros if this host does not lead.
+func (n *Node) overload() sched.Overload {
+	if l := n.localLeader(); l != nil {
+		return l.Overload()
+	}
+	return sched.Overload{}
+}
+
 // invalidWorkerEntries returns how many worker entries the leader cannot decode, or 0 if
 // this host does not lead.
 func (n *Node) invalidWorkerEntries() int64 {
--- a/sched/event.go
+++ b/sched/event.go
@@ -288,6 +288,9 @@
 type Account struct {
 	// Objective is the time within which the job should have ended.
 	Objective time.Duration
+	// Forecast is the time within which it was expected to end when it was accepted; 0 if
+	// that is not known.
+	Forecast time.Duration
 	// Advice, Room and Quota are the times that the job's stages waited for the advisor,
 	// for capacity at a worker, and for their team to fall below its quota, added up.
 	Advice time.Duration
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -27,6 +27,9 @@
 		return
 	}
 	x.overShare = x.team.share.observe(j.Received, x.team.Weight)
+	if p.State == Pending && len(p.Stages) == 0 {
+		x.account.Forecast = s.forecastEnd(x)
+	}
 	s.makeStages(x)
 	for _, sp := range p.Stages {
 		s.restoreStage(x, sp)
@@ -310,6 +313,7 @@
 	s.observeAdvice(g)
 	j.stagesLeft--
 	if j.stagesLeft == 0 {
+		s.observeForecast(j)
 		s.endJob(j, Completed, "all tasks are done")
 		return
 	}
--- a/sched/load.go
+++ b/sched/load.go
@@ -40,12 +40,34 @@
 	// been cleared since, Crashed the machines whose workers crashed in the last minute.
 	Suspects int
 	Crashed  int
-	// Backlog is how long the cell takes for the accepted work that ends by itself, Strain the
-	// highest of [forecast.GroupLoad]: above 1 not all jobs can be in time. Overloaded
-	// counts the groups of jobs whose order is by work left instead of by slack.
-	Backlog    time.Duration
-	Strain     float64
-	Overloaded int
+	Overload
+}
+
+// An Overload compares the accepted work with what the cell can do in time.
+type Overload struct {
+	// Backlog is how long the cell takes for the accepted work that ends by itself.
+	Backlog time.Duration
+	// Strain is the highest of [forecast.GroupLoad]: above 1 not all jobs can be in time.
+	Strain float64
+	// Groups counts the groups of jobs whose order is by what is left of them instead of by
+	// slack.
+	Groups int
+	// ForecastError is the mean difference between the times that jobs were expected to take
+	// when they were accepted and those that they took.
+	ForecastError time.Duration
+}
+
+// Overload returns the load as of the last pass.
+func (s *State) Overload() Overload {
+	o := Overload{
+		Backlog:       s.outlook.Backlog(),
+		Groups:        len(s.overloaded),
+		ForecastError: s.forecastError,
+	}
+	for _, g := range s.outlook.Groups() {
+		o.Strain = max(o.Strain, g.Strain)
+	}
+	return o
 }
 
 // Load returns the utilization of the cell. Cost: O(workers + runs + stages).
@@ -81,11 +103,7 @@
 	l.Asking = s.queriesInFlight
 	l.MaxAsking = s.advisorSlots
 	l.Suspects, l.Crashed = s.Suspects()
-	l.Backlog = s.outlook.Backlog()
-	for _, g := range s.outlook.Groups() {
-		l.Strain = max(l.Strain, g.Strain)
-	}
-	l.Overloaded = len(s.overloaded)
+	l.Overload = s.Overload()
 	return l
 }
 
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -26,7 +26,9 @@
 		Stages:   1,
 		Late:     1, // its submission time is the zero time
 		WaitRoom: 1,
-		Backlog:  1200 * time.Millisecond,
+		Overload: sched.Overload{
+			Backlog: 1200 * time.Millisecond,
+		},
 	})
 }
 
--- a/sched/outlook_test.go
+++ b/sched/outlook_test.go
@@ -86,7 +86,7 @@
 func TestJobThatHasBegunGoesFirstUnderOverload(t *testing.T) {
 	x := newOverloaded(t)
 	x.c.Check(x.next(), qt.Equals, spoolsill.JobID("begun"))
-	x.c.Check(x.state.Load().Overloaded, qt.Equals, 1)
+	x.c.Check(x.state.Load().Groups, qt.Equals, 1)
 }
 
 // A new leader knows from the rows what has begun, and ranks the jobs as the former one did. It
@@ -107,12 +107,12 @@
 	}
 	x.c.Check(x.step(), qt.HasLen, 0)
 	l := x.state.Load()
-	x.c.Check(l.Overloaded, qt.Equals, 0)
+	x.c.Check(l.Groups, qt.Equals, 0)
 	x.c.Check(l.Backlog, qt.Equals, time.Duration(0))
 	x.addWorker("w")
 	x.now = x.now.Add(200 * time.Millisecond)
 	x.c.Check(x.next(), qt.Equals, spoolsill.JobID("begun"))
-	x.c.Check(x.state.Load().Overloaded, qt.Equals, 1)
+	x.c.Check(x.state.Load().Groups, qt.Equals, 1)
 }
 
 // A configuration with a later objective ends an overload, and the order is by slack again.
@@ -129,7 +129,7 @@
 		},
 	})
 	x.c.Check(x.next(), qt.Equals, spoolsill.JobID("small0"))
-	x.c.Check(x.state.Load().Overloaded, qt.Equals, 0)
+	x.c.Check(x.state.Load().Groups, qt.Equals, 0)
 }
 
 // Workers of a hall that is cut off leave the supply, so that what they would have done counts as
@@ -240,3 +240,32 @@
 	x.c.Check(backlog(600*time.Millisecond), qt.Equals, 2*time.Second)
 	x.c.Check(backlog(time.Second), qt.Equals, 4*time.Second)
 }
+
+// The end that is expected when a job is accepted counts the work that goes first.
+func TestForecastIsComparedWithTheEnd(t *testing.T) {
+	x := newCell(t)
+	x.addWorker("w")
+	x.step()
+	x.addNow(wideJob("first", 2))
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, 1)
+	x.acceptStarts(o)
+	x.now = x.now.Add(200 * time.Millisecond)
+	x.renewLease("w", o[0].Run)
+	x.step()
+	x.addNow(wideJob("second", 1))
+	x.run("w", o[0], 3*time.Second)
+	x.c.Check(x.state.Overload().ForecastError > 0, qt.IsTrue)
+	o = x.step()
+	x.c.Assert(o, qt.HasLen, 1)
+	x.acceptStarts(o)
+	x.run("w", o[0], time.Second)
+	forecasts := map[spoolsill.JobID]time.Duration{}
+	for _, n := range x.state.Notes() {
+		if n.Kind == sched.NoteJobEnded {
+			forecasts[n.Job] = n.Account.Forecast
+		}
+	}
+	x.c.Check(forecasts["first"], qt.Equals, 2*time.Second)
+	x.c.Check(forecasts["second"] > 2500*time.Millisecond && forecasts["second"] < 3*time.Second, qt.IsTrue, qt.Commentf("%s", forecasts["second"]))
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -97,6 +97,8 @@
 	// outlook caches Outlook as of outlookAt.
 	outlook   forecast.Outlook
 	outlookAt time.Time
+	// forecastError is the mean difference between the forecast and the actual end of jobs.
+	forecastError time.Duration
 	// overloaded has the groups of jobs that can't all be in time as of outlookAt.
 	overloaded map[forecast.Group]bool
 }
