--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -296,3 +296,34 @@
 		})
 	}
 }
+
+// BenchmarkDecideOverloaded measures a pass over 400 waiting stages that can't all be in time in a
+// full cell of 1,100 workers, with a new outlook in each pass.
+func BenchmarkDecideOverloaded(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := fullState(1100, 0, now)
+	for i := range 400 {
+		j := job(spoolsill.JobID(fmt.Sprintf("late-%d", i)), "q", tasks(17, 5))
+		j.Received = now
+		s.AddJob(now, j, sched.Progress{})
+	}
+	s.Decide(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		s.Decide(now)
+	}
+}
+
+// BenchmarkOutlook measures an outlook of 400 waiting jobs in a full cell of 1,100 workers, as it is
+// made each 100 ms at most.
+func BenchmarkOutlook(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := fullState(1100, 400, now)
+	s.Decide(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		s.Outlook(now)
+	}
+}
