--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -59,9 +59,9 @@
 	return g.key
 }
 
-// sizeBlindEvery is one job in how many is ranked regardless of its size under overload. Large
-// jobs are then served at least half as often as the others; more would
-// put more of the others behind them.
+// sizeBlindEvery is one job in how many is ranked regardless of its size under overload, so that
+// large jobs don't wait as long as smaller ones keep coming. Each of the large ones puts several
+// small ones behind it.
 const sizeBlindEvery = 4
 
 // sizeBlind reports whether j is one of those. It depends on nothing but the job's row, so that
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -273,18 +273,21 @@
 // the answers may cost a fifth of the jobs. Large jobs must not pay for it.
 func TestHalfOfTheJobsAreInTimeUnderOverload(t *testing.T) {
 	for _, v := range []struct {
-		name  string
-		hosts int
-		least float64
+		name   string
+		hosts  int
+		least  float64
+		shares []float64
 	}{
 		{
-			name:  "room",
-			least: 0.5,
+			name:   "room",
+			shares: []float64{3, 0.9},
+			least:  0.5,
 		},
 		{
-			name:  "room and advice",
-			hosts: 16,
-			least: 0.4,
+			name:   "room and advice",
+			shares: []float64{3, 0.9},
+			hosts:  16,
+			least:  0.4,
 		},
 	} {
 		t.Run(v.name, func(t *testing.T) {
@@ -296,7 +299,7 @@
 					PerWorker: 7150 * time.Microsecond,
 				}
 			}
-			us, overloaded := replay(t, overloadSeeds, v.hosts, q, 3, 0.9)
+			us, overloaded := replay(t, overloadSeeds, v.hosts, q, v.shares...)
 			c := qt.New(t)
 			all, byWork := share(us)
 			largest, large, rest := bySize(us)
@@ -312,6 +315,22 @@
 	}
 }
 
+// Guards against large jobs that wait as long as smaller ones keep coming. The cell is offered 1.8
+// times what it has for a minute.
+func TestLargeJobsAreServedUnderSteadyOverload(t *testing.T) {
+	t.Parallel()
+	us, _ := replay(t, overloadSeeds, 0, wideQueue(), 1.8, 1.8, 1.8)
+	c := qt.New(t)
+	all, _ := share(us)
+	largest, large, _ := bySize(us)
+	ofLargest, _ := share(largest)
+	ofLarge, _ := share(large)
+	t.Logf("%d jobs: %.3f in time; largest tenth %.3f, fifth below %.3f", len(us), all, ofLargest, ofLarge)
+	c.Check(all >= 0.5, qt.IsTrue)
+	c.Check(ofLargest >= all/2, qt.IsTrue)
+	c.Check(ofLarge >= all/2, qt.IsTrue)
+}
+
 // A load that can be met is never called an overload, so that it is served by slack as before.
 func TestLoadThatCanBeMetIsNoOverload(t *testing.T) {
 	us, overloaded := replay(t, 1, 0, wideQueue(), 0.4)
