--- a/forecast/outlook.go
+++ b/forecast/outlook.go
@@ -1,17 +1,17 @@
 package forecast
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
 // An Outlook tells when new work would end, given the work that has been accepted. It is
-// immutable.
+// immutable. The zero Outlook is that of a cell whose supply is not known.
 type Outlook struct {
 	supply Supply
 	jobs   []Job           // in the order in which they are served
 	before []time.Duration // before[i] is the time that the cell takes for jobs[:i]
+	groups map[Group]GroupLoad
 }
 
 // NewOutlook returns the outlook of a cell with some supply that has accepted jobs.
@@ -28,6 +28,7 @@
 		sum = sum.Add(j.Left)
 		o.before[i+1] = s.Time(sum)
 	}
+	o.groups = o.groupLoads()
 	return o
 }
 
@@ -36,8 +37,20 @@
 	return o.supply
 }
 
-// Wait returns how long the cell works on jobs that go before j. Cost: O(log n).
+// Backlog returns how long the cell works on all jobs, or 0 if its supply is not known.
+func (o Outlook) Backlog() time.Duration {
+	if !o.supply.Known() {
+		return 0
+	}
+	return o.before[len(o.jobs)]
+}
+
+// Wait returns how long the cell works on jobs that go before j, or Never if its supply is not
+// known. Cost: O(log n).
 func (o Outlook) Wait(j Job) time.Duration {
+	if !o.supply.Known() {
+		return Never
+	}
 	i, _ := slices.BinarySearchFunc(o.jobs, j, func(e, j Job) int {
 		if e.Compare(j, o.supply) <= 0 {
 			return -1 // jobs of equal rank were there first
@@ -56,25 +69,50 @@
 	return w + max(j.Chain, o.supply.Time(j.Left))
 }
 
+// A GroupLoad describes the load of a group of jobs.
+type GroupLoad struct {
+	// Strain is the highest share that the cell needs of the time until one of the jobs is due, if
+	// those due first are served first within the group. Above 1 not all jobs that could be
+	// in time will be, in any order.
+	Strain float64
+	// Late counts the jobs that can't be in time any more.
+	Late int
+}
+
+// Groups returns the loads of the groups that have jobs, or nothing as long as the supply is not
+// known. The result must not be modified.
+func (o Outlook) Groups() map[Group]GroupLoad {
+	return o.groups
+}
+
 // Overloaded reports whether some of the jobs that could be in time will not be, even if those due
 // first are served first. A cell whose supply is not known is not overloaded.
 func (o Outlook) Overloaded() bool {
-	if !o.supply.Known() {
-		return false
-	}
-	var feasible []Job
-	for _, j := range o.jobs {
-		if j.Feasible() {
-			feasible = append(feasible, j)
+	for _, l := range o.groups {
+		if l.Strain > 1 {
+			return true
 		}
 	}
-	slices.SortStableFunc(feasible, func(a, b Job) int { return cmp.Compare(a.Due, b.Due) })
+	return false
+}
+
+func (o Outlook) groupLoads() map[Group]GroupLoad {
+	if !o.supply.Known() {
+		return nil
+	}
+	groups := map[Group]GroupLoad{}
+	jobs := slices.Clone(o.jobs)
+	slices.SortStableFunc(jobs, Job.compareDue)
 	var sum Cost
-	for _, j := range feasible {
-		sum = sum.Add(j.Left)
-		if o.supply.Time(sum) > j.Due {
-			return true
+	for _, j := range jobs {
+		l := groups[j.Group()]
+		if j.Feasible() {
+			sum = sum.Add(j.Left)
+			l.Strain = max(l.Strain, float64(o.supply.Time(sum))/float64(max(j.Due, 1)))
+		} else {
+			l.Late++
 		}
+		groups[j.Group()] = l
 	}
-	return false
+	return groups
 }
--- a/leader/gauges.go
+++ b/leader/gauges.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/spoolsill/spoolsill/sched"
 )
@@ -13,6 +14,9 @@
 	invalidEntries  atomic.Int64 // worker entries that can't be decoded
 	jobsOverShare   atomic.Int64 // jobs with stages to place that exceed the share of their team
 	teamsOverShare  atomic.Int64 // the teams of these jobs
+	overloaded      atomic.Int64 // groups of jobs that can't all be in time
+	backlog         atomic.Int64 // nanoseconds that the cell takes for the accepted work
+	forecastError   atomic.Int64 // in nanoseconds
 }
 
 func (g *gauges) setSuspects(tasks, crashed int) {
@@ -37,6 +41,21 @@
 	return l.gauges.suspects.Load(), l.gauges.crashedMachines.Load()
 }
 
+func (g *gauges) setOverload(o sched.Overload) {
+	g.overloaded.Store(int64(o.Groups))
+	g.backlog.Store(int64(o.Backlog))
+	g.forecastError.Store(int64(o.ForecastError))
+}
+
+// Overload returns the load of the cell compared with what it can do in time.
+func (l *Leader) Overload() sched.Overload {
+	return sched.Overload{
+		Groups:        int(l.gauges.overloaded.Load()),
+		Backlog:       time.Duration(l.gauges.backlog.Load()),
+		ForecastError: time.Duration(l.gauges.forecastError.Load()),
+	}
+}
+
 // InvalidWorkerEntries returns the number of worker entries that can't be decoded.
 func (l *Leader) InvalidWorkerEntries() int64 {
 	return l.gauges.invalidEntries.Load()
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -33,6 +33,7 @@
 	}
 	d.collectReady()
 	s.chargeTeams()
+	s.Outlook(now)
 	ranked := s.ranked()
 	var last QueueID
 	for _, r := range ranked {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -26,6 +26,9 @@
 		s.retainEnded(j.ID)
 		return
 	}
+	if p.State == Pending && len(p.Stages) == 0 {
+		x.account.Forecast = s.forecastEnd(x)
+	}
 	s.makeStages(x)
 	for _, sp := range p.Stages {
 		s.restoreStage(x, sp)
@@ -308,8 +311,10 @@
 // last task of g is done.
 func (s *State) completeStage(g *stage) {
 	j := g.job
+	s.observeAdvice(g)
 	j.stagesLeft--
 	if j.stagesLeft == 0 {
+		s.observeForecast(j)
 		s.endJob(j, Completed, "all tasks are done")
 		return
 	}
--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -21,21 +21,70 @@
 	if s.outlookAt.IsZero() || now.Sub(s.outlookAt) >= outlookTTL {
 		s.outlook = forecast.NewOutlook(s.supply(), s.describeAccepted())
 		s.outlookAt = now
+		s.overloaded = overloadedGroups(s.outlook, s.overloaded)
 	}
 	return s.outlook
 }
 
+// overloadedGroups returns the groups that are overloaded, given those that were. An overload is
+// over once the jobs that it has made late have ended: until then they wait for what the others
+// leave, and would take it from those that have begun.
+func overloadedGroups(o forecast.Outlook, were map[forecast.Group]bool) map[forecast.Group]bool {
+	are := map[forecast.Group]bool{}
+	for g, l := range o.Groups() {
+		if l.Strain > 1 || were[g] && l.Late > 0 {
+			are[g] = true
+		}
+	}
+	return are
+}
+
+// orderKey returns the position of g among the stages of its tier and priority while not all of
+// their jobs can be in time, and 0 if they can. Lasting stages go first.
+func (s *State) orderKey(g *stage, q *Queue) float64 {
+	if len(s.overloaded) == 0 || g.step.Lasting {
+		return 0
+	}
+	group := forecast.Group{
+		OverShare: g.job.overShare,
+		Priority:  q.Priority,
+	}
+	if !s.overloaded[group] {
+		return 0
+	}
+	if g.keyAt != s.outlookAt {
+		g.keyAt = s.outlookAt
+		g.key = s.describe(g, q).Key(s.outlook.Supply())
+	}
+	return g.key
+}
+
+// sizeBlindEvery is one job in how many is ranked regardless of its size under overload, so that
+// large jobs don't wait as long as smaller ones keep coming. Each of the large ones puts several
+// small ones behind it.
+const sizeBlindEvery = 4
+
+// sizeBlind reports whether j is one of those. It depends on nothing but the job's row, so that
+// the next leader ranks the job alike.
+func (j *Job) sizeBlind() bool {
+	return j.Received.UnixMilli()%sizeBlindEvery == 0
+}
+
 // Describe returns the forecast's view of a job that has not been accepted, or of the first
 // round of a timed one, whose time until it is due counts as time left.
 func (s *State) Describe(j Job) forecast.Job {
+	if len(j.Steps) == 0 {
+		return forecast.Job{}
+	}
 	x := &job{
 		Job: j,
 	}
 	q := s.queue(x)
 	paths := s.criticalPathsOf(x, q)
 	f := forecast.Job{
-		Priority: q.Priority,
-		Due:      q.objective(paths),
+		Priority:  q.Priority,
+		SizeBlind: j.sizeBlind(),
+		Due:       q.objective(paths),
 	}
 	since := j.Received
 	if j.Rounds > 0 {
@@ -52,6 +101,7 @@
 		f.Left = f.Left.Add(s.costOf(q, p))
 		f.Chain = max(f.Chain, paths[i])
 	}
+	f.Whole = f.Left
 	return f
 }
 
@@ -74,7 +124,7 @@
 			continue
 		}
 		n := len(g.tasks)
-		if g.waitingFor == waitQuota {
+		if !g.job.team.allows(g.step.demand()) {
 			n -= g.waiting
 		}
 		f.Processors -= g.step.demand().Times(n).Processors
@@ -125,10 +175,15 @@
 	f := forecast.Job{
 		Priority:  q.Priority,
 		OverShare: g.job.overShare,
+		SizeBlind: g.job.sizeBlind(),
 		Due:       q.objective(paths) - s.wallClock().Sub(since),
 	}
 	for _, o := range g.round() {
-		if o.done() || o.step.Lasting {
+		if o.step.Lasting {
+			continue
+		}
+		f.Whole = f.Whole.Add(s.costOf(q, o.step))
+		if o.done() {
 			continue
 		}
 		left, longest := s.left(o, q)
@@ -143,23 +198,21 @@
 	c := forecast.Cost{
 		Processor: forecast.ProcessorTime(p.Tasks, p.demand().Processors, s.expected(q, p)),
 	}
-	if q.Advisor != nil {
-		c.Advice = q.Advisor.queryTime(q.Advisor.querySize())
+	if p.Tasks > 0 {
+		c.Advice = s.adviceCost(q)
 	}
 	return c
 }
 
 // left returns the cost of what is left of a stage, and the longest expected time of one of its
-// tasks. The advisor's answers are counted until the first one has arrived.
+// tasks. Tasks that have a run need no more answers of the advisor.
 func (s *State) left(g *stage, q *Queue) (c forecast.Cost, longest time.Duration) {
 	p := g.step
 	e := s.expected(q, p)
 	if g.tasks == nil {
 		return s.costOf(q, p), e
 	}
-	if q.Advisor != nil && g.advice.asked == nil {
-		c.Advice = q.Advisor.queryTime(q.Advisor.querySize())
-	}
+	c.Advice = s.adviceCost(q) * time.Duration(g.waiting) / time.Duration(max(len(g.tasks), 1))
 	var total time.Duration
 	for _, t := range g.tasks {
 		if t.done {
--- a/sched/state.go
+++ b/sched/state.go
@@ -63,6 +63,7 @@
 	rankedStages []rankedStage // the buffer of ranked
 	timedStages  []*stage      // wait for their due time
 	runTimes     map[QueueID]*runTimeEstimate
+	adviceCosts  map[QueueID]time.Duration // of a stage; see adviceCost
 	teams        map[spoolsill.TeamID]*teamState
 	shares       shareState
 
@@ -97,6 +98,10 @@
 	// outlook caches Outlook as of outlookAt.
 	outlook   forecast.Outlook
 	outlookAt time.Time
+	// forecastError is the mean difference between the forecast and the actual end of jobs.
+	forecastError time.Duration
+	// overloaded has the groups of jobs that can't all be in time as of outlookAt.
+	overloaded map[forecast.Group]bool
 }
 
 // New returns an empty State.
@@ -108,6 +113,7 @@
 		workers:      map[spoolsill.WorkerID]*worker{},
 		incarnations: map[string][]*worker{},
 		runTimes:     map[QueueID]*runTimeEstimate{},
+		adviceCosts:  map[QueueID]time.Duration{},
 		teams:        map[spoolsill.TeamID]*teamState{},
 		acks:         map[spoolsill.WorkerIncarnation]uint64{},
 
@@ -165,6 +171,9 @@
 	// openedAt is when its dependencies were done.
 	openedAt time.Time
 	tier     tier // as of the current pass
+	// key caches orderKey as of keyAt.
+	key   float64
+	keyAt time.Time
 	// waitingFor is the reason for waiting since waitUpdatedAt.
 	waitingFor    waitKind
 	waitUpdatedAt time.Time
