--- /dev/null
+++ b/advisor/budget.go
@@ -0,0 +1,88 @@
+package advisor
+
+import "time"
+
+// A Budget is the advisor's time as of one pass of decisions.
+type Budget struct {
+	// Places is how many queries the hosts can make concurrently, InFlight the number of
+	// those without an answer, of which OfQueue are about the queue of the stage.
+	Places, InFlight, OfQueue int
+	// Queues is the number of queues that want to ask.
+	Queues int
+	// Valid is how long tickets are valid.
+	Valid time.Duration
+}
+
+// A Stage is work that the advisor could be asked about.
+type Stage struct {
+	// Tasks is the number of those that wait.
+	Tasks int
+	// Waited is the time since the last answer about the stage or, before the first,
+	// since the stage could start.
+	Waited time.Duration
+	// Leftover is set for work that earns nothing any more.
+	Leftover bool
+}
+
+// A Verdict says whether a stage may be asked about.
+type Verdict int
+
+// The verdicts.
+const (
+	Granted  Verdict = iota
+	NoPlace          // hosts have as many queries as they can make soon
+	NoRoom           // too few workers have room for an answer to be worth its time
+	Verdicts         // the number of verdicts
+)
+
+var verdictNames = [...]string{"granted", "no place", "no room"}
+
+// String returns the name of v.
+func (v Verdict) String() string {
+	if int(v) >= len(verdictNames) {
+		return "unknown"
+	}
+	return verdictNames[v]
+}
+
+const (
+	// queuedShare is the number of places for each query that waits for one. The next
+	// query of a host must be there when it has answered one; with more of them, workers
+	// would be chosen long before the query is made.
+	queuedShare = 4
+	// leftoverShare is the number of places for each query beyond the limit about work
+	// that earns nothing any more: accepted work must not wait without end.
+	leftoverShare = 8
+	// wholeShare is the part of the waiting tasks that the expected answer must seat, as a
+	// divisor: a stage of several queries uses the base cost several times.
+	wholeShare = 2
+)
+
+// Admit reports whether hosts can soon make another query about a stage. Each queue has a share of
+// the places, since the queries of the stages ranked first would otherwise keep those of
+// other queues waiting without end.
+func (b Budget) Admit(s Stage) bool {
+	limit := max(b.Places, 1) + b.Places/queuedShare
+	if b.InFlight < limit {
+		return true
+	}
+	if s.Leftover {
+		return b.InFlight < limit+max(b.Places/leftoverShare, 1)
+	}
+	return b.OfQueue < max(limit/max(b.Queues, 1), 1)
+}
+
+// Worthwhile reports whether an answer that is expected to seat some of the waiting tasks is worth
+// its time. A stage that has waited for as long as a ticket is valid takes what there is, since
+// stages with less need would always find the room first; one that has waited for twice as
+// long is asked about without room.
+func (b Budget) Worthwhile(s Stage, seats float64) bool {
+	switch {
+	case s.Waited >= 2*b.Valid:
+		return true
+	case s.Waited >= b.Valid:
+		return seats >= 1
+	default:
+		return seats >= max(float64(s.Tasks)/wholeShare, 1)
+	}
+}
--- /dev/null
+++ b/advisor/draw.go
@@ -0,0 +1,83 @@
+package advisor
+
+import (
+	"cmp"
+	"slices"
+)
+
+// A Candidate is a worker that a query about a stage could be about.
+type Candidate struct {
+	// Index identifies the worker to the caller.
+	Index int
+	// Seats is how many tasks of the stage fit into its room, without that which
+	// other queries in flight are expected to use.
+	Seats int
+	// Share is how likely the advisor allows it: 1 if an earlier answer did.
+	Share float64
+	// Spread orders workers of equal room; see [Spread].
+	Spread uint64
+}
+
+// expected returns how many tasks the answer is expected to place at the worker.
+func (c Candidate) expected() float64 {
+	return c.Share * float64(c.Seats)
+}
+
+// A Wish says what a query should be about.
+type Wish struct {
+	// Tasks is the number of waiting tasks.
+	Tasks int
+	// AtLeast and AtMost bound the number of workers. Up to AtLeast they cost little beside
+	// the query itself.
+	AtLeast, AtMost int
+}
+
+// Draw returns the candidates that one query should be about, and how many tasks the answer is
+// expected to seat. It takes those with the most room, as many as are expected to seat all
+// tasks. It reorders candidates.
+func Draw(candidates []Candidate, w Wish) ([]Candidate, float64) {
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.expected(), a.expected()), cmp.Compare(a.Spread, b.Spread))
+	})
+	seats := 0.0
+	for i, c := range candidates {
+		if i == w.AtMost || i >= w.AtLeast && seats >= float64(w.Tasks) {
+			return candidates[:i], seats
+		}
+		seats += c.expected()
+	}
+	return candidates, seats
+}
+
+// A Claim is how many tasks the answer to a query is expected to place at a worker.
+type Claim struct {
+	Index int
+	Tasks float64
+}
+
+// Claims returns what the answer to a query about drawn workers is expected to use, at most the
+// room for the waiting tasks in all.
+func Claims(drawn []Candidate, tasks int) []Claim {
+	seats := 0.0
+	for _, c := range drawn {
+		seats += c.expected()
+	}
+	used := min(float64(tasks)/seats, 1)
+	claims := make([]Claim, len(drawn))
+	for i, c := range drawn {
+		claims[i] = Claim{
+			Index: c.Index,
+			Tasks: used * c.expected(),
+		}
+	}
+	return claims
+}
+
+// Spread returns a number by which the workers of a cell are in a different order for each stage,
+// and in the same one whenever the stage is asked about.
+func Spread(stage uint64, worker int) uint64 {
+	x := stage ^ uint64(worker)*0x9e3779b97f4a7c15
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
 )
 
 const (
@@ -51,6 +52,9 @@
 	learnQueriesInFlight int
 	warmQueryInFlight    bool
 	learnedAt            time.Time // when the latest answer about new workers was received
+	answeredAt           time.Time // when the latest answer was received
+	// refused is why the advisor is not asked about the stage while its time is short.
+	refused advisor.Verdict
 }
 
 type ticket struct {
@@ -97,14 +101,16 @@
 	}
 	s.queriesInFlight++
 	s.queueQueriesInFlight[q.ID]++
+	cost := q.Advisor.queryTime(len(workers))
 	s.adviceOrders = append(s.adviceOrders, AdviceOrder{
+		Number:   s.advisorTime.begin(cost),
 		Stage:    g.id,
 		Queue:    q.ID,
 		Workers:  workers,
 		Priority: q.Priority,
 		Urgent:   g.tier == tierUrgent,
 		Purpose:  p,
-		Cost:     q.Advisor.queryTime(len(workers)),
+		Cost:     cost,
 		Ordered:  s.now,
 	})
 }
@@ -171,6 +177,9 @@
 // AdviceReceived handles an answer of the advisor.
 func (s *State) AdviceReceived(now time.Time, a Advice) {
 	s.now = now
+	if !s.advisorTime.end(a.Order) {
+		return // answered before
+	}
 	s.queriesInFlight--
 	s.queueQueriesInFlight[a.Order.Queue]--
 	if a.Order.Purpose == PurposeWarm {
@@ -190,6 +199,7 @@
 		Reason: fmt.Sprintf("stage %s: %d of %d workers may run it, purpose %s, answer lost %v", g.id, len(a.Tickets), len(a.Order.Workers), a.Order.Purpose, a.Lost),
 		Age:    now.Sub(a.Order.Ordered),
 	})
+	s.advisorTime.learn(a)
 	x := &g.advice
 	switch a.Order.Purpose {
 	case PurposeLearn:
@@ -223,6 +233,7 @@
 	if a.Order.Purpose == PurposeLearn {
 		x.learnedAt = s.now
 	}
+	x.answeredAt = s.now
 	about := make(map[spoolsill.WorkerID]*worker, len(a.Order.Workers))
 	for _, l := range a.Order.Workers {
 		if w := s.workerOf(l); w != nil {
--- /dev/null
+++ b/sched/budget.go
@@ -0,0 +1,367 @@
+package sched
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
+)
+
+// assumedTicketTime is how long tickets are held to be valid before the first answer.
+const assumedTicketTime = 2 * time.Second
+
+// advisorTime is the account of the advisor's time.
+type advisorTime struct {
+	meter advisor.Meter
+	// shares are the learnt shares of the workers that the advisor allows, by queue.
+	shares map[QueueID]*advisor.Share
+	// inFlight has the queries without an answer, cost the advisor's time for them.
+	inFlight map[uint64]*query
+	cost     time.Duration
+	last     uint64        // number of the latest query
+	valid    time.Duration // of the tickets of the latest answer
+	refused  [advisor.Verdicts]int
+	use      AdviceUse
+	buffer   []advisor.Candidate
+}
+
+// A query is a query to the advisor without an answer.
+type query struct {
+	cost time.Duration
+	// claims are set for queries that are granted while the advisor's time is short.
+	claims []claim
+}
+
+// A claim is the part of a worker's free resources that the answer to a query is expected to use.
+type claim struct {
+	worker *worker
+	part   spoolsill.Resources
+}
+
+// An AdviceUse is what the advisor's time was used for.
+type AdviceUse struct {
+	// Queries counts the answers, Lost the queries that had none.
+	Queries, Lost int
+	// Time is the advisor's time for the answers.
+	Time time.Duration
+	// Starts counts the starts with a ticket.
+	Starts int
+}
+
+func newAdvisorTime() advisorTime {
+	return advisorTime{
+		shares:   map[QueueID]*advisor.Share{},
+		inFlight: map[uint64]*query{},
+		valid:    assumedTicketTime,
+	}
+}
+
+// begin adds a query to the account and returns its number.
+func (a *advisorTime) begin(cost time.Duration) uint64 {
+	a.last++
+	a.cost += cost
+	a.inFlight[a.last] = &query{
+		cost: cost,
+	}
+	return a.last
+}
+
+// end returns the cost of a query to the budget. It reports false if it was returned before.
+func (a *advisorTime) end(o AdviceOrder) bool {
+	x := a.inFlight[o.Number]
+	if x == nil {
+		return false
+	}
+	delete(a.inFlight, o.Number)
+	a.cost -= x.cost
+	return true
+}
+
+// learn updates the learnt values with an answer.
+func (a *advisorTime) learn(x Advice) {
+	if x.Lost {
+		a.use.Lost++
+		return
+	}
+	a.use.Queries++
+	a.use.Time += x.Order.Cost
+	if x.Valid > 0 {
+		a.valid = x.Valid
+	}
+	if x.Order.Purpose == PurposeLearn {
+		a.observeShare(x)
+	}
+}
+
+func (a *advisorTime) share(q QueueID) *advisor.Share {
+	s := a.shares[q]
+	if s == nil {
+		s = &advisor.Share{}
+		a.shares[q] = s
+	}
+	return s
+}
+
+// AdviceUse returns what the advisor's time was used for since the last call.
+func (s *State) AdviceUse() AdviceUse {
+	u := s.advisorTime.use
+	s.advisorTime.use = AdviceUse{}
+	return u
+}
+
+// observeAdvisor determines whether the advisor's time is short, and if so which resources the
+// stages are expected to use that have tickets or a query in flight.
+func (d *decider) observeAdvisor(ranked []rankedStage) {
+	a := &d.advisorTime
+	var wanted time.Duration
+	for _, r := range ranked {
+		g := d.openStages[r.index]
+		if g.advice.learnQueriesInFlight > 0 || d.now.Sub(g.advice.answeredAt) < a.valid {
+			continue
+		}
+		if q := d.queue(g.job); q.Advisor != nil {
+			wanted += q.Advisor.queryTime(q.Advisor.querySize())
+		}
+	}
+	a.meter.Observe(advisor.Demand{
+		InFlight: a.cost,
+		Wanted:   wanted,
+		Places:   d.advisorSlots,
+	}, a.valid)
+	if a.meter.Short() {
+		d.sumClaims(ranked)
+	}
+}
+
+// sumClaims sums up what the stages with tickets, and those with queries in flight, are expected to
+// use at each worker.
+func (d *decider) sumClaims(ranked []rankedStage) {
+	for _, w := range d.workerList {
+		w.claimed = spoolsill.Resources{}
+	}
+	for _, x := range d.advisorTime.inFlight {
+		for _, c := range x.claims {
+			c.worker.claimed = c.worker.claimed.Add(c.part)
+		}
+	}
+	var usable []*worker
+	for _, r := range ranked {
+		g := d.openStages[r.index]
+		if g.step.Gang || g.advice.learnQueriesInFlight > 0 || d.now.Sub(g.advice.answeredAt) > d.advisorTime.valid {
+			continue
+		}
+		usable = usable[:0]
+		for _, w := range g.advice.allowed {
+			if w.ready && g.advice.valid(w, d.now) {
+				usable = append(usable, w)
+			}
+		}
+		part := g.step.part(float64(g.waiting) / float64(max(len(usable), 1)))
+		for _, w := range usable {
+			w.claimed = w.claimed.Add(part)
+		}
+	}
+}
+
+// part returns the demand of a number of tasks.
+func (p *Step) part(tasks float64) spoolsill.Resources {
+	n := p.demand()
+	return spoolsill.Resources{
+		Processors:   spoolsill.Millicores(tasks * float64(n.Processors)),
+		Memory:       spoolsill.Bytes(tasks * float64(n.Memory)),
+		Accelerators: 0, // are whole
+	}
+}
+
+// budgeted reports whether queries about g are granted from the advisor's time. Urgent stages are
+// asked about at once, and a gang needs tickets before room is kept for it.
+func (d *decider) budgeted(g *stage) bool {
+	return d.advisorTime.meter.Short() && g.tier != tierUrgent && !g.step.Gang
+}
+
+// placeOnBudget starts tasks of g with the tickets that it has, and queries the advisor if that is
+// worth its time.
+func (d *decider) placeOnBudget(g *stage, q *Queue) {
+	d.startWithTickets(g, q)
+	if g.waiting == 0 {
+		return
+	}
+	if g.advice.learnQueriesInFlight == 0 {
+		g.advice.refused = d.askOnBudget(g, q)
+		d.refused[g.advice.refused]++
+	}
+	d.reserveForLarge(g, q, g.waiting)
+}
+
+// startWithTickets starts the waiting tasks of g that fit on workers with valid tickets.
+func (d *decider) startWithTickets(g *stage, q *Queue) {
+	if len(g.advice.allowed) == 0 {
+		return
+	}
+	ws := slices.DeleteFunc(d.candidates(g, q), func(w *worker) bool { return !g.advice.valid(w, d.now) })
+	for _, t := range g.tasks {
+		if len(ws) == 0 || !g.job.team.allows(g.step.demand()) {
+			return
+		}
+		if !t.waits() {
+			continue
+		}
+		if w := d.bestWorker(t, ws); w != nil {
+			d.start(t, w)
+		}
+	}
+}
+
+// askOnBudget queries the advisor about g if that is worth its time now. The query is about workers
+// that no answer covers yet and about those whose tickets expire before its answer arrives.
+func (d *decider) askOnBudget(g *stage, q *Queue) advisor.Verdict {
+	b, need := d.adviceBudget(q), d.adviceNeed(g)
+	if !b.Admit(need) {
+		return advisor.NoPlace
+	}
+	drawn, seats := d.draw(g, q)
+	if !b.Worthwhile(need, seats) {
+		return advisor.NoRoom
+	}
+	if len(drawn) > 0 {
+		d.askDrawn(g, q, drawn)
+		return advisor.Granted
+	}
+	// The stage has waited for long, and no worker has room.
+	d.ask(g, q, d.unasked(g, q), PurposeLearn)
+	return advisor.Granted
+}
+
+func (d *decider) adviceBudget(q *Queue) advisor.Budget {
+	return advisor.Budget{
+		Places:   d.advisorSlots,
+		InFlight: d.queriesInFlight,
+		OfQueue:  d.queueQueriesInFlight[q.ID],
+		Queues:   len(d.waitingQueues),
+		Valid:    d.advisorTime.valid,
+	}
+}
+
+func (d *decider) adviceNeed(g *stage) advisor.Stage {
+	since := g.openedAt
+	if g.advice.asked != nil {
+		since = g.advice.answeredAt
+	}
+	return advisor.Stage{
+		Tasks:    g.waiting,
+		Waited:   d.now.Sub(since),
+		Leftover: g.tier == tierWorthless,
+	}
+}
+
+// draw returns the workers that a query about g should be about, and how many of its tasks the
+// answer is expected to seat.
+func (d *decider) draw(g *stage, q *Queue) ([]advisor.Candidate, float64) {
+	r := d.ready[q.Service]
+	if r == nil {
+		return nil, 0
+	}
+	took := q.Advisor.queryTime(q.Advisor.querySize())
+	d.forecastFree(q, r, took+d.advisorTime.valid/2)
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(g.id.String()))
+	stage := seed.Sum64()
+	share := d.advisorTime.share(q.ID).Expected()
+	candidates := d.advisorTime.buffer[:0]
+	for i, w := range r.workers {
+		n := d.seatsAt(g, w)
+		if n <= 0 || !g.labelMatches(w) || d.blockedByTrial(g, w) {
+			continue
+		}
+		if h := d.reservedFor[w]; h != nil && h != g && q.Priority > 0 {
+			continue
+		}
+		c := advisor.Candidate{
+			Index:  i,
+			Seats:  n,
+			Share:  share,
+			Spread: advisor.Spread(stage, i),
+		}
+		if g.advice.asked[w] {
+			if _, ok := g.advice.tickets[w]; !ok || g.advice.validFor(w, d.now, took+ticketMargin) {
+				continue
+			}
+			c.Share = 1
+		}
+		candidates = append(candidates, c)
+	}
+	d.advisorTime.buffer = candidates
+	return advisor.Draw(candidates, advisor.Wish{
+		Tasks:   g.waiting,
+		AtLeast: q.Advisor.querySize(),
+		AtMost:  maxQueryWorkers,
+	})
+}
+
+// seatsAt returns how many tasks of g are expected to fit on w.
+func (d *decider) seatsAt(g *stage, w *worker) int {
+	n := fitCount(g.step.demand(), w.free().Add(w.soonFree).Sub(w.claimed))
+	if m := g.step.MaxPerWorker; m > 0 && n > 0 {
+		n = min(n, m-g.runsAt(w))
+	}
+	return min(n, g.waiting)
+}
+
+// forecastFree determines what becomes free at each worker within a time, for stages of q. The room
+// of runs with a higher priority is left to others of that priority.
+func (d *decider) forecastFree(q *Queue, r *readyWorkers, within time.Duration) {
+	if d.forecastFor == q {
+		return
+	}
+	d.forecastFor = q
+	for _, w := range r.workers {
+		w.soonFree = spoolsill.Resources{}
+		for _, x := range w.runs {
+			if d.queue(x.task.stage.job).Priority >= q.Priority && d.endsIn(x) <= within {
+				w.soonFree = w.soonFree.Add(x.need)
+			}
+		}
+	}
+}
+
+// endsIn returns the expected remaining time of a run, by its progress if that is known.
+func (s *State) endsIn(r *run) time.Duration {
+	done := r.progressedAt.Sub(r.startedAt)
+	if r.percent <= 0 || r.startedAt.IsZero() || done <= 0 || r.stopping {
+		return s.remaining(r)
+	}
+	left := time.Duration(float64(done) * float64(100-r.percent) / float64(r.percent))
+	return left - s.now.Sub(r.progressedAt)
+}
+
+// askDrawn queries the advisor about drawn workers, and claims the room there that the answer is
+// expected to use.
+func (d *decider) askDrawn(g *stage, q *Queue, drawn []advisor.Candidate) {
+	workers := d.ready[q.Service].workers
+	incarnations := make([]spoolsill.WorkerIncarnation, 0, len(drawn))
+	claims := make([]claim, 0, len(drawn))
+	for _, c := range advisor.Claims(drawn, g.waiting) {
+		w := workers[c.Index]
+		part := g.step.part(c.Tasks)
+		w.claimed = w.claimed.Add(part)
+		incarnations = append(incarnations, w.incarnation())
+		claims = append(claims, claim{
+			worker: w,
+			part:   part,
+		})
+	}
+	d.ask(g, q, incarnations, PurposeLearn)
+	d.advisorTime.inFlight[d.advisorTime.last].claims = claims
+}
+
+func (s *State) Short() string {
+	return fmt.Sprint(s.advisorTime.meter.Short(), s.advisorTime.refused)
+}
+
+// observeShare updates the learnt share with the workers that x is the first answer about.
+func (a *advisorTime) observeShare(x Advice) {
+	a.share(x.Order.Queue).Observe(len(x.Tickets), len(x.Order.Workers))
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
 )
 
 // Decide places the tasks that can start at now. Their start orders are part of the next
@@ -40,6 +41,8 @@
 			last = q
 		}
 	}
+	d.observeAdvisor(ranked)
+	defer func() { s.advisorTime.refused = d.refused }()
 	for _, r := range ranked {
 		d.place(s.openStages[r.index])
 	}
@@ -97,6 +100,10 @@
 	ready       map[spoolsill.ServiceID]*readyWorkers
 	// waitingQueues are the queues that have stages to place.
 	waitingQueues map[QueueID]bool
+	// forecastFor is the queue that the workers' soonFree holds for.
+	forecastFor *Queue
+	// refused counts the stages about which no query was made in the pass, by verdict.
+	refused [advisor.Verdicts]int
 }
 
 // ranked returns the stages that can be placed, sorted by rank, and removes finished ones
@@ -153,7 +160,10 @@
 		g.waitingFor = waitQuota
 		return
 	}
+	g.advice.refused = advisor.Granted
 	switch {
+	case q.Advisor != nil && d.budgeted(g):
+		d.placeOnBudget(g, q)
 	case q.Advisor != nil && !d.ensureAdvice(g, q):
 	case g.step.Gang:
 		d.placeGang(g, q)
@@ -175,6 +185,12 @@
 	if g.tier != tierUrgent && !d.mayAsk(q) {
 		return known
 	}
+	if d.advisorTime.meter.Short() && !g.step.Gang {
+		if drawn, seats := d.draw(g, q); seats >= 1 {
+			d.askDrawn(g, q, drawn)
+			return known
+		}
+	}
 	more := d.unasked(g, q)
 	if len(more) == 0 {
 		a.learnedAt = d.now // there are no others; check again after askMoreAfter
--- a/sched/event.go
+++ b/sched/event.go
@@ -158,6 +158,8 @@
 
 // An AdviceOrder is a query to the advisor about which workers may run a stage.
 type AdviceOrder struct {
+	// Number tells the queries of a State apart.
+	Number   uint64
 	Stage    StageID
 	Queue    QueueID
 	Workers  []spoolsill.WorkerIncarnation
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -46,7 +46,9 @@
 	if len(g.reserved) == 0 {
 		return
 	}
-	d.keepWarm(g, q)
+	if !d.advisorTime.meter.Short() {
+		d.keepWarm(g, q)
+	}
 	d.preempt(g, q)
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -79,6 +79,7 @@
 	warmQueriesInFlight int // those of them that keep tickets valid
 	// queueQueriesInFlight counts the unanswered advisor queries of each queue.
 	queueQueriesInFlight map[QueueID]int
+	advisorTime          advisorTime
 	advisorSlots         int // number of queries that hosts can make concurrently
 	notes                []Note
 	statusUpdates        []JobStatus
@@ -108,6 +109,7 @@
 
 		crashedAt:            map[string]time.Time{},
 		queueQueriesInFlight: map[QueueID]int{},
+		advisorTime:          newAdvisorTime(),
 		pendingJobs:          map[QueueID]int{},
 	}
 }
--- a/sched/waittime.go
+++ b/sched/waittime.go
@@ -1,5 +1,7 @@
 package sched
 
+import "github.com/spoolsill/spoolsill/advisor"
+
 // A waitKind is the reason why a stage is not placed.
 type waitKind uint8
 
@@ -29,6 +31,8 @@
 func (d *decider) beginWait(g *stage, q *Queue) {
 	g.waitUpdatedAt = d.now
 	switch {
+	case g.advice.refused == advisor.NoRoom && len(g.planned) == 0:
+		g.waitingFor = waitCapacity
 	case len(g.planned) > 0 || q.Advisor != nil && len(g.advice.allowed) == 0:
 		g.waitingFor = waitAdvice
 	case g.placeable():
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -86,6 +86,11 @@
 	leaseExpired bool
 	ready        bool // accepts something new, as of the current pass
 	health       health
+	// claimed is what stages with tickets or queries in flight are expected to use here, and
+	// soonFree what becomes free, as of the current pass. Both are only known while the
+	// advisor's time is short.
+	claimed  spoolsill.Resources
+	soonFree spoolsill.Resources
 	// trials are the runs of suspect tasks.
 	trials []*run
 }
