--- a/advisor/budget.go
+++ b/advisor/budget.go
@@ -62,7 +62,7 @@
 // the places, since the queries of the stages ranked first would otherwise keep those of
 // other queues waiting without end.
 func (b Budget) Admit(s Stage) bool {
-	limit := max(b.Places, 1) + b.Places/queuedShare
+	limit := max(b.Places, 1) + max(b.Places/queuedShare, 1)
 	if b.InFlight < limit {
 		return true
 	}
--- a/advisor/draw.go
+++ b/advisor/draw.go
@@ -32,16 +32,20 @@
 	AtLeast, AtMost int
 }
 
+// headroom is the multiple of the waiting tasks that the answer should be expected to seat, since
+// other work takes a part of the room before the answer arrives.
+const headroom = 2
+
 // Draw returns the candidates that one query should be about, and how many tasks the answer is
 // expected to seat. It takes those with the most room, as many as are expected to seat all
-// tasks. It reorders candidates.
+// tasks with some headroom. It reorders candidates.
 func Draw(candidates []Candidate, w Wish) ([]Candidate, float64) {
 	slices.SortFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(b.expected(), a.expected()), cmp.Compare(a.Spread, b.Spread))
 	})
 	seats := 0.0
 	for i, c := range candidates {
-		if i == w.AtMost || i >= w.AtLeast && seats >= float64(w.Tasks) {
+		if i == w.AtMost || i >= w.AtLeast && seats >= headroom*float64(w.Tasks) {
 			return candidates[:i], seats
 		}
 		seats += c.expected()
--- a/leader/advice.go
+++ b/leader/advice.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
 	"github.com/spoolsill/spoolsill/sched"
 )
 
@@ -28,10 +29,9 @@
 	marginFactor = 3
 	minAskMargin = 300 * time.Millisecond
 	maxAskMargin = 2 * time.Second
-	// longQueryCost is the cost above which a query is long. The last
-	// reservedHosts hosts get no long queries, so that short ones soon find a free host.
+	// longQueryCost is the cost above which a query is long. Some hosts get no long
+	// queries, so that short ones soon find a free host.
 	longQueryCost = 150 * time.Millisecond
-	reservedHosts = 2
 	// failedHostBackoff is how long a host whose query failed is avoided if others are
 	// available: as long as most problems of a single host last.
 	failedHostBackoff = 3 * time.Second
@@ -54,6 +54,7 @@
 	leader *Leader
 	queue  []sched.AdviceOrder // most urgent first
 	loads  map[spoolsill.HostID]hostLoad
+	short  advisor.Rate // of short queries
 	// overhead is a moving average of the latency of answers beyond the cost of the
 	// query; averageCost is that of the cost.
 	overhead, averageCost time.Duration
@@ -97,6 +98,9 @@
 		return cmp.Or(compareQueries(e, o), -1) // insert after equal elements
 	})
 	a.queue = slices.Insert(a.queue, i, o)
+	if o.Cost <= longQueryCost {
+		a.short.Add(a.leader.config.Clock.Now(), o.Cost)
+	}
 }
 
 // dispatch sends queries to free hosts, the most urgent first.
@@ -107,6 +111,8 @@
 	}
 	now := a.leader.config.Clock.Now()
 	hosts := a.availableHosts(now)
+	// Not more than half of the hosts are reserved.
+	forLong := hosts[:max(len(hosts)-advisor.Reserve(a.short.At(now)), (len(hosts)+1)/2)]
 	rest := a.queue[:0]
 	longBusy := false // all hosts for long queries are busy
 	for i, o := range a.queue {
@@ -115,7 +121,11 @@
 			rest = append(rest, o)
 			continue
 		}
-		h, ok := a.pickHost(hosts, now, long)
+		among := hosts
+		if long {
+			among = forLong
+		}
+		h, ok := a.pickHost(among, now)
 		switch {
 		case ok:
 			a.ask(ctx, h, o)
@@ -226,13 +236,8 @@
 }
 
 // pickHost returns the host whose service is expected to be free first, the last one if there
-// are several. It returns false if none can use a query yet. Long queries don't go to the last
-// reservedHosts hosts, or fewer if that were more than half of them, so that short ones find a
-// free host there.
-func (a *adviceDispatcher) pickHost(hosts []spoolsill.HostID, now time.Time, long bool) (spoolsill.HostID, bool) {
-	if long {
-		hosts = hosts[:max(len(hosts)-reservedHosts, (len(hosts)+1)/2)]
-	}
+// are several. It returns false if none can use a query yet.
+func (a *adviceDispatcher) pickHost(hosts []spoolsill.HostID, now time.Time) (spoolsill.HostID, bool) {
 	var best spoolsill.HostID
 	for _, h := range slices.Backward(hosts) {
 		if !a.canUseQuery(h, now) {
--- a/sched/advicereplay_test.go
+++ b/sched/advicereplay_test.go
@@ -56,7 +56,7 @@
 		} else {
 			a.job = job(id, q, sched.Step{
 				Tasks:    1 + r.IntN(18),
-				Need:     demand(2200),
+				Need:     demand(smallTask),
 				Estimate: 640 * time.Millisecond,
 			})
 		}
@@ -87,7 +87,7 @@
 func (l adviceLoad) wideStep(r *rand.Rand) sched.Step {
 	return sched.Step{
 		Tasks:    max(int(17*(0.5+r.Float64())), 1),
-		Need:     demand(4500),
+		Need:     demand(wideTask),
 		Estimate: time.Duration(float64(l.runTime) * (0.5 + r.Float64())),
 	}
 }
@@ -107,9 +107,11 @@
 	// smallAllowedPercent is the same for small work.
 	smallAllowedPercent = 70
 	// ticketValid is how long tickets are valid.
-	ticketValid = 2500 * time.Millisecond
-	// writeSteps is how many steps pass until a start that was decided has been carried out.
+	ticketValid   = 2500 * time.Millisecond
 	replayWorkers = 100
+	// wideTask and smallTask are the processors of one task.
+	wideTask  = 4500
+	smallTask = 2200
 )
 
 func advicequeues() []sched.Queue {
@@ -156,6 +158,7 @@
 
 type runningTask struct {
 	order sched.StartOrder
+	need  spoolsill.Millicores
 	begun time.Time
 	ends  time.Time
 }
@@ -207,13 +210,12 @@
 	x.state.SetMaxQueries(l.hosts)
 	for i := range replayWorkers {
 		id := spoolsill.WorkerID(fmt.Sprintf("w%d", i))
-		size := []int{16, 16, 8, 32}[i%4]
 		x.entryVersion++
 		x.state.WorkerListed(x.now, sched.Worker{
 			ID:       id,
 			Service:  "work",
 			Address:  string(id),
-			Capacity: demand(spoolsill.Millicores(size) * spoolsill.Core),
+			Capacity: demand(workerSize(i)),
 			Version:  x.entryVersion,
 		})
 		x.renewLease(id)
@@ -274,13 +276,14 @@
 		}
 		x.result.starts++
 		x.answerStart(o, sched.StartAccepted)
-		mean := x.load.runTime
+		mean, need := x.load.runTime, spoolsill.Millicores(wideTask)
 		if q, _ := x.state.Job(o.Run.Task.Stage.Job); q.Queue == "small" {
-			mean = 640 * time.Millisecond
+			mean, need = 640*time.Millisecond, smallTask
 		}
 		d := time.Duration(float64(mean) * (0.85 + 0.3*fraction(o.Run.Task.String())))
 		x.running[o.Worker][o.Run] = runningTask{
 			order: o,
+			need:  need,
 			begun: x.now,
 			ends:  x.now.Add(d),
 		}
@@ -391,7 +394,7 @@
 			x.result.inTime[s.Queue]++
 		}
 	}
-	waiting, free := x.state.Backlog()
+	waiting, _ := x.state.Backlog()
 	if waiting.Processors > 0 || more {
 		x.result.drained = 0
 	} else if x.result.drained == 0 {
@@ -401,7 +404,25 @@
 		return
 	}
 	x.result.idleSteps++
-	x.result.idle += float64(min(waiting.Processors, free.Processors)) / float64(x.state.Load().Capacity.Processors)
+	x.result.idle += float64(min(waiting.Processors, x.idle())) / float64(x.state.Load().Capacity.Processors)
+}
+
+// idle returns the processors on which another task of wide work would fit.
+func (x *adviceReplay) idle() spoolsill.Millicores {
+	var n spoolsill.Millicores
+	for i, id := range x.ids {
+		free := workerSize(i)
+		for _, r := range x.running[id] {
+			free -= r.need
+		}
+		n += max(free/wideTask, 0) * wideTask
+	}
+	return n
+}
+
+// workerSize returns the processors of a worker.
+func workerSize(i int) spoolsill.Millicores {
+	return []spoolsill.Millicores{16, 16, 8, 32}[i%4] * spoolsill.Core
 }
 
 // allowed reports whether the advisor allows a stage at a worker.
@@ -426,13 +447,13 @@
 
 // Wide work arrives in bursts of 2.8 times its rate.
 func TestWideBurstsWhileTheAdvisorIsShort(t *testing.T) {
-	for seed := range uint64(3) {
+	for seed := range uint64(4) {
 		x := newAdviceReplay(t, adviceLoad{
 			seed:        seed + 1,
 			duration:    20 * time.Second,
-			burst:       6 * time.Second,
+			burst:       8 * time.Second,
 			burstFactor: 2.8,
-			wideRate:    2.5,
+			wideRate:    3.2,
 			smallRate:   9.5,
 			hosts:       10,
 			runTime:     4800 * time.Millisecond,
@@ -443,14 +464,14 @@
 
 // A backlog as it is when a burst ends.
 func TestBacklogAfterABurst(t *testing.T) {
-	for seed := range uint64(3) {
+	for seed := range uint64(4) {
 		x := newAdviceReplay(t, adviceLoad{
 			seed:      seed + 1,
 			duration:  10 * time.Second,
-			backlog:   60,
+			backlog:   30,
 			smallRate: 9.5,
 			hosts:     10,
-			runTime:   1200 * time.Millisecond,
+			runTime:   2400 * time.Millisecond,
 		})
 		t.Log(x.run(45 * time.Second))
 	}
