--- a/advisor/budget.go
+++ b/advisor/budget.go
@@ -63,13 +63,11 @@
 // other queues waiting without end.
 func (b Budget) Admit(s Stage) bool {
 	limit := max(b.Places, 1) + max(b.Places/queuedShare, 1)
-	if b.InFlight < limit {
-		return true
-	}
+	share := max(limit/max(b.Queues, 1), 1)
 	if s.Leftover {
-		return b.InFlight < limit+max(b.Places/leftoverShare, 1)
+		limit += max(b.Places/leftoverShare, 1)
 	}
-	return b.OfQueue < max(limit/max(b.Queues, 1), 1)
+	return b.InFlight < limit || b.OfQueue < share
 }
 
 // Worthwhile reports whether an answer that is expected to seat some of the waiting tasks is worth
@@ -81,8 +79,8 @@
 	case s.Waited >= 2*b.Valid:
 		return true
 	case s.Waited >= b.Valid:
-		return seats >= 1
+		return seats > 0
 	default:
-		return seats >= max(float64(s.Tasks)/wholeShare, 1)
+		return seats >= float64(s.Tasks)/wholeShare
 	}
 }
--- a/leader/advice.go
+++ b/leader/advice.go
@@ -54,7 +54,9 @@
 	leader *Leader
 	queue  []sched.AdviceOrder // most urgent first
 	loads  map[spoolsill.HostID]hostLoad
-	short  advisor.Rate // of short queries
+	// short is the rate of short queries, reserved the number of hosts reserved for them.
+	short    advisor.Rate
+	reserved int
 	// overhead is a moving average of the latency of answers beyond the cost of the
 	// query; averageCost is that of the cost.
 	overhead, averageCost time.Duration
@@ -112,7 +114,8 @@
 	now := a.leader.config.Clock.Now()
 	hosts := a.availableHosts(now)
 	// Not more than half of the hosts are reserved.
-	forLong := hosts[:max(len(hosts)-advisor.Reserve(a.short.At(now)), (len(hosts)+1)/2)]
+	a.reserved = min(advisor.Reserve(a.short.At(now)), len(hosts)/2)
+	forLong := hosts[:len(hosts)-a.reserved]
 	rest := a.queue[:0]
 	longBusy := false // all hosts for long queries are busy
 	for i, o := range a.queue {
--- a/leader/log.go
+++ b/leader/log.go
@@ -19,6 +19,7 @@
 	}
 	l.loadLogged = now
 	load := l.state.Load()
+	use := l.state.AdviceUse()
 	l.config.Log.WithFields(logrus.Fields{
 		"epoch":         uint64(l.Epoch()),
 		"workers":       load.Workers,
@@ -36,6 +37,13 @@
 		"unseatable":    load.Unseatable,
 		"questions":     load.Asking,
 		"questions_max": load.MaxAsking,
+		"advice_short":  load.AdviceShort,
+		"not_asked":     load.NoPlace,
+		"not_worth":     load.NoRoom,
+		"advice_used":   use.Time.Milliseconds(),
+		"advice_lost":   use.Lost,
+		"advice_starts": use.Starts,
+		"for_short":     l.advice.reserved,
 		"at_hosts":      l.advice.atHosts(),
 		"underway_ms":   l.advice.overhead.Milliseconds(),
 		"advisor_ms":    l.advice.averageCost.Milliseconds(),
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -79,10 +79,13 @@
 	a.tickets[w] = t
 }
 
-// mayAsk reports whether a stage of q that is not urgent may query the advisor. Beyond the bound
+// mayAsk reports whether g, a stage of q that is not urgent, may query the advisor. Beyond the bound
 // on all queries, each queue with stages to place has its share of that bound: otherwise the
 // queries of the stages ranked first keep those of other queues waiting without end.
-func (d *decider) mayAsk(q *Queue) bool {
+func (d *decider) mayAsk(g *stage, q *Queue) bool {
+	if d.advisorTime.meter.Short() {
+		return d.adviceBudget(q).Admit(d.adviceNeed(g))
+	}
 	limit := queriesPerSlot * max(d.advisorSlots, 1)
 	return d.queriesInFlight < limit || d.queueQueriesInFlight[q.ID] < max(limit/max(len(d.waitingQueues), 1), 1)
 }
@@ -234,6 +237,9 @@
 		x.learnedAt = s.now
 	}
 	x.answeredAt = s.now
+	if !g.step.Gang {
+		s.advisorTime.answered[g] = struct{}{}
+	}
 	about := make(map[spoolsill.WorkerID]*worker, len(a.Order.Workers))
 	for _, l := range a.Order.Workers {
 		if w := s.workerOf(l); w != nil {
--- a/sched/advicereplay_test.go
+++ b/sched/advicereplay_test.go
@@ -261,7 +261,7 @@
 		x.observe(since, len(arrivals) > 0)
 		if step%100 == 0 && testing.Verbose() {
 			l := x.state.Load()
-			fmt.Println(since, l.Used.Processors, l.Capacity.Processors, "stages", l.Stages, "late", l.Late, "adv", l.WaitAdvice, "unasked", l.Unasked, "room", l.WaitRoom, "asking", l.Asking, "short", x.state.Short())
+			fmt.Println(since, l.Used.Processors, l.Capacity.Processors, "stages", l.Stages, "late", l.Late, "adv", l.WaitAdvice, "unasked", l.Unasked, "room", l.WaitRoom, "asking", l.Asking)
 		}
 	}
 	fmt.Println("advicereplay purposes", purp, purpN)
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -19,8 +18,10 @@
 	// shares are the learnt shares of the workers that the advisor allows, by queue.
 	shares map[QueueID]*advisor.Share
 	// inFlight has the queries without an answer, cost the advisor's time for them.
-	inFlight map[uint64]*query
+	inFlight map[uint64]query
 	cost     time.Duration
+	// answered has the stages with tickets that may be valid, except gangs.
+	answered map[*stage]struct{}
 	last     uint64        // number of the latest query
 	valid    time.Duration // of the tickets of the latest answer
 	refused  [advisor.Verdicts]int
@@ -31,7 +32,7 @@
 // A query is a query to the advisor without an answer.
 type query struct {
 	cost time.Duration
-	// claims are set for queries that are granted while the advisor's time is short.
+	// claims are set for queries that are made while the advisor's time is short.
 	claims []claim
 }
 
@@ -54,7 +55,8 @@
 func newAdvisorTime() advisorTime {
 	return advisorTime{
 		shares:   map[QueueID]*advisor.Share{},
-		inFlight: map[uint64]*query{},
+		inFlight: map[uint64]query{},
+		answered: map[*stage]struct{}{},
 		valid:    assumedTicketTime,
 	}
 }
@@ -63,7 +65,7 @@
 func (a *advisorTime) begin(cost time.Duration) uint64 {
 	a.last++
 	a.cost += cost
-	a.inFlight[a.last] = &query{
+	a.inFlight[a.last] = query{
 		cost: cost,
 	}
 	return a.last
@@ -71,8 +73,8 @@
 
 // end returns the cost of a query to the budget. It reports false if it was returned before.
 func (a *advisorTime) end(o AdviceOrder) bool {
-	x := a.inFlight[o.Number]
-	if x == nil {
+	x, ok := a.inFlight[o.Number]
+	if !ok {
 		return false
 	}
 	delete(a.inFlight, o.Number)
@@ -112,45 +114,51 @@
 	return u
 }
 
-// observeAdvisor determines whether the advisor's time is short, and if so which resources the
-// stages are expected to use that have tickets or a query in flight.
-func (d *decider) observeAdvisor(ranked []rankedStage) {
+// observeAdvisor determines after a pass whether the advisor's time is short.
+func (d *decider) observeAdvisor() {
 	a := &d.advisorTime
-	var wanted time.Duration
-	for _, r := range ranked {
-		g := d.openStages[r.index]
-		if g.advice.learnQueriesInFlight > 0 || d.now.Sub(g.advice.answeredAt) < a.valid {
-			continue
-		}
-		if q := d.queue(g.job); q.Advisor != nil {
-			wanted += q.Advisor.queryTime(q.Advisor.querySize())
-		}
-	}
+	a.refused = d.refused
 	a.meter.Observe(advisor.Demand{
 		InFlight: a.cost,
-		Wanted:   wanted,
+		Wanted:   d.adviceWanted,
 		Places:   d.advisorSlots,
 	}, a.valid)
-	if a.meter.Short() {
-		d.sumClaims(ranked)
+}
+
+// noteWanted adds a query about g to those wanted if g has tasks to place, and neither usable tickets
+// nor a query in flight.
+func (d *decider) noteWanted(g *stage, q *Queue) {
+	if q.Advisor == nil || g.waiting == 0 || len(g.planned) > 0 || g.advice.learnQueriesInFlight > 0 {
+		return
+	}
+	if g.advice.asked == nil || d.now.Sub(g.advice.answeredAt) >= d.advisorTime.valid {
+		d.adviceWanted += q.Advisor.queryTime(q.Advisor.querySize())
 	}
 }
 
 // sumClaims sums up what the stages with tickets, and those with queries in flight, are expected to
-// use at each worker.
-func (d *decider) sumClaims(ranked []rankedStage) {
+// use at each worker. Sums are only needed while the advisor's time is short.
+func (d *decider) sumClaims() {
+	a := &d.advisorTime
+	for g := range a.answered {
+		if g.done() || g.job.state.Final() || d.now.Sub(g.advice.answeredAt) >= a.valid {
+			delete(a.answered, g)
+		}
+	}
+	if !a.meter.Short() {
+		return
+	}
 	for _, w := range d.workerList {
 		w.claimed = spoolsill.Resources{}
 	}
-	for _, x := range d.advisorTime.inFlight {
+	for _, x := range a.inFlight {
 		for _, c := range x.claims {
 			c.worker.claimed = c.worker.claimed.Add(c.part)
 		}
 	}
 	var usable []*worker
-	for _, r := range ranked {
-		g := d.openStages[r.index]
-		if g.step.Gang || g.advice.learnQueriesInFlight > 0 || d.now.Sub(g.advice.answeredAt) > d.advisorTime.valid {
+	for g := range a.answered {
+		if g.advice.learnQueriesInFlight > 0 {
 			continue
 		}
 		usable = usable[:0]
@@ -354,11 +362,11 @@
 		})
 	}
 	d.ask(g, q, incarnations, PurposeLearn)
-	d.advisorTime.inFlight[d.advisorTime.last].claims = claims
-}
-
-func (s *State) Short() string {
-	return fmt.Sprint(s.advisorTime.meter.Short(), s.advisorTime.refused)
+	a := &d.advisorTime
+	a.inFlight[a.last] = query{
+		cost:   a.inFlight[a.last].cost,
+		claims: claims,
+	}
 }
 
 // observeShare updates the learnt share with the workers that x is the first answer about.
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -41,11 +41,11 @@
 			last = q
 		}
 	}
-	d.observeAdvisor(ranked)
-	defer func() { s.advisorTime.refused = d.refused }()
+	d.sumClaims()
 	for _, r := range ranked {
 		d.place(s.openStages[r.index])
 	}
+	d.observeAdvisor()
 }
 
 // readyWorkers are the workers of one service that accept new tasks.
@@ -102,6 +102,8 @@
 	waitingQueues map[QueueID]bool
 	// forecastFor is the queue that the workers' soonFree holds for.
 	forecastFor *Queue
+	// adviceWanted is the advisor's time for the queries that were not made in the pass.
+	adviceWanted time.Duration
 	// refused counts the stages about which no query was made in the pass, by verdict.
 	refused [advisor.Verdicts]int
 }
@@ -170,6 +172,7 @@
 	default:
 		d.placeEach(g, q)
 	}
+	d.noteWanted(g, q)
 	d.beginWait(g, q)
 }
 
@@ -182,7 +185,7 @@
 	if a.learnQueriesInFlight > 0 || known && d.now.Sub(a.learnedAt) <= askMoreAfter {
 		return known
 	}
-	if g.tier != tierUrgent && !d.mayAsk(q) {
+	if g.tier != tierUrgent && !d.mayAsk(g, q) {
 		return known
 	}
 	if d.advisorTime.meter.Short() && !g.step.Gang {
@@ -352,6 +355,9 @@
 	}
 	t.lastRun = number
 	r.phase = phaseRecorded
+	if g.advice.asked != nil {
+		s.advisorTime.use.Starts++
+	}
 	g.job.starts = append(g.job.starts, StartOrder{
 		WorkerIncarnation: r.worker.incarnation(),
 		Run:               r.id,
--- a/sched/load.go
+++ b/sched/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
 )
 
 // A Load describes the utilization of the cell for operators.
@@ -34,6 +35,12 @@
 	Asking int
 	// MaxAsking is how many advisor queries the hosts can make concurrently.
 	MaxAsking int
+	// AdviceShort is set while the advisor's time is short. NoPlace then counts the stages that
+	// are not asked about since the hosts have enough queries, NoRoom those that are not since
+	// too few workers have room for an answer to be worth its time.
+	AdviceShort bool
+	NoPlace     int
+	NoRoom      int
 	// Suspects counts the tasks that were on workers when these were lost and have not
 	// been cleared since, Crashed the machines whose workers crashed in the last minute.
 	Suspects int
@@ -72,6 +79,9 @@
 	}
 	l.Asking = s.queriesInFlight
 	l.MaxAsking = s.advisorSlots
+	l.AdviceShort = s.advisorTime.meter.Short()
+	l.NoPlace = s.advisorTime.refused[advisor.NoPlace]
+	l.NoRoom = s.advisorTime.refused[advisor.NoRoom]
 	l.Suspects, l.Crashed = s.Suspects()
 	return l
 }
