--- a/sched/budget.go
+++ b/sched/budget.go
@@ -226,7 +226,10 @@
 // askOnBudget queries the advisor about g if that is worth its time now. The query is about workers
 // that no answer covers yet and about those whose tickets expire before its answer arrives.
 func (d *decider) askOnBudget(g *stage, q *Queue) advisor.Verdict {
-	b, need := d.adviceBudget(q), d.adviceNeed(g)
+	b, need := d.adviceBudget(q), d.adviceNeed(g, q)
+	if need.Ticketed() {
+		return advisor.Seated
+	}
 	if !b.Admit(need) {
 		return advisor.NoPlace
 	}
@@ -253,13 +256,14 @@
 	}
 }
 
-func (d *decider) adviceNeed(g *stage) advisor.Stage {
+func (d *decider) adviceNeed(g *stage, q *Queue) advisor.Stage {
 	since := g.openedAt
 	if g.advice.asked != nil {
 		since = g.advice.answeredAt
 	}
 	return advisor.Stage{
 		Tasks:    g.waiting,
+		Seats:    d.ticketSeats(g, q),
 		Waited:   d.now.Sub(since),
 		Leftover: g.tier == tierWorthless,
 	}
@@ -273,7 +277,7 @@
 		return nil, 0
 	}
 	took := q.Advisor.queryTime(q.Advisor.querySize())
-	d.forecastFree(q, r, took+d.advisorTime.valid/2)
+	d.forecastFree(q, r)
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(g.id.String()))
 	stage := seed.Sum64()
@@ -309,6 +313,24 @@
 	})
 }
 
+// ticketSeats returns how many tasks of g are expected to fit where it has tickets that are valid for
+// longer than a query takes.
+func (d *decider) ticketSeats(g *stage, q *Queue) int {
+	r := d.ready[q.Service]
+	until := d.now.Add(q.Advisor.queryTime(q.Advisor.querySize()))
+	if r == nil || until.Sub(g.advice.answeredAt) >= d.advisorTime.valid {
+		return 0
+	}
+	d.forecastFree(q, r)
+	n := 0
+	for _, w := range g.advice.allowed {
+		if w.ready && g.advice.valid(w, until) {
+			n += max(fitCount(g.step.demand(), w.free().Add(w.soonFree)), 0)
+		}
+	}
+	return n
+}
+
 // seatsAt returns how many tasks of g are expected to fit on w.
 func (d *decider) seatsAt(g *stage, w *worker) int {
 	n := fitCount(g.step.demand(), w.free().Add(w.soonFree).Sub(w.claimed))
@@ -318,13 +340,32 @@
 	return min(n, g.waiting)
 }
 
-// forecastFree determines what becomes free at each worker within a time, for stages of q. The room
-// of runs with a higher priority is left to others of that priority.
-func (d *decider) forecastFree(q *Queue, r *readyWorkers, within time.Duration) {
+// seatedSoon reports whether a gang is expected to fit on the workers that it may use before tickets
+// that are renewed now expire.
+func (d *decider) seatedSoon(g *stage, q *Queue) bool {
+	r := d.ready[q.Service]
+	if r == nil {
+		return false
+	}
+	d.forecastFree(q, r)
+	n := 0
+	for _, w := range g.advice.allowed {
+		if h := d.reservedFor[w]; w.ready && (h == nil || h == g) {
+			n += fitCount(g.step.demand(), w.free().Add(w.soonFree))
+		}
+	}
+	return n >= len(g.tasks)
+}
+
+// forecastFree determines what becomes free at each worker for stages of q until half of the time of
+// tickets that are queried now is over. The room of runs with a higher priority is left
+// to others of that priority.
+func (d *decider) forecastFree(q *Queue, r *readyWorkers) {
 	if d.forecastFor == q {
 		return
 	}
 	d.forecastFor = q
+	within := q.Advisor.queryTime(q.Advisor.querySize()) + d.advisorTime.valid/2
 	for _, w := range r.workers {
 		w.soonFree = spoolsill.Resources{}
 		for _, x := range w.runs {
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -46,7 +46,7 @@
 	if len(g.reserved) == 0 {
 		return
 	}
-	if !d.advisorTime.meter.Short() {
+	if !d.budgeted(g) {
 		d.keepWarm(g, q)
 	}
 	d.preempt(g, q)
