--- a/advisor/budget.go
+++ b/advisor/budget.go
@@ -17,6 +17,8 @@
 type Stage struct {
 	// Tasks is the number of those that wait.
 	Tasks int
+	// Seats is how many of them are expected to fit where the stage has tickets.
+	Seats int
 	// Waited is the time since the last answer about the stage or, before the first,
 	// since the stage could start.
 	Waited time.Duration
@@ -30,12 +32,13 @@
 // The verdicts.
 const (
 	Granted  Verdict = iota
+	Seated           // its tickets are expected to seat it
 	NoPlace          // hosts have as many queries as they can make soon
 	NoRoom           // too few workers have room for an answer to be worth its time
 	Verdicts         // the number of verdicts
 )
 
-var verdictNames = [...]string{"granted", "no place", "no room"}
+var verdictNames = [...]string{"granted", "seated", "no place", "no room"}
 
 // String returns the name of v.
 func (v Verdict) String() string {
@@ -58,6 +61,15 @@
 	wholeShare = 2
 )
 
+// seatFactor is how many times the waiting tasks must be expected to fit where a stage has tickets, for
+// it not to need others: other stages have tickets for the same room.
+const seatFactor = 2
+
+// Ticketed reports whether the stage is expected to start all of its tasks with its tickets.
+func (s Stage) Ticketed() bool {
+	return s.Seats >= seatFactor*s.Tasks
+}
+
 // Admit reports whether hosts can soon make another query about a stage. Each queue has a share of
 // the places, since the queries of the stages ranked first would otherwise keep those of
 // other queues waiting without end.
