--- a/advisor/budget.go
+++ b/advisor/budget.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// LongQuery is the time from which on a query is long. Short queries are answered while a long one
+// is, if they have hosts of their own.
+const LongQuery = 150 * time.Millisecond
+
 // A Budget is the advisor's time as of one pass of decisions.
 type Budget struct {
 	// Places is how many queries the hosts can make concurrently, InFlight the number of
@@ -15,8 +19,6 @@
 
 // A Stage is work that the advisor could be asked about.
 type Stage struct {
-	// Tasks is the number of those that wait.
-	Tasks int
 	// Waited is the time since the last answer about the stage or, before the first,
 	// since the stage could start.
 	Waited time.Duration
@@ -54,9 +56,6 @@
 	// leftoverShare is the number of places for each query beyond the limit about work
 	// that earns nothing any more: accepted work must not wait without end.
 	leftoverShare = 8
-	// wholeShare is the part of the waiting tasks that the expected answer must seat, as a
-	// divisor: a stage of several queries uses the base cost several times.
-	wholeShare = 2
 )
 
 // SeatFactor is how many times the waiting tasks of a stage must be expected to fit where it has
@@ -75,17 +74,12 @@
 	return b.InFlight < limit || b.OfQueue < share
 }
 
+// patience is the number of ticket times after which a stage is asked about whatever room there is.
+const patience = 2
+
 // Worthwhile reports whether an answer that is expected to seat some of the waiting tasks is worth
-// its time. A stage that has waited for as long as a ticket is valid takes what there is, since
-// stages with less need would always find the room first; one that has waited for twice as
-// long is asked about without room.
+// its time. A ticket for a worker without room expires before it can be used, yet accepted
+// work must not wait without end.
 func (b Budget) Worthwhile(s Stage, seats float64) bool {
-	switch {
-	case s.Waited >= 2*b.Valid:
-		return true
-	case s.Waited >= b.Valid:
-		return seats > 0
-	default:
-		return seats >= float64(s.Tasks)/wholeShare
-	}
+	return seats >= 1 || s.Waited >= patience*b.Valid
 }
--- a/advisor/draw.go
+++ b/advisor/draw.go
@@ -9,8 +9,7 @@
 type Candidate struct {
 	// Index identifies the worker to the caller.
 	Index int
-	// Seats is how many tasks of the stage fit into its room, without that which
-	// other queries in flight are expected to use.
+	// Seats is how many tasks of the stage fit into its room.
 	Seats int
 	// Share is how likely the advisor allows it: 1 if an earlier answer did.
 	Share float64
@@ -36,46 +35,30 @@
 // other work takes a part of the room before the answer arrives.
 const headroom = 2
 
-// Draw returns the candidates that one query should be about, and how many tasks the answer is
-// expected to seat. It takes those with the most room, as many as are expected to seat all
+// Seats returns how many tasks the answer to a query about all candidates is expected to place.
+func Seats(candidates []Candidate) float64 {
+	seats := 0.0
+	for _, c := range candidates {
+		seats += c.expected()
+	}
+	return seats
+}
+
+// Draw returns the candidates that one query should be about. It takes those with the most room, as many as are expected to seat all
 // tasks with some headroom. Others are added up to the least number, since room may become
 // free there while the tickets are valid. It reorders candidates.
-func Draw(candidates []Candidate, w Wish) ([]Candidate, float64) {
+func Draw(candidates []Candidate, w Wish) []Candidate {
 	slices.SortFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(b.expected(), a.expected()), cmp.Compare(b.Share, a.Share), cmp.Compare(a.Spread, b.Spread))
 	})
 	seats := 0.0
 	for i, c := range candidates {
 		if i == w.AtMost || i >= w.AtLeast && (c.Seats == 0 || seats >= headroom*float64(w.Tasks)) {
-			return candidates[:i], seats
+			return candidates[:i]
 		}
 		seats += c.expected()
 	}
-	return candidates, seats
-}
-
-// A Claim is how many tasks the answer to a query is expected to place at a worker.
-type Claim struct {
-	Index int
-	Tasks float64
-}
-
-// Claims returns what the answer to a query about drawn workers is expected to use, at most the
-// room for the waiting tasks in all.
-func Claims(drawn []Candidate, tasks int) []Claim {
-	seats := 0.0
-	for _, c := range drawn {
-		seats += c.expected()
-	}
-	used := min(float64(tasks)/seats, 1)
-	claims := make([]Claim, len(drawn))
-	for i, c := range drawn {
-		claims[i] = Claim{
-			Index: c.Index,
-			Tasks: used * c.expected(),
-		}
-	}
-	return claims
+	return candidates
 }
 
 // Spread returns a number by which the workers of a cell are in a different order for each stage,
--- a/leader/advice.go
+++ b/leader/advice.go
@@ -29,9 +29,6 @@
 	marginFactor = 3
 	minAskMargin = 300 * time.Millisecond
 	maxAskMargin = 2 * time.Second
-	// longQueryCost is the cost above which a query is long. Some hosts get no long
-	// queries, so that short ones soon find a free host.
-	longQueryCost = 150 * time.Millisecond
 	// failedHostBackoff is how long a host whose query failed is avoided if others are
 	// available: as long as most problems of a single host last.
 	failedHostBackoff = 3 * time.Second
@@ -100,7 +97,7 @@
 		return cmp.Or(compareQueries(e, o), -1) // insert after equal elements
 	})
 	a.queue = slices.Insert(a.queue, i, o)
-	if o.Cost <= longQueryCost {
+	if o.Cost <= advisor.LongQuery {
 		a.short.Add(a.leader.config.Clock.Now(), o.Cost)
 	}
 }
@@ -119,7 +116,7 @@
 	rest := a.queue[:0]
 	longBusy := false // all hosts for long queries are busy
 	for i, o := range a.queue {
-		long := o.Cost > longQueryCost
+		long := o.Cost > advisor.LongQuery
 		if long && longBusy {
 			rest = append(rest, o)
 			continue
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -83,7 +83,7 @@
 // on all queries, each queue with stages to place has its share of that bound: otherwise the
 // queries of the stages ranked first keep those of other queues waiting without end.
 func (d *decider) mayAsk(g *stage, q *Queue) bool {
-	if d.advisorTime.meter.Short() {
+	if d.onBudget(q) {
 		return d.adviceBudget(q).Admit(d.adviceNeed(g))
 	}
 	limit := queriesPerSlot * max(d.advisorSlots, 1)
@@ -237,9 +237,6 @@
 		x.learnedAt = s.now
 	}
 	x.answeredAt = s.now
-	if !g.step.Gang {
-		s.advisorTime.answered[g] = struct{}{}
-	}
 	about := make(map[spoolsill.WorkerID]*worker, len(a.Order.Workers))
 	for _, l := range a.Order.Workers {
 		if w := s.workerOf(l); w != nil {
@@ -320,7 +317,7 @@
 	if q.Advisor == nil || a.warmQueryInFlight || d.warmQueriesInFlight >= max(d.advisorSlots/warmQueryDivisor, 1) {
 		return
 	}
-	if d.advisorTime.meter.Short() {
+	if d.onBudget(q) {
 		return // room is held for the time of a query once there is enough
 	}
 	var ready []*worker
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -17,11 +17,9 @@
 	meter advisor.Meter
 	// shares are the learnt shares of the workers that the advisor allows, by queue.
 	shares map[QueueID]*advisor.Share
-	// inFlight has the queries without an answer, cost the advisor's time for them.
-	inFlight map[uint64]query
+	// inFlight has the advisor's time for each query without an answer, cost the sum.
+	inFlight map[uint64]time.Duration
 	cost     time.Duration
-	// answered has the stages with tickets that may be valid, except gangs.
-	answered map[*stage]struct{}
 	last     uint64        // number of the latest query
 	valid    time.Duration // of the tickets of the latest answer
 	refused  [advisor.Verdicts]int
@@ -29,19 +27,6 @@
 	buffer   []advisor.Candidate
 }
 
-// A query is a query to the advisor without an answer.
-type query struct {
-	cost time.Duration
-	// claims are set for queries that are made while the advisor's time is short.
-	claims []claim
-}
-
-// A claim is the part of a worker's free resources that the answer to a query is expected to use.
-type claim struct {
-	worker *worker
-	part   spoolsill.Resources
-}
-
 // An AdviceUse is what the advisor's time was used for.
 type AdviceUse struct {
 	// Queries counts the answers, Lost the queries that had none.
@@ -55,8 +40,7 @@
 func newAdvisorTime() advisorTime {
 	return advisorTime{
 		shares:   map[QueueID]*advisor.Share{},
-		inFlight: map[uint64]query{},
-		answered: map[*stage]struct{}{},
+		inFlight: map[uint64]time.Duration{},
 		valid:    assumedTicketTime,
 	}
 }
@@ -65,20 +49,18 @@
 func (a *advisorTime) begin(cost time.Duration) uint64 {
 	a.last++
 	a.cost += cost
-	a.inFlight[a.last] = query{
-		cost: cost,
-	}
+	a.inFlight[a.last] = cost
 	return a.last
 }
 
 // end returns the cost of a query to the budget. It reports false if it was returned before.
 func (a *advisorTime) end(o AdviceOrder) bool {
-	x, ok := a.inFlight[o.Number]
+	cost, ok := a.inFlight[o.Number]
 	if !ok {
 		return false
 	}
 	delete(a.inFlight, o.Number)
-	a.cost -= x.cost
+	a.cost -= cost
 	return true
 }
 
@@ -136,58 +118,16 @@
 	}
 }
 
-// sumClaims sums up what the stages with tickets, and those with queries in flight, are expected to
-// use at each worker. Sums are only needed while the advisor's time is short.
-func (d *decider) sumClaims() {
-	a := &d.advisorTime
-	for g := range a.answered {
-		if g.done() || g.job.state.Final() || d.now.Sub(g.advice.answeredAt) >= a.valid {
-			delete(a.answered, g)
-		}
-	}
-	if !a.meter.Short() {
-		return
-	}
-	for _, w := range d.workerList {
-		w.claimed = spoolsill.Resources{}
-	}
-	for _, x := range a.inFlight {
-		for _, c := range x.claims {
-			c.worker.claimed = c.worker.claimed.Add(c.part)
-		}
-	}
-	var usable []*worker
-	for g := range a.answered {
-		if g.advice.learnQueriesInFlight > 0 {
-			continue
-		}
-		usable = usable[:0]
-		for _, w := range g.advice.allowed {
-			if w.ready && g.advice.valid(w, d.now) {
-				usable = append(usable, w)
-			}
-		}
-		part := g.step.part(float64(g.waiting) / float64(max(len(usable), 1)))
-		for _, w := range usable {
-			w.claimed = w.claimed.Add(part)
-		}
-	}
-}
-
-// part returns the demand of a number of tasks.
-func (p *Step) part(tasks float64) spoolsill.Resources {
-	n := p.demand()
-	return spoolsill.Resources{
-		Processors:   spoolsill.Millicores(tasks * float64(n.Processors)),
-		Memory:       spoolsill.Bytes(tasks * float64(n.Memory)),
-		Accelerators: 0, // are whole
-	}
+// onBudget reports whether queries about stages of q are granted from the advisor's time. Short
+// queries have hosts of their own.
+func (d *decider) onBudget(q *Queue) bool {
+	return d.advisorTime.meter.Short() && q.Advisor.queryTime(1) > advisor.LongQuery
 }
 
 // budgeted reports whether queries about g are granted from the advisor's time. Urgent stages are
 // asked about at once, and a gang needs tickets before room is kept for it.
-func (d *decider) budgeted(g *stage) bool {
-	return d.advisorTime.meter.Short() && g.tier != tierUrgent && !g.step.Gang
+func (d *decider) budgeted(g *stage, q *Queue) bool {
+	return d.onBudget(q) && g.tier != tierUrgent && !g.step.Gang
 }
 
 // placeOnBudget starts tasks of g with the tickets that it has, and queries the advisor if that is
@@ -233,30 +173,28 @@
 	if d.ticketSeats(g, q) >= advisor.SeatFactor*g.waiting {
 		return advisor.Seated
 	}
-	if d.roomless.covers(g) && !b.Worthwhile(need, d.roomless.seats) {
+	if d.roomless.covers(g) && !b.Worthwhile(need, 0) {
 		return advisor.NoRoom
 	}
-	drawn, seats := d.draw(g, q)
-	if !b.Worthwhile(need, seats) {
+	candidates := d.adviceCandidates(g, q)
+	if !b.Worthwhile(need, advisor.Seats(candidates)) {
 		if g.advice.asked == nil {
 			d.roomless = roomless{
 				step:  g.step,
 				queue: g.job.Queue,
-				seats: seats,
 			}
 		}
 		return advisor.NoRoom
 	}
-	d.askDrawn(g, q, drawn)
+	d.askDrawn(g, q, candidates)
 	return advisor.Granted
 }
 
-// roomless is a step of a stage that was found to have too little room in a pass. Many stages of
-// equal or larger need are then known to have no more.
+// roomless is a step of a stage that was found to have no room in a pass. Many stages of equal or
+// larger need are then known to have none.
 type roomless struct {
 	step  *Step
 	queue QueueID
-	seats float64
 }
 
 // covers reports whether a first query about g can't be expected to seat more tasks.
@@ -280,18 +218,17 @@
 		since = g.advice.answeredAt
 	}
 	return advisor.Stage{
-		Tasks:    g.waiting,
 		Waited:   d.now.Sub(since),
 		Leftover: g.tier == tierWorthless,
 	}
 }
 
-// draw returns the workers that a query about g should be about, and how many of its tasks the
-// answer is expected to seat.
-func (d *decider) draw(g *stage, q *Queue) ([]advisor.Candidate, float64) {
+// adviceCandidates returns the workers that a query about g could be about. They are valid until the
+// next call.
+func (d *decider) adviceCandidates(g *stage, q *Queue) []advisor.Candidate {
 	r := d.ready[q.Service]
 	if r == nil {
-		return nil, 0
+		return nil
 	}
 	took := q.Advisor.queryTime(q.Advisor.querySize())
 	d.forecastFree(q, r)
@@ -323,11 +260,7 @@
 		candidates = append(candidates, c)
 	}
 	d.advisorTime.buffer = candidates
-	return advisor.Draw(candidates, advisor.Wish{
-		Tasks:   g.waiting,
-		AtLeast: q.Advisor.querySize(),
-		AtMost:  maxQueryWorkers,
-	})
+	return candidates
 }
 
 // ticketSeats returns how many tasks of g are expected to fit where it has tickets that are valid for
@@ -350,7 +283,7 @@
 
 // seatsAt returns how many tasks of g are expected to fit on w.
 func (d *decider) seatsAt(g *stage, w *worker) int {
-	n := fitCount(g.step.demand(), w.free().Add(w.soonFree).Sub(w.claimed))
+	n := fitCount(g.step.demand(), w.free().Add(w.soonFree))
 	if m := g.step.MaxPerWorker; m > 0 && n > 0 {
 		n = min(n, m-g.runsAt(w))
 	}
@@ -386,28 +319,18 @@
 	return left - s.now.Sub(r.progressedAt)
 }
 
-// askDrawn queries the advisor about drawn workers, and claims the room there that the answer is
-// expected to use.
-func (d *decider) askDrawn(g *stage, q *Queue, drawn []advisor.Candidate) {
+// askDrawn queries the advisor about workers that are drawn from candidates.
+func (d *decider) askDrawn(g *stage, q *Queue, candidates []advisor.Candidate) {
 	workers := d.ready[q.Service].workers
-	incarnations := make([]spoolsill.WorkerIncarnation, 0, len(drawn))
-	claims := make([]claim, 0, len(drawn))
-	for _, c := range advisor.Claims(drawn, g.waiting) {
-		w := workers[c.Index]
-		part := g.step.part(c.Tasks)
-		w.claimed = w.claimed.Add(part)
-		incarnations = append(incarnations, w.incarnation())
-		claims = append(claims, claim{
-			worker: w,
-			part:   part,
-		})
+	var incarnations []spoolsill.WorkerIncarnation
+	for _, c := range advisor.Draw(candidates, advisor.Wish{
+		Tasks:   g.waiting,
+		AtLeast: q.Advisor.querySize(),
+		AtMost:  maxQueryWorkers,
+	}) {
+		incarnations = append(incarnations, workers[c.Index].incarnation())
 	}
 	d.ask(g, q, incarnations, PurposeLearn)
-	a := &d.advisorTime
-	a.inFlight[a.last] = query{
-		cost:   a.inFlight[a.last].cost,
-		claims: claims,
-	}
 }
 
 // observeShare updates the learnt share with the workers that x is the first answer about.
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -41,7 +41,6 @@
 			last = q
 		}
 	}
-	d.sumClaims()
 	for _, r := range ranked {
 		d.place(s.openStages[r.index])
 	}
@@ -165,7 +164,7 @@
 	}
 	g.advice.refused = advisor.Granted
 	switch {
-	case q.Advisor != nil && d.budgeted(g):
+	case q.Advisor != nil && d.budgeted(g, q):
 		d.placeOnBudget(g, q)
 	case q.Advisor != nil && !d.ensureAdvice(g, q):
 	case g.step.Gang:
@@ -189,12 +188,12 @@
 	if g.tier != tierUrgent && !d.mayAsk(g, q) {
 		return known
 	}
-	if d.advisorTime.meter.Short() && known && g.step.Gang && d.emptySeats(g, a.allowed) >= gangReserveFactor*len(g.tasks) {
+	if d.onBudget(q) && known && g.step.Gang && d.emptySeats(g, a.allowed) >= gangReserveFactor*len(g.tasks) {
 		return known // room is missing, not workers
 	}
-	if d.advisorTime.meter.Short() && !g.step.Gang {
-		if drawn, seats := d.draw(g, q); seats >= 1 {
-			d.askDrawn(g, q, drawn)
+	if d.onBudget(q) && !g.step.Gang {
+		if candidates := d.adviceCandidates(g, q); advisor.Seats(candidates) >= 1 {
+			d.askDrawn(g, q, candidates)
 			return known
 		}
 	}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -86,10 +86,7 @@
 	leaseExpired bool
 	ready        bool // accepts something new, as of the current pass
 	health       health
-	// claimed is what stages with tickets or queries in flight are expected to use here, and
-	// soonFree what becomes free, as of the current pass. Both are only known while the
-	// advisor's time is short.
-	claimed  spoolsill.Resources
+	// soonFree is what is expected to become free here, for stages of decider.forecastFor.
 	soonFree spoolsill.Resources
 	// trials are the runs of suspect tasks.
 	trials []*run
