--- a/advisor/draw.go
+++ b/advisor/draw.go
@@ -44,9 +44,9 @@
 	return seats
 }
 
-// Draw returns the candidates that one query should be about. It takes those with the most room, as many as are expected to seat all
-// tasks with some headroom. Others are added up to the least number, since room may become
-// free there while the tickets are valid. It reorders candidates.
+// Draw returns the candidates that one query should be about. It takes those with the most room, as
+// many as are expected to seat all tasks with some headroom. Others are added up to the least
+// number, since room may become free there while the tickets are valid. It reorders candidates.
 func Draw(candidates []Candidate, w Wish) []Candidate {
 	slices.SortFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(b.expected(), a.expected()), cmp.Compare(b.Share, a.Share), cmp.Compare(a.Spread, b.Spread))
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -183,6 +183,7 @@
 	if !s.advisorTime.end(a.Order) {
 		return // answered before
 	}
+	s.advisorTime.learn(a)
 	s.queriesInFlight--
 	s.queueQueriesInFlight[a.Order.Queue]--
 	if a.Order.Purpose == PurposeWarm {
@@ -202,7 +203,6 @@
 		Reason: fmt.Sprintf("stage %s: %d of %d workers may run it, purpose %s, answer lost %v", g.id, len(a.Tickets), len(a.Order.Workers), a.Order.Purpose, a.Lost),
 		Age:    now.Sub(a.Order.Ordered),
 	})
-	s.advisorTime.learn(a)
 	x := &g.advice
 	switch a.Order.Purpose {
 	case PurposeLearn:
@@ -238,8 +238,12 @@
 	}
 	x.answeredAt = s.now
 	about := make(map[spoolsill.WorkerID]*worker, len(a.Order.Workers))
+	asked, allowed := 0, 0 // that no earlier answer covers
 	for _, l := range a.Order.Workers {
 		if w := s.workerOf(l); w != nil {
+			if !x.asked[w] {
+				asked++
+			}
 			x.asked[w] = true
 			about[l.Worker] = w
 		}
@@ -251,12 +255,14 @@
 		}
 		if _, known := x.tickets[w]; !known {
 			x.allowed = append(x.allowed, w)
+			allowed++
 		}
 		x.tickets[w] = ticket{
 			text:  t.Text,
 			until: a.Received.Add(a.Valid),
 		}
 	}
+	s.advisorTime.share(a.Order.Queue).Observe(allowed, asked)
 }
 
 // commitPlan records the planned runs whose tickets are valid now and releases the capacity
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -22,9 +22,10 @@
 	cost     time.Duration
 	last     uint64        // number of the latest query
 	valid    time.Duration // of the tickets of the latest answer
-	refused  [advisor.Verdicts]int
-	use      AdviceUse
-	buffer   []advisor.Candidate
+	// refused counts the stages of the latest pass by verdict.
+	refused [advisor.Verdicts]int
+	use     AdviceUse
+	buffer  []advisor.Candidate // reused by adviceCandidates
 }
 
 // An AdviceUse is what the advisor's time was used for.
@@ -75,9 +76,6 @@
 	if x.Valid > 0 {
 		a.valid = x.Valid
 	}
-	if x.Order.Purpose == PurposeLearn {
-		a.observeShare(x)
-	}
 }
 
 func (a *advisorTime) share(q QueueID) *advisor.Share {
@@ -190,14 +188,14 @@
 	return advisor.Granted
 }
 
-// roomless is a step of a stage that was found to have no room in a pass. Many stages of equal or
-// larger need are then known to have none.
+// roomless is a step for which no room was found in a pass. Other stages of its queue that need as
+// much are then known to have none, without a look at each worker.
 type roomless struct {
 	step  *Step
 	queue QueueID
 }
 
-// covers reports whether a first query about g can't be expected to seat more tasks.
+// covers reports whether a first query about g can't be expected to seat any task either.
 func (r roomless) covers(g *stage) bool {
 	return r.step != nil && g.advice.asked == nil && r.queue == g.job.Queue && r.step.Requires == "" && r.step.MaxPerWorker == 0 && r.step.demand().FitsIn(g.step.demand())
 }
@@ -238,7 +236,6 @@
 	share := d.advisorTime.share(q.ID).Expected()
 	candidates := d.advisorTime.buffer[:0]
 	for i, w := range r.workers {
-		n := d.seatsAt(g, w)
 		if !g.labelMatches(w) || d.blockedByTrial(g, w) {
 			continue
 		}
@@ -247,7 +244,7 @@
 		}
 		c := advisor.Candidate{
 			Index:  i,
-			Seats:  n,
+			Seats:  d.seatsAt(g, w),
 			Share:  share,
 			Spread: advisor.Spread(stage, i),
 		}
@@ -275,7 +272,7 @@
 	n := 0
 	for _, w := range g.advice.allowed {
 		if w.ready && g.advice.valid(w, until) {
-			n += max(fitCount(g.step.demand(), w.free().Add(w.soonFree)), 0)
+			n += fitCount(g.step.demand(), w.free().Add(w.soonFree))
 		}
 	}
 	return n
@@ -285,9 +282,9 @@
 func (d *decider) seatsAt(g *stage, w *worker) int {
 	n := fitCount(g.step.demand(), w.free().Add(w.soonFree))
 	if m := g.step.MaxPerWorker; m > 0 && n > 0 {
-		n = min(n, m-g.runsAt(w))
+		n = min(n, max(m-g.runsAt(w), 0))
 	}
-	return max(min(n, g.waiting), 0)
+	return min(n, g.waiting)
 }
 
 // forecastFree determines what becomes free at each worker for stages of q until half of the time of
@@ -332,8 +329,3 @@
 	}
 	d.ask(g, q, incarnations, PurposeLearn)
 }
-
-// observeShare updates the learnt share with the workers that x is the first answer about.
-func (a *advisorTime) observeShare(x Advice) {
-	a.share(x.Order.Queue).Observe(len(x.Tickets), len(x.Order.Workers))
-}
