--- a/advisor/advisor_test.go
+++ b/advisor/advisor_test.go
@@ -49,6 +49,15 @@
 	}
 }
 
+func TestTimeIsNotShortWhileAllQueriesAreMade(t *testing.T) {
+	var m advisor.Meter
+	m.Observe(advisor.Demand{
+		InFlight: 2 * valid,
+		Places:   1,
+	}, valid)
+	qt.Assert(t, m.Short(), qt.IsFalse)
+}
+
 func TestAdvisorWithoutHostsIsShort(t *testing.T) {
 	var m advisor.Meter
 	m.Observe(advisor.Demand{
--- a/advisor/meter.go
+++ b/advisor/meter.go
@@ -5,7 +5,7 @@
 // A Demand is what the advisor is asked at a moment.
 type Demand struct {
 	// InFlight is the advisor's time for the queries without an answer, Wanted that for the
-	// stages that wait for a first query.
+	// queries that were wanted and not made.
 	InFlight, Wanted time.Duration
 	// Places is how many queries the hosts can make concurrently.
 	Places int
@@ -32,13 +32,14 @@
 	relief = 2
 )
 
-// Observe updates the meter with the demand; tickets are valid for some time.
+// Observe updates the meter with the demand; tickets are valid for some time. Time does not become
+// short while all queries that are wanted are made, however long they take.
 func (m *Meter) Observe(d Demand, valid time.Duration) {
 	limit := valid / waitShare
 	if m.short {
 		limit /= relief
 	}
-	m.short = d.Wait() > limit
+	m.short = d.Wait() > limit && (m.short || d.Wanted > 0)
 }
 
 // Short reports whether the advisor's time is short.
--- a/sched/advicereplay_test.go
+++ b/sched/advicereplay_test.go
@@ -205,6 +205,7 @@
 		busy:    make([]time.Time, l.hosts),
 		running: map[spoolsill.WorkerID]map[sched.RunID]runningTask{},
 		rows:    map[spoolsill.JobID][]byte{},
+		at:      map[time.Duration]func(){},
 		result: replayResult{
 			ended:     map[sched.QueueID]int{},
 			inTime:    map[sched.QueueID]int{},
@@ -281,6 +282,7 @@
 // takeOver has another leader take over, which knows what was written.
 func (x *adviceReplay) takeOver() {
 	x.queue = nil
+	x.answers = nil // they are addressed to the former leader
 	x.state = x.newState()
 	x.state.SetQueues(advicequeues())
 	x.state.SetMaxQueries(x.load.hosts)
@@ -537,6 +539,45 @@
 	}
 }
 
+// Guards against queries whose tickets expire before there is room: in a full cell, a stage is asked
+// about once in two ticket times. No stage waits for longer, since accepted work has a bounded
+// wait.
+func TestFullCellIsAskedAboutSeldom(t *testing.T) {
+	const wide = 40
+	x := newAdviceReplay(t, adviceLoad{
+		seed:    1,
+		backlog: wide,
+		hosts:   10,
+		runTime: time.Minute,
+	})
+	x.state.SetQueues(append(advicequeues(), sched.Queue{
+		ID:          "long",
+		Service:     "work",
+		MaxAttempts: 1,
+		Stretch:     2,
+	}))
+	full := job("long", "long", sched.Step{
+		Tasks:    500,
+		Need:     demand(4 * spoolsill.Core),
+		Estimate: time.Minute,
+	})
+	full.Received = x.now
+	x.state.AddJob(x.now, full, sched.Progress{})
+	x.unadvised = true
+	asked := map[time.Duration]int{}
+	for _, at := range []time.Duration{
+		ticketValid / 2,
+		2*ticketValid - 100*time.Millisecond,
+		4 * ticketValid,
+	} {
+		x.at[at] = func() { asked[at] = x.result.queries }
+	}
+	x.run(4*ticketValid + time.Second)
+	before, bounded := asked[ticketValid/2], asked[2*ticketValid-100*time.Millisecond]
+	x.c.Check(bounded-before <= 5, qt.IsTrue, qt.Commentf("%v", asked))
+	x.c.Check(asked[4*ticketValid] >= wide, qt.IsTrue, qt.Commentf("%v", asked))
+}
+
 // settle is the time within which all of a burst has ended, also if the advisor was away for a part
 // of it.
 const settle = 90 * time.Second
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -105,15 +105,9 @@
 	}, a.valid)
 }
 
-// noteWanted adds a query about g to those wanted if g has tasks to place, and neither usable tickets
-// nor a query in flight.
-func (d *decider) noteWanted(g *stage, q *Queue) {
-	if q.Advisor == nil || g.waiting == 0 || len(g.planned) > 0 || g.advice.learnQueriesInFlight > 0 {
-		return
-	}
-	if g.advice.asked == nil || d.now.Sub(g.advice.answeredAt) >= d.advisorTime.valid {
-		d.adviceWanted += q.Advisor.queryTime(q.Advisor.querySize())
-	}
+// noteWanted adds a query about a stage of q to those that were wanted and not made in the pass.
+func (d *decider) noteWanted(q *Queue) {
+	d.adviceWanted += q.Advisor.queryTime(q.Advisor.querySize())
 }
 
 // onBudget reports whether queries about stages of q are granted from the advisor's time. Short
@@ -136,8 +130,12 @@
 		return
 	}
 	if g.advice.learnQueriesInFlight == 0 {
-		g.advice.refused = d.askOnBudget(g, q)
-		d.refused[g.advice.refused]++
+		v := d.askOnBudget(g, q)
+		g.advice.refused = v
+		d.refused[v]++
+		if v == advisor.NoPlace || v == advisor.NoRoom {
+			d.noteWanted(q)
+		}
 	}
 	d.reserveForLarge(g, q, g.waiting)
 }
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -172,7 +172,6 @@
 	default:
 		d.placeEach(g, q)
 	}
-	d.noteWanted(g, q)
 	d.beginWait(g, q)
 }
 
@@ -186,6 +185,7 @@
 		return known
 	}
 	if g.tier != tierUrgent && !d.mayAsk(g, q) {
+		d.noteWanted(q)
 		return known
 	}
 	if d.onBudget(q) && known && g.step.Gang && d.emptySeats(g, a.allowed) >= gangReserveFactor*len(g.tasks) {
