--- a/leader/advice.go
+++ b/leader/advice.go
@@ -23,6 +23,9 @@
 }
 
 const (
+	// minReserved is the number of hosts that get no long queries, so that short ones soon find a
+	// free host. While the advisor's time is short, the number follows their rate.
+	minReserved = 2
 	// The timeout of a query is its cost, that of the queries ahead of it, and a margin of
 	// marginFactor times the usual time in transit, within minAskMargin and maxAskMargin:
 	// the time in transit grows with the load of the leader's link.
@@ -110,8 +113,11 @@
 	}
 	now := a.leader.config.Clock.Now()
 	hosts := a.availableHosts(now)
-	// Not more than half of the hosts are reserved.
-	a.reserved = min(advisor.Reserve(a.short.At(now)), len(hosts)/2)
+	a.reserved = minReserved
+	if a.leader.state.AdviceShort() {
+		a.reserved = max(advisor.Reserve(a.short.At(now)), minReserved)
+	}
+	a.reserved = min(a.reserved, len(hosts)/2)
 	forLong := hosts[:len(hosts)-a.reserved]
 	rest := a.queue[:0]
 	longBusy := false // all hosts for long queries are busy
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -94,6 +94,11 @@
 	return u
 }
 
+// AdviceShort reports whether the advisor's time is short, as of the latest pass.
+func (s *State) AdviceShort() bool {
+	return s.advisorTime.meter.Short()
+}
+
 // observeAdvisor determines after a pass whether the advisor's time is short.
 func (d *decider) observeAdvisor() {
 	a := &d.advisorTime
