--- a/leader/log.go
+++ b/leader/log.go
@@ -22,6 +22,7 @@
 	load := l.state.Load()
 	shares := l.state.ShareLoad()
 	l.gauges.setShares(shares)
+	use := l.state.AdviceUse()
 	l.config.Log.WithFields(logrus.Fields{
 		"epoch":            uint64(l.Epoch()),
 		"workers":          load.Workers,
@@ -42,6 +43,13 @@
 		"unseatable":       load.Unseatable,
 		"questions":        load.Asking,
 		"questions_max":    load.MaxAsking,
+		"advice_short":     load.AdviceShort,
+		"not_asked":        load.NoPlace,
+		"not_worth":        load.NoRoom,
+		"advice_used_ms":   use.Time.Milliseconds(),
+		"advice_lost":      use.Lost,
+		"advice_starts":    use.Starts,
+		"advice_reserved":  l.advice.reserved,
 		"at_hosts":         l.advice.atHosts(),
 		"underway_ms":      l.advice.overhead.Milliseconds(),
 		"advisor_ms":       l.advice.averageCost.Milliseconds(),
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
 )
 
 const (
@@ -51,6 +52,9 @@
 	learnQueriesInFlight int
 	warmQueryInFlight    bool
 	learnedAt            time.Time // when the latest answer about new workers was received
+	answeredAt           time.Time // when the latest answer was received
+	// refused is why the advisor is not asked about the stage while its time is short.
+	refused advisor.Verdict
 	// spent is the expected time of the advisor for all queries so far.
 	spent time.Duration
 }
@@ -77,10 +81,13 @@
 	a.tickets[w] = t
 }
 
-// mayAsk reports whether a stage of q that is not urgent may query the advisor. Beyond the bound
+// mayAsk reports whether g, a stage of q that is not urgent, may query the advisor. Beyond the bound
 // on all queries, each queue with stages to place has its share of that bound: otherwise the
 // queries of the stages ranked first keep those of other queues waiting without end.
-func (d *decider) mayAsk(q *Queue) bool {
+func (d *decider) mayAsk(g *stage, q *Queue) bool {
+	if d.onBudget(q) {
+		return d.adviceBudget(q).Admit(d.adviceNeed(g))
+	}
 	limit := queriesPerSlot * max(d.advisorSlots, 1)
 	return d.queriesInFlight < limit || d.queueQueriesInFlight[q.ID] < max(limit/max(len(d.waitingQueues), 1), 1)
 }
@@ -102,6 +109,7 @@
 	s.queriesInFlight++
 	s.queueQueriesInFlight[q.ID]++
 	s.adviceOrders = append(s.adviceOrders, AdviceOrder{
+		Number:   s.advisorTime.begin(cost),
 		Stage:    g.id,
 		Queue:    q.ID,
 		Workers:  workers,
@@ -175,6 +183,10 @@
 // AdviceReceived handles an answer of the advisor.
 func (s *State) AdviceReceived(now time.Time, a Advice) {
 	s.now = now
+	if !s.advisorTime.end(a.Order) {
+		return // answered before
+	}
+	s.advisorTime.learn(a)
 	s.queriesInFlight--
 	s.queueQueriesInFlight[a.Order.Queue]--
 	if a.Order.Purpose == PurposeWarm {
@@ -227,9 +239,14 @@
 	if a.Order.Purpose == PurposeLearn {
 		x.learnedAt = s.now
 	}
+	x.answeredAt = s.now
 	about := make(map[spoolsill.WorkerID]*worker, len(a.Order.Workers))
+	asked, allowed := 0, 0 // that no earlier answer covers
 	for _, l := range a.Order.Workers {
 		if w := s.workerOf(l); w != nil {
+			if !x.asked[w] {
+				asked++
+			}
 			x.asked[w] = true
 			about[l.Worker] = w
 		}
@@ -241,12 +258,14 @@
 		}
 		if _, known := x.tickets[w]; !known {
 			x.allowed = append(x.allowed, w)
+			allowed++
 		}
 		x.tickets[w] = ticket{
 			text:  t.Text,
 			until: a.Received.Add(a.Valid),
 		}
 	}
+	s.advisorTime.share(a.Order.Queue).Observe(allowed, asked)
 }
 
 // commitPlan records the planned runs whose tickets are valid now and releases the capacity
@@ -307,6 +326,9 @@
 	if q.Advisor == nil || a.warmQueryInFlight || d.warmQueriesInFlight >= max(d.advisorSlots/warmQueryDivisor, 1) {
 		return
 	}
+	if d.onBudget(q) {
+		return // room is held for the time of a query once there is enough
+	}
 	var ready []*worker
 	var incarnations []spoolsill.WorkerIncarnation
 	for _, w := range a.allowed {
--- a/sched/load.go
+++ b/sched/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
 )
 
 // A Load describes the utilization of the cell for operators.
@@ -36,6 +37,12 @@
 	Asking int
 	// MaxAsking is how many advisor queries the hosts can make concurrently.
 	MaxAsking int
+	// AdviceShort is set while the advisor's time is short. NoPlace then counts the stages that
+	// are not asked about since the hosts have enough queries, NoRoom those that are not since
+	// too few workers have room for an answer to be worth its time.
+	AdviceShort bool
+	NoPlace     int
+	NoRoom      int
 	// Suspects counts the tasks that were on workers when these were lost and have not
 	// been cleared since, Crashed the machines whose workers crashed in the last minute.
 	Suspects int
@@ -102,6 +109,9 @@
 	}
 	l.Asking = s.queriesInFlight
 	l.MaxAsking = s.advisorSlots
+	l.AdviceShort = s.advisorTime.meter.Short()
+	l.NoPlace = s.advisorTime.refused[advisor.NoPlace]
+	l.NoRoom = s.advisorTime.refused[advisor.NoRoom]
 	l.Suspects, l.Crashed = s.Suspects()
 	l.Overload = s.Overload()
 	return l
--- a/sched/state.go
+++ b/sched/state.go
@@ -82,6 +82,7 @@
 	warmQueriesInFlight int // those of them that keep tickets valid
 	// queueQueriesInFlight counts the unanswered advisor queries of each queue.
 	queueQueriesInFlight map[QueueID]int
+	advisorTime          advisorTime
 	advisorSlots         int // number of queries that hosts can make concurrently
 	notes                []Note
 	statusUpdates        []JobStatus
@@ -119,6 +120,7 @@
 
 		crashedAt:            map[string]time.Time{},
 		queueQueriesInFlight: map[QueueID]int{},
+		advisorTime:          newAdvisorTime(),
 		pendingJobs:          map[QueueID]int{},
 		shares: shareState{
 			excess: map[spoolsill.JobID]*job{},
