jobstore: refuse jobs that were never sent instead of leaving their outcome open

Cause: a job that waits behind a write without a response was answered 504 when its client's time was over, although no write contained it. Change: the writer and a caller that gives up claim a job; only the first one has it. A job claimed by its caller is never written, and is Refused (502).

--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -266,3 +266,28 @@
 		c.Assert(o, qt.Equals, jobstore.Conflict)
 	})
 }
+
+// A job that still waits behind a write without a response when its caller gives up is never
+// written, and its caller learns that.
+func TestJobThatWasNotSentIsRefused(t *testing.T) {
+	withWriter(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+		s.SetFault(func(store.Transaction) cellfake.StoreFault { return cellfake.StoreLoseReply })
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		outcomes := make(chan jobstore.Outcome, 1)
+		go func() {
+			o, _ := w.Accept(short, job("sent", "s"))
+			outcomes <- o
+		}()
+		pause.For(ctx, 10*time.Millisecond)
+		o, err := w.Accept(short, job("waiting", "s"))
+		c.Check(o, qt.Equals, jobstore.Refused)
+		c.Check(err, qt.ErrorIs, context.DeadlineExceeded)
+		c.Check(<-outcomes, qt.Equals, jobstore.Unknown)
+		s.SetFault(func(store.Transaction) cellfake.StoreFault { return cellfake.StoreOK })
+		pause.For(ctx, 10*time.Second)
+		p, err := s.List(ctx, jobstore.JobsTable, "host", "", 0)
+		c.Assert(err, qt.IsNil)
+		c.Check(p.Rows, qt.HasLen, 1)
+	})
+}
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/spoolsill/spoolsill"
@@ -57,6 +58,20 @@
 	value     []byte
 	attempted bool
 	done      chan result
+	claim     atomic.Uint32 // claimedByWriter or claimedByCaller, or 0
+}
+
+// A job is claimed once: by the writer, before it first writes the job, or by a caller that
+// gives up before that. Only the former can be stored.
+const (
+	claimedByWriter = iota + 1
+	claimedByCaller
+)
+
+// claimFor claims the job, unless it is claimed, and reports whether the claimant has it.
+func (p *pendingJob) claimFor(claimant uint32) bool {
+	p.claim.CompareAndSwap(0, claimant)
+	return p.claim.Load() == claimant
 }
 
 type result struct {
@@ -72,7 +87,7 @@
 }
 
 // Accept stores a job and returns the outcome. If ctx is done before the store has
-// answered, the outcome is Unknown.
+// answered, the outcome is Unknown if a write of the job was begun, and Refused otherwise.
 func (w *Writer) Accept(ctx context.Context, j sched.Job) (Outcome, error) {
 	v, err := EncodeJob(j)
 	if err != nil {
@@ -97,7 +112,9 @@
 	case r := <-p.done:
 		return r.outcome, r.err
 	case <-ctx.Done():
-		// The writer may have begun to write the job.
+		if p.claimFor(claimedByCaller) {
+			return Refused, ctx.Err()
+		}
 		return Unknown, ctx.Err()
 	}
 }
@@ -143,11 +160,12 @@
 	return batch
 }
 
-// dropAbandoned removes the jobs whose clients no longer wait for a response.
+// dropAbandoned removes the jobs whose clients no longer wait for a response, and claims the
+// others for the writer.
 func dropAbandoned(batch []*pendingJob) []*pendingJob {
 	kept := batch[:0]
 	for _, p := range batch {
-		if p.ctx.Err() == nil {
+		if p.ctx.Err() == nil && p.claimFor(claimedByWriter) {
 			kept = append(kept, p)
 		}
 	}
