retryafter, node, platform: spread the return of clients by the length of an outage

Change: package retryafter decides the delay, from how long the store or the leader has been failing, how long the client waits, and the request's id.

--- a/node/election.go
+++ b/node/election.go
@@ -337,9 +337,23 @@
 	n.mu.Lock()
 	changed := n.leaderUnhealthy != unhealthy
 	n.leaderUnhealthy = unhealthy
+	if changed {
+		n.leaderUnhealthySince = n.clock.Now()
+	}
 	h := n.leaderHead
 	n.mu.Unlock()
 	if changed {
 		n.log.WithField("leader", string(h.Host)).WithField("answers", !unhealthy).Info("leader's health changed")
 	}
 }
+
+// leaderFailingFor returns for how long this host has found the leader unhealthy, or 0 if the
+// latest heartbeat did not.
+func (n *Node) leaderFailingFor(now time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.leaderUnhealthy || n.activeLeader != nil {
+		return 0
+	}
+	return now.Sub(n.leaderUnhealthySince)
+}
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +14,7 @@
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/retryafter"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
@@ -47,14 +50,20 @@
 	maxConcurrentNotifications = 128
 	// forwardTimeout limits a submit or cancel call that is forwarded to the leader.
 	forwardTimeout = 600 * time.Millisecond
-	// retryAfter is the delay that clients are told to wait before a retry. Store
-	// failures and leader changes mostly last a few seconds.
-	retryAfter = time.Second
 )
 
 // RetryAfter implements [platform.JobService].
-func (n *Node) RetryAfter() time.Duration {
-	return retryAfter
+func (n *Node) RetryAfter(ctx context.Context) time.Duration {
+	now := n.clock.Now()
+	key := platform.RequestID(ctx)
+	if key == "" {
+		key = strconv.FormatUint(rand.Uint64(), 16)
+	}
+	return retryafter.Delay(retryafter.Refusal{
+		FailingFor: max(n.health.failingFor(now), n.leaderFailingFor(now)),
+		Patience:   platform.Patience(ctx),
+		Key:        key,
+	})
 }
 
 // Submit implements [platform.JobService]. It stores a job, or forwards it to the leader
--- a/node/node.go
+++ b/node/node.go
@@ -121,6 +121,8 @@
 	activeLeader    *leader.Leader
 	leaderHead      leader.Head // latest known
 	leaderUnhealthy bool        // according to the latest completed heartbeat
+	// leaderUnhealthySince is when leaderUnhealthy was last set.
+	leaderUnhealthySince time.Time
 	// lastLeaderWrite is the latest write reported by a leader, begun at
 	// lastLeaderWriteBegun.
 	lastLeaderWrite      leaderWrite
