node: answer without the store what is certain, and refuse the rest at once

Cause: while the store was away or a host was cut off, states were refused although the leader or the host itself knew the end; lookups and submissions were sent to a store known to be unreachable, whose silence left the outcome of submissions open (504 after 1.2 s); cancellations were always answered 504. Change: hosts remember final states that they told or heard, and ask a leader that answers heartbeats, whether or not it can write. Lookups of a job are shared. Nothing of a client is sent to an unreachable store, which is probed in the background instead; a cancellation that wrote nothing is Unavailable, and one of an ended job succeeds. A call without any response counts as failing from when it was due.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -47,6 +47,10 @@
 	if err == nil && r.Leads {
 		n.leaderLatency.observe(n.clock.Since(sent))
 		n.mu.Lock()
+		n.leaderAnswer = leaderAnswer{
+			epoch: r.Epoch,
+			at:    n.clock.Now(),
+		}
 		n.maxCores = r.MostCores
 		n.hostCount = r.Hosts
 		n.leaderShed = shedStatus{
@@ -100,6 +104,12 @@
 	}
 }
 
+// A leaderAnswer records when the leader of an epoch last answered a heartbeat.
+type leaderAnswer struct {
+	epoch spoolsill.Epoch
+	at    time.Time
+}
+
 // A leaderWrite identifies the latest successful write of a leadership by the number of
 // successful writes.
 type leaderWrite struct {
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -12,6 +12,7 @@
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
+	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/retryafter"
@@ -50,6 +51,10 @@
 	maxConcurrentNotifications = 128
 	// forwardTimeout limits a submit or cancel call that is forwarded to the leader.
 	forwardTimeout = 600 * time.Millisecond
+	// lookupTimeout limits one lookup of a job in the store: as long as clients wait.
+	lookupTimeout = 3 * time.Second
+	// storeProbeTimeout limits one probe of a store that is unreachable.
+	storeProbeTimeout = time.Second
 )
 
 // RetryAfter implements [platform.JobService].
@@ -181,12 +186,17 @@
 	o := jobstore.Refused
 	var err error
 	now := n.clock.Now()
-	if n.health.shouldTry(now) {
+	if n.health.reachable(now) {
 		o, err = n.jobs.Accept(ctx, j)
 		settled := o != jobstore.Refused && o != jobstore.Unknown
 		if settled || o == jobstore.Unknown && n.health.reachable(now) {
 			return o, err
 		}
+	} else {
+		// A write that gets no response may have been carried out, so that its client could
+		// not be told that the job was not taken.
+		n.probeStore(ctx)
+		err = errStoreUnreachable
 	}
 	if h, ok := n.forwardToLeader(ctx, j); ok {
 		return h, nil
@@ -235,35 +245,99 @@
 // unreachable.
 var errStoreUnreachable = errors.New("node: store is unreachable")
 
+// errNoLeader is returned for requests that need the leader while this host knows none that
+// answers.
+var errNoLeader = errors.New("node: no leader answers")
+
 // errTooManyLookups is returned if maxConcurrentLookups lookups are in progress.
 var errTooManyLookups = errors.New("node: too many job lookups in the store")
 
-// State implements [platform.JobService]. It queries the leader, and reads the store if
-// the leader does not know the job or does not respond.
+// The sources of job states, for metrics.
+const (
+	stateFromMemory  = "memory"
+	stateFromLeader  = "leader"
+	stateFromStore   = "store"
+	stateUnavailable = "unavailable"
+)
+
+// State implements [platform.JobService]. It returns a final state that this host has told or
+// heard before. Otherwise it queries the leader, and reads the store if the leader does not
+// know the job or does not respond.
 func (n *Node) State(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, platform.Outcome, error) {
+	now := n.clock.Now()
+	if s, ok := n.ended.get(now, id, n.settings.Bounds.StatusKept); ok {
+		n.metrics.RecordState(stateFromMemory)
+		return s, platform.Done, nil
+	}
 	if r, err := n.queryLeaderState(ctx, id); err == nil && (r.Known || r.Sure) {
-		return sched.JobStatus{
+		s := sched.JobStatus{
 			ID:    id,
 			Team:  r.Team,
 			State: r.State,
-		}, stateOutcome(r.Known), nil
+		}
+		if r.Known {
+			n.ended.add(now, s)
+		}
+		n.metrics.RecordState(stateFromLeader)
+		return s, stateOutcome(r.Known), nil
 	}
-	if !n.health.shouldTry(n.clock.Now()) {
-		return sched.JobStatus{}, platform.Unavailable, errStoreUnreachable
+	s, known, err := n.lookUpState(ctx, id)
+	if err != nil {
+		n.metrics.RecordState(stateUnavailable)
+		return s, platform.Unavailable, err
 	}
-	if !n.lookupSlots.TryAcquire(1) {
-		return sched.JobStatus{}, platform.Unavailable, errTooManyLookups
+	if known {
+		n.ended.add(now, s)
 	}
-	defer n.lookupSlots.Release(1)
-	s, known, err := jobstore.ReadState(ctx, n.store, id)
-	switch {
-	case err != nil:
-		return s, platform.Unavailable, err
-	case !known:
-		return s, platform.NotFound, nil
-	default:
-		return s, platform.Done, nil
+	n.metrics.RecordState(stateFromStore)
+	return s, stateOutcome(known), nil
+}
+
+// lookUpState reads a job's state from the store. Concurrent lookups of the same job are
+// shared.
+func (n *Node) lookUpState(ctx context.Context, id spoolsill.JobID) (sched.JobStatus, bool, error) {
+	if !n.health.reachable(n.clock.Now()) {
+		n.probeStore(ctx)
+		return sched.JobStatus{}, false, errStoreUnreachable
+	}
+	type found struct {
+		status sched.JobStatus
+		known  bool
+	}
+	c := n.stateLookups.DoChan(string(id), func() (any, error) {
+		if !n.lookupSlots.TryAcquire(1) {
+			return found{}, errTooManyLookups
+		}
+		defer n.lookupSlots.Release(1)
+		// The lookup goes on for the other callers when the first one has gone.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
+		defer cancel()
+		s, known, err := jobstore.ReadState(ctx, n.store, id)
+		return found{
+			status: s,
+			known:  known,
+		}, err
+	})
+	select {
+	case r := <-c:
+		f, _ := r.Val.(found)
+		return f.status, f.known, r.Err
+	case <-ctx.Done():
+		return sched.JobStatus{}, false, ctx.Err()
+	}
+}
+
+// probeStore reads a row of a store that is unreachable, unless that was done recently, to
+// find out whether it is back. It does not wait for the response.
+func (n *Node) probeStore(ctx context.Context) {
+	if !n.health.probeDue(n.clock.Now()) {
+		return
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeProbeTimeout)
+	go func() {
+		defer cancel()
+		_, _, _ = leader.ReadHead(ctx, n.store) // the outcome is recorded by monitoredStore
+	}()
 }
 
 func stateOutcome(known bool) platform.Outcome {
@@ -281,9 +355,9 @@
 	if n.localLeader() != nil {
 		return n.handleState(ctx, peer.Caller{}, q)
 	}
-	h, ok := n.reachableLeader()
+	h, ok := n.answeringLeader()
 	if !ok || n.leaderIsLoading() {
-		return stateReply{}, errNotLeading
+		return stateReply{}, errNoLeader
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderQueryTimeout)
 	defer cancel()
@@ -296,6 +370,7 @@
 
 // Cancel implements [platform.JobService].
 func (n *Node) Cancel(ctx context.Context, c platform.Caller, id spoolsill.JobID) (platform.Outcome, error) {
+	mayBeMarked := false
 	var last error
 	for ctx.Err() == nil {
 		o, err := n.cancelOnce(ctx, c, id)
@@ -305,27 +380,27 @@
 		if err == nil {
 			return o, nil
 		}
+		mayBeMarked = mayBeMarked || o == platform.Unknown
 		last = err
 		if !n.health.reachable(n.clock.Now()) {
 			break
 		}
 		pause.For(ctx, writeRetryDelay)
 	}
-	return platform.Unknown, last
+	return failedOutcome(mayBeMarked), last
 }
 
-// cancelOnce makes one attempt to cancel a job. It returns Done, NotFound, Forbidden or an
-// error.
+// cancelOnce makes one attempt to cancel a job, directly or through the leader. Without an
+// error, the outcome is Done, NotFound or Forbidden. With one, it is Unavailable if the job is
+// certainly not marked as cancelled, and Unknown otherwise.
 func (n *Node) cancelOnce(ctx context.Context, c platform.Caller, id spoolsill.JobID) (platform.Outcome, error) {
-	if n.health.shouldTry(n.clock.Now()) {
-		o, err := n.cancelLocally(ctx, c, id)
-		if err == nil {
-			return o, nil
-		}
+	o, err := n.cancelLocally(ctx, c, id)
+	if err == nil {
+		return o, nil
 	}
 	h, ok := n.reachableLeader()
 	if !ok {
-		return platform.Unknown, errNotLeading
+		return o, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
@@ -334,6 +409,8 @@
 		Caller: c,
 	})
 	switch {
+	case errors.Is(err, peer.ErrUnreachable), peer.IsCode(err, peer.CodeBusy):
+		return o, err
 	case err != nil:
 		return platform.Unknown, err
 	case r.Foreign:
@@ -343,8 +420,8 @@
 	}
 }
 
-// cancelLocally marks a job as cancelled in the store if the job exists and the caller
-// may cancel it. Without an error, the outcome is Done, NotFound or Forbidden.
+// cancelLocally marks a job as cancelled in the store if the job exists, has not ended, and
+// the caller may cancel it. The outcome is like that of cancelOnce.
 func (n *Node) cancelLocally(ctx context.Context, c platform.Caller, id spoolsill.JobID) (platform.Outcome, error) {
 	s, o, err := n.State(ctx, id)
 	if o != platform.Done {
@@ -353,14 +430,21 @@
 	if !c.CanAccess(s) {
 		return platform.Forbidden, nil
 	}
+	if s.State.Final() {
+		return platform.Done, nil
+	}
+	if !n.health.reachable(n.clock.Now()) {
+		n.probeStore(ctx)
+		return platform.Unavailable, errStoreUnreachable
+	}
 	ctx, cancel := context.WithTimeout(ctx, n.health.writeTimeout())
 	defer cancel()
 	if err := n.cancelSlots.Acquire(ctx, 1); err != nil {
-		return platform.Unknown, err
+		return platform.Unavailable, err
 	}
 	defer n.cancelSlots.Release(1)
 	if err := jobstore.Cancel(ctx, n.store, n.partition(), id); err != nil {
-		return platform.Unknown, err
+		return failedOutcome(!errors.Is(err, store.ErrRefused)), err
 	}
 	// The leader's feed may deliver nothing for seconds, and the tasks would keep running
 	// meanwhile.
@@ -374,9 +458,9 @@
 		w, ok := l.PendingJobs(q)
 		return w, knownOutcome(ok), nil
 	}
-	h, ok := n.reachableLeader()
+	h, ok := n.answeringLeader()
 	if !ok {
-		return 0, platform.Unavailable, errNotLeading
+		return 0, platform.Unavailable, errNoLeader
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderQueryTimeout)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -115,7 +115,10 @@
 	// specs caches the specs of jobs that this host accepted or starts as a delegate.
 	specs       specCache
 	specFetches singleflight.Group // of specs, by job
-	stopping    atomic.Bool
+	// ended has the final states that this host has told or heard.
+	ended        endedJobs
+	stateLookups singleflight.Group // in the store, by job
+	stopping     atomic.Bool
 
 	mu              sync.Mutex
 	activeLeader    *leader.Leader
@@ -123,6 +126,7 @@
 	leaderUnhealthy bool        // according to the latest completed heartbeat
 	// leaderUnhealthySince is when leaderUnhealthy was last set.
 	leaderUnhealthySince time.Time
+	leaderAnswer         leaderAnswer
 	// lastLeaderWrite is the latest write reported by a leader, begun at
 	// lastLeaderWriteBegun.
 	lastLeaderWrite      leaderWrite
@@ -419,6 +423,23 @@
 	return n.leaderHead.Host, true
 }
 
+// answeringLeader returns the leading host if it is another one and has recently answered a
+// heartbeat, whether or not it can write to the store. A leader that this host has sent no
+// heartbeat yet counts as answering.
+func (n *Node) answeringLeader() (spoolsill.HostID, bool) {
+	silence := max(hostSilenceTimeout, minSilenceIntervals*n.scaledInterval(heartbeatInterval))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.leaderHead
+	if h.Host == "" || h.Released || h.Host == n.settings.Host {
+		return "", false
+	}
+	if n.leaderAnswer.epoch != h.Epoch {
+		return h.Host, !n.leaderUnhealthy
+	}
+	return h.Host, n.clock.Since(n.leaderAnswer.at) < silence
+}
+
 // lastKnownLeader returns the last known leader if it is another host, whether or not
 // it responds. If it still leads and its feed delivers nothing, it learns of a job only
 // from this host's notification.
@@ -472,6 +493,8 @@
 	n.metrics.RegisterGauge("spoolsill.workers.crashed", "machines whose workers crashed in the last minute, at the leader", func() int64 { _, crashed := n.suspects(); return crashed })
 	n.metrics.RegisterGauge("spoolsill.workers.unclear", "workers' entries that can't be understood, at the leader", n.invalidWorkerEntries)
 	n.metrics.RegisterGauge("spoolsill.suspended.milliseconds", "for how long this machine has been suspended since the host started", func() int64 { return n.clock.SuspendedTime().Milliseconds() })
+	n.metrics.RegisterGauge("spoolsill.jobs.ended.kept", "final states of jobs that this host remembers", func() int64 { return int64(n.ended.count()) })
+	n.metrics.RegisterGauge("spoolsill.store.failing.milliseconds", "for how long all calls of this host to the store have failed; 0 if the latest one succeeded", func() int64 { return n.health.failingFor(n.clock.Now()).Milliseconds() })
 	n.metrics.RegisterGauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return boolToInt(n.health.reachable(n.clock.Now())) })
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -230,9 +230,7 @@
 	if l == nil {
 		return stateReply{}, errNotLeading
 	}
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
-	defer cancel()
-	s, known, sure := l.AwaitStatus(ctx, q.Job)
+	s, known, sure := n.leaderStatus(ctx, l, q.Job)
 	if known && !s.State.Final() && !n.leadsExclusively(l) {
 		return stateReply{}, nil
 	}
@@ -244,6 +242,18 @@
 	}, nil
 }
 
+// leaderStatus returns the state of a job that the leader on this host knows. For an unknown
+// job it waits for the leader's feed, unless the store is away.
+func (n *Node) leaderStatus(ctx context.Context, l *leader.Leader, id spoolsill.JobID) (s sched.JobStatus, known, sure bool) {
+	if !n.health.reachable(n.clock.Now()) {
+		s, known = l.Status(id)
+		return s, known, known
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	return l.AwaitStatus(ctx, id)
+}
+
 // recordReportedRefusal records that this host has reported to another one that the
 // store refuses its writes, if r does so. Other hosts may take over from then on, until
 // its next write succeeds.
@@ -318,6 +328,12 @@
 
 func (n *Node) handleCancel(ctx context.Context, _ peer.Caller, q cancelRequest) (cancelReply, error) {
 	o, err := n.cancelLocally(ctx, q.Caller, q.Job)
+	if err != nil && o == platform.Unavailable {
+		return cancelReply{}, &peer.RemoteError{
+			Code: peer.CodeBusy, // not carried out
+			Text: err.Error(),
+		}
+	}
 	return cancelReply{
 		Known:   o != platform.NotFound,
 		Foreign: o == platform.Forbidden,
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -17,8 +17,8 @@
 	// unreachableAfter is how long all calls to the store must have failed before this
 	// host reports that it is not ready. The feed alone makes a call each second.
 	unreachableAfter = 700 * time.Millisecond
-	// storeProbeInterval is the interval at which calls of clients are tried on a store
-	// that is unreachable.
+	// storeProbeInterval is the minimum interval at which a host that has requests for an
+	// unreachable store probes it.
 	storeProbeInterval = 250 * time.Millisecond
 	// minWriteTimeout and maxWriteTimeout limit the time after which a write is
 	// retried. A write takes about 10 ms, and more than a second when the store is
@@ -145,18 +145,30 @@
 	return !h.lastSuccess.IsZero() && now.Sub(h.lastSuccess) <= d
 }
 
+// A storeCall is the outcome of a call to the store.
+type storeCall struct {
+	// due is when the response could have begun: when the call was sent, and for a feed the
+	// time after which it responds without changes.
+	due time.Time
+	ok  bool
+	// silent is set if the store did not respond at all.
+	silent bool
+}
+
 // recordCall records the outcome of a call and reports whether the store became
-// reachable or unreachable.
-func (h *storeHealth) recordCall(now time.Time, ok bool) (changed bool) {
+// reachable or unreachable. If no call has succeeded since a silent one was due, the store
+// has been failing since then.
+func (h *storeHealth) recordCall(now time.Time, c storeCall) (changed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if ok {
-		h.lastSuccess = now
-	}
 	wasUnreachable := h.unreachable
-	if ok {
+	switch {
+	case c.ok:
+		h.lastSuccess = now
 		h.failingSince = time.Time{}
-	} else if h.failingSince.IsZero() {
+	case c.silent && c.due.After(h.lastSuccess) && (h.failingSince.IsZero() || c.due.Before(h.failingSince)):
+		h.failingSince = c.due
+	case h.failingSince.IsZero():
 		h.failingSince = now
 	}
 	h.unreachable = !h.failingSince.IsZero() && now.Sub(h.failingSince) >= unreachableAfter
@@ -180,15 +192,12 @@
 	return now.Sub(h.failingSince)
 }
 
-// shouldTry reports whether a client's call should try the store: always while the
-// store is reachable, and at intervals while it is not.
-func (h *storeHealth) shouldTry(now time.Time) bool {
+// probeDue reports whether the store is unreachable and should be probed now. It is true at
+// most once in storeProbeInterval.
+func (h *storeHealth) probeDue(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.failingSince.IsZero() || now.Sub(h.failingSince) < unreachableAfter {
-		return true
-	}
-	if now.Sub(h.lastProbe) < storeProbeInterval {
+	if h.failingSince.IsZero() || now.Sub(h.failingSince) < unreachableAfter || now.Sub(h.lastProbe) < storeProbeInterval {
 		return false
 	}
 	h.lastProbe = now
@@ -204,21 +213,31 @@
 	clock   *clock.Clock
 }
 
-func (s *monitoredStore) observe(err error) {
+func (s *monitoredStore) observe(due time.Time, err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	ok := err == nil || errors.Is(err, store.ErrHistoryGone)
-	if !s.health.recordCall(s.clock.Now(), ok) {
+	c := storeCall{
+		due:    due,
+		ok:     err == nil || errors.Is(err, store.ErrHistoryGone),
+		silent: isTimeout(err),
+	}
+	if !s.health.recordCall(s.clock.Now(), c) {
 		return
 	}
-	if ok {
+	if c.ok {
 		s.log.Info("store reachable")
 		return
 	}
 	s.log.WithError(err).Warn("store not reachable")
 }
 
+// isTimeout reports whether a call failed because it got no response in time.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &t) && t.Timeout()
+}
+
 // Commit implements [store.Store].
 func (s *monitoredStore) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
 	begun := s.clock.Now()
@@ -232,7 +251,7 @@
 		s.health.recordWriteTime(s.clock.Since(begun), err == nil)
 	}
 	s.health.recordRefusal(begun, errors.Is(err, store.ErrRefused))
-	s.observe(err)
+	s.observe(begun, err)
 	s.metrics.RecordStoreWrite(writeOutcome(r, err), s.clock.Since(begun))
 	return r, err
 }
@@ -252,14 +271,16 @@
 
 // List implements [store.Store].
 func (s *monitoredStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	begun := s.clock.Now()
 	p, err := s.Store.List(ctx, table, partition, from, limit)
-	s.observe(err)
+	s.observe(begun, err)
 	return p, err
 }
 
 // Feed implements [store.Store].
 func (s *monitoredStore) Feed(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
+	due := s.clock.Now().Add(wait)
 	c, err := s.Store.Feed(ctx, table, after, wait)
-	s.observe(err)
+	s.observe(due, err)
 	return c, err
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -24,6 +24,7 @@
 	registry           *prometheus.Registry
 	meter              metric.Meter
 	clientCalls        metric.Int64Counter
+	states             metric.Int64Counter
 	callDuration       metric.Float64Histogram
 	storeWriteDuration metric.Float64Histogram
 	adviceDuration     metric.Float64Histogram
@@ -50,6 +51,7 @@
 	}
 	x.clientCalls = counter(m, "spoolsill.calls", "clients' calls by kind and outcome")
 	x.events = counter(m, "spoolsill.events", "decisions and changes of belief of the leader, by kind and reason")
+	x.states = counter(m, "spoolsill.states", "job states that clients asked for, by where they came from")
 	x.callDuration = histogram(m, "spoolsill.call.duration", "from a client's call to its answer, by kind")
 	x.storeWriteDuration = histogram(m, "spoolsill.store.write.duration", "writes to the store, by outcome")
 	x.adviceDuration = histogram(m, "spoolsill.advice.duration", "questions to the advisor, by outcome")
@@ -127,6 +129,14 @@
 	m.callDuration.Record(ctx, elapsed.Seconds(), metric.WithAttributes(k))
 }
 
+// RecordState records where the state of a job came from that a client asked for.
+func (m *Metrics) RecordState(source string) {
+	if m == nil {
+		return
+	}
+	m.states.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
+}
+
 // RecordStoreWrite records a write to the store.
 func (m *Metrics) RecordStoreWrite(outcome string, elapsed time.Duration) {
 	if m == nil {
