--- a/node/endedjobs.go
+++ b/node/endedjobs.go
@@ -42,6 +42,8 @@
 		e.jobs = map[spoolsill.JobID]endedJob{}
 	}
 	if _, ok := e.jobs[s.ID]; !ok {
+		// A job that was forgotten and ends again is in the order twice, and may be dropped
+		// early.
 		e.makeRoomLocked(s.ID)
 	}
 	e.jobs[s.ID] = endedJob{
@@ -76,6 +78,13 @@
 	}, true
 }
 
+// forget removes a job whose id has been accepted again, after the cell had forgotten it.
+func (e *endedJobs) forget(id spoolsill.JobID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.jobs, id)
+}
+
 func (e *endedJobs) count() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -53,8 +53,9 @@
 	forwardTimeout = 600 * time.Millisecond
 	// lookupTimeout limits one lookup of a job in the store: as long as clients wait.
 	lookupTimeout = 3 * time.Second
-	// storeProbeTimeout limits one probe of a store that is unreachable.
-	storeProbeTimeout = time.Second
+	// storeProbeTimeout limits one probe of a store that is unreachable. It is longer than a
+	// slow store takes to begin its response.
+	storeProbeTimeout = 2 * time.Second
 )
 
 // RetryAfter implements [platform.JobService].
@@ -96,6 +97,7 @@
 				"outcome": o.String(),
 			}).Info("job accepted")
 			if o == jobstore.Accepted {
+				n.ended.forget(j.ID)
 				n.cacheSpec(j)
 				if !n.overloaded() {
 					n.notifyJob(ctx, j)
@@ -249,6 +251,10 @@
 // answers.
 var errNoLeader = errors.New("node: no leader answers")
 
+// errNoCurrentCount is returned for counts while the leader's view of the accepted jobs is too
+// old.
+var errNoCurrentCount = errors.New("node: the leader's count of waiting jobs is out of date")
+
 // errTooManyLookups is returned if maxConcurrentLookups lookups are in progress.
 var errTooManyLookups = errors.New("node: too many job lookups in the store")
 
@@ -456,7 +462,10 @@
 func (n *Node) CountWaiting(ctx context.Context, q sched.QueueID) (int, platform.Outcome, error) {
 	if l := n.localLeader(); l != nil {
 		w, ok := l.PendingJobs(q)
-		return w, knownOutcome(ok), nil
+		if !ok {
+			return 0, platform.Unavailable, errNoCurrentCount
+		}
+		return w, platform.Done, nil
 	}
 	h, ok := n.answeringLeader()
 	if !ok {
@@ -467,12 +476,11 @@
 	r, err := peer.Call[waitingReply](ctx, n.peers, h, methodWaiting, waitingRequest{
 		Queue: q,
 	})
-	return r.Waiting, knownOutcome(err == nil && r.Known), err
-}
-
-func knownOutcome(ok bool) platform.Outcome {
-	if ok {
-		return platform.Done
+	if err == nil && !r.Known {
+		err = errNoCurrentCount
 	}
-	return platform.Unavailable
+	if err != nil {
+		return 0, platform.Unavailable, err
+	}
+	return r.Waiting, platform.Done, nil
 }
