node: a stalled host does not suspect the store, and asks any leader that is not known to be unhealthy

Cause: a call without a response counted from when it was due, so that a host that was itself stalled took the store for unreachable when it went on; and a leader whose heartbeats are late under load was not asked for states. Change: a store is unreachable only 0.2 s after the first failed call, in which retries succeed; a leader is asked unless the latest heartbeat found it unhealthy and it has answered none recently. Result: node.TestStalledHostDoesNotSuspectTheStore, not ready before.

--- a/node/node.go
+++ b/node/node.go
@@ -423,9 +423,9 @@
 	return n.leaderHead.Host, true
 }
 
-// answeringLeader returns the leading host if it is another one and has recently answered a
-// heartbeat, whether or not it can write to the store. A leader that this host has sent no
-// heartbeat yet counts as answering.
+// answeringLeader returns the leading host if it is another one, unless the latest completed
+// heartbeat found it unhealthy and it has answered none recently. A leader that can't write to
+// the store is unhealthy but answers.
 func (n *Node) answeringLeader() (spoolsill.HostID, bool) {
 	silence := max(hostSilenceTimeout, minSilenceIntervals*n.scaledInterval(heartbeatInterval))
 	n.mu.Lock()
@@ -434,10 +434,8 @@
 	if h.Host == "" || h.Released || h.Host == n.settings.Host {
 		return "", false
 	}
-	if n.leaderAnswer.epoch != h.Epoch {
-		return h.Host, !n.leaderUnhealthy
-	}
-	return h.Host, n.clock.Since(n.leaderAnswer.at) < silence
+	answers := n.leaderAnswer.epoch == h.Epoch && n.clock.Since(n.leaderAnswer.at) < silence
+	return h.Host, answers || !n.leaderUnhealthy
 }
 
 // lastKnownLeader returns the last known leader if it is another host, whether or not
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -57,9 +57,9 @@
 	}
 }
 
-// complete submits a job at a host and waits until it has completed, without querying it.
-func (x *cell) complete(host, job int) {
-	x.c.Assert(x.call(host, http.MethodPost, "/q/"+jobID(job), body).status, qt.Equals, http.StatusOK)
+// complete submits job 1 at a host and waits until it has completed, without querying it.
+func (x *cell) complete(host int) {
+	x.c.Assert(x.call(host, http.MethodPost, "/q/"+jobID(1), body).status, qt.Equals, http.StatusOK)
 	pause.For(x.ctx, 3*time.Second)
 }
 
@@ -68,7 +68,7 @@
 // without any effect.
 func TestEndedJobsAreAnsweredWithoutTheStore(t *testing.T) {
 	run(t, 3, 1, func(x *cell) {
-		x.complete(0, 1)
+		x.complete(0)
 		x.c.Assert(x.state(1, jobID(1)), qt.Equals, completed)
 		x.store.SetUnavailable(true)
 		pause.For(x.ctx, 4*time.Second)
@@ -85,7 +85,7 @@
 func TestIsolatedHostRefusesAtOnce(t *testing.T) {
 	run(t, 3, 1, func(x *cell) {
 		cut := (x.leader() + 1) % 3
-		x.complete(cut, 1)
+		x.complete(cut)
 		x.c.Assert(x.state(cut, jobID(1)), qt.Equals, completed)
 		x.network.SetPartitioned(hostName(cut), platformNode.Name, true)
 		for i := range 3 {
@@ -176,7 +176,7 @@
 // jobs that they have been asked for.
 func TestEndedJobsAreAnsweredWhileTheLeaderIsReplaced(t *testing.T) {
 	run(t, 3, 1, func(x *cell) {
-		x.complete(0, 1)
+		x.complete(0)
 		old := x.leader()
 		asked := (old + 1) % 3
 		x.c.Assert(x.state(asked, jobID(1)), qt.Equals, completed)
@@ -228,3 +228,20 @@
 		}
 	})
 }
+
+// A host whose process was stalled finds all its calls overdue when it goes on. It must not
+// take the store for unreachable because of that.
+func TestStalledHostDoesNotSuspectTheStore(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		stalled := (x.leader() + 1) % 3
+		x.complete(stalled)
+		x.network.SetPaused(hostName(stalled), true)
+		pause.For(x.ctx, 1750*time.Millisecond)
+		x.network.SetPaused(hostName(stalled), false)
+		begun := time.Now()
+		for time.Since(begun) < time.Second {
+			x.c.Check(x.ready(stalled), qt.Equals, http.StatusOK, qt.Commentf("%s after the stall", time.Since(begun)))
+			pause.For(x.ctx, 10*time.Millisecond)
+		}
+	})
+}
--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -17,6 +17,10 @@
 	// unreachableAfter is how long all calls to the store must have failed before this
 	// host reports that it is not ready. The feed alone makes a call each second.
 	unreachableAfter = 700 * time.Millisecond
+	// confirmSilence is how long a host waits after the first failed call, however long that
+	// call got no response: long enough for a retry to succeed. A host that was itself
+	// stalled finds all its calls overdue.
+	confirmSilence = 200 * time.Millisecond
 	// storeProbeInterval is the minimum interval at which a host that has requests for an
 	// unreachable store probes it.
 	storeProbeInterval = 250 * time.Millisecond
@@ -40,6 +44,7 @@
 type storeHealth struct {
 	mu           sync.Mutex
 	failingSince time.Time // when calls began to fail; zero if the latest one succeeded
+	failedAt     time.Time // when the first of these calls failed; zero if failingSince is
 	lastProbe    time.Time
 	lastSuccess  time.Time // when a call last succeeded
 	unreachable  bool      // as last logged
@@ -162,24 +167,36 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	wasUnreachable := h.unreachable
-	switch {
-	case c.ok:
+	if c.ok {
 		h.lastSuccess = now
 		h.failingSince = time.Time{}
-	case c.silent && c.due.After(h.lastSuccess) && (h.failingSince.IsZero() || c.due.Before(h.failingSince)):
-		h.failingSince = c.due
-	case h.failingSince.IsZero():
-		h.failingSince = now
+		h.failedAt = time.Time{}
+	} else {
+		h.recordFailureLocked(now, c)
 	}
-	h.unreachable = !h.failingSince.IsZero() && now.Sub(h.failingSince) >= unreachableAfter
+	h.unreachable = h.unreachableLocked(now)
 	return h.unreachable != wasUnreachable
 }
 
+func (h *storeHealth) recordFailureLocked(now time.Time, c storeCall) {
+	if h.failingSince.IsZero() {
+		h.failingSince = now
+		h.failedAt = now
+	}
+	if c.silent && c.due.After(h.lastSuccess) && c.due.Before(h.failingSince) {
+		h.failingSince = c.due
+	}
+}
+
+func (h *storeHealth) unreachableLocked(now time.Time) bool {
+	return !h.failingSince.IsZero() && now.Sub(h.failingSince) >= unreachableAfter && now.Sub(h.failedAt) >= confirmSilence
+}
+
 // reachable reports whether the store has answered recently.
 func (h *storeHealth) reachable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failingSince.IsZero() || now.Sub(h.failingSince) < unreachableAfter
+	return !h.unreachableLocked(now)
 }
 
 // failingFor returns how long all calls have failed, or 0 if the latest one succeeded.
@@ -197,7 +214,7 @@
 func (h *storeHealth) probeDue(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.failingSince.IsZero() || now.Sub(h.failingSince) < unreachableAfter || now.Sub(h.lastProbe) < storeProbeInterval {
+	if !h.unreachableLocked(now) || now.Sub(h.lastProbe) < storeProbeInterval {
 		return false
 	}
 	h.lastProbe = now
