--- a/node/storehealth.go
+++ b/node/storehealth.go
@@ -17,8 +17,12 @@
 	// unreachableAfter is how long all calls to the store must have failed before this
 	// host reports that it is not ready. The feed alone makes a call each second.
 	unreachableAfter = 700 * time.Millisecond
-	// storeProbeInterval is the interval at which calls of clients are tried on a store
-	// that is unreachable.
+	// confirmSilence is how long a host waits after the first failed call, however long that
+	// call got no response: long enough for a retry to succeed. A host that was itself
+	// stalled finds all its calls overdue.
+	confirmSilence = 200 * time.Millisecond
+	// storeProbeInterval is the minimum interval at which a host that has requests for an
+	// unreachable store probes it.
 	storeProbeInterval = 250 * time.Millisecond
 	// minWriteTimeout and maxWriteTimeout limit the time after which a write is
 	// retried. A write takes about 10 ms, and more than a second when the store is
@@ -40,6 +44,7 @@
 type storeHealth struct {
 	mu           sync.Mutex
 	failingSince time.Time // when calls began to fail; zero if the latest one succeeded
+	failedAt     time.Time // when the first of these calls failed; zero if failingSince is
 	lastProbe    time.Time
 	lastSuccess  time.Time // when a call last succeeded
 	unreachable  bool      // as last logged
@@ -145,29 +150,53 @@
 	return !h.lastSuccess.IsZero() && now.Sub(h.lastSuccess) <= d
 }
 
+// A storeCall is the outcome of a call to the store.
+type storeCall struct {
+	// due is when the response could have begun: when the call was sent, and for a feed the
+	// time after which it responds without changes.
+	due time.Time
+	ok  bool
+	// silent is set if the store did not respond at all.
+	silent bool
+}
+
 // recordCall records the outcome of a call and reports whether the store became
-// reachable or unreachable.
-func (h *storeHealth) recordCall(now time.Time, ok bool) (changed bool) {
+// reachable or unreachable. If no call has succeeded since a silent one was due, the store
+// has been failing since then.
+func (h *storeHealth) recordCall(now time.Time, c storeCall) (changed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if ok {
-		h.lastSuccess = now
-	}
 	wasUnreachable := h.unreachable
-	if ok {
+	if c.ok {
+		h.lastSuccess = now
 		h.failingSince = time.Time{}
-	} else if h.failingSince.IsZero() {
-		h.failingSince = now
+		h.failedAt = time.Time{}
+	} else {
+		h.recordFailureLocked(now, c)
 	}
-	h.unreachable = !h.failingSince.IsZero() && now.Sub(h.failingSince) >= unreachableAfter
+	h.unreachable = h.unreachableLocked(now)
 	return h.unreachable != wasUnreachable
 }
 
+func (h *storeHealth) recordFailureLocked(now time.Time, c storeCall) {
+	if h.failingSince.IsZero() {
+		h.failingSince = now
+		h.failedAt = now
+	}
+	if c.silent && c.due.After(h.lastSuccess) && c.due.Before(h.failingSince) {
+		h.failingSince = c.due
+	}
+}
+
+func (h *storeHealth) unreachableLocked(now time.Time) bool {
+	return !h.failingSince.IsZero() && now.Sub(h.failingSince) >= unreachableAfter && now.Sub(h.failedAt) >= confirmSilence
+}
+
 // reachable reports whether the store has answered recently.
 func (h *storeHealth) reachable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failingSince.IsZero() || now.Sub(h.failingSince) < unreachableAfter
+	return !h.unreachableLocked(now)
 }
 
 // failingFor returns how long all calls have failed, or 0 if the latest one succeeded.
@@ -180,15 +209,12 @@
 	return now.Sub(h.failingSince)
 }
 
-// shouldTry reports whether a client's call should try the store: always while the
-// store is reachable, and at intervals while it is not.
-func (h *storeHealth) shouldTry(now time.Time) bool {
+// probeDue reports whether the store is unreachable and should be probed now. It is true at
+// most once in storeProbeInterval.
+func (h *storeHealth) probeDue(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.failingSince.IsZero() || now.Sub(h.failingSince) < unreachableAfter {
-		return true
-	}
-	if now.Sub(h.lastProbe) < storeProbeInterval {
+	if !h.unreachableLocked(now) || now.Sub(h.lastProbe) < storeProbeInterval {
 		return false
 	}
 	h.lastProbe = now
@@ -204,21 +230,31 @@
 	clock   *clock.Clock
 }
 
-func (s *monitoredStore) observe(err error) {
+func (s *monitoredStore) observe(due time.Time, err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	ok := err == nil || errors.Is(err, store.ErrHistoryGone)
-	if !s.health.recordCall(s.clock.Now(), ok) {
+	c := storeCall{
+		due:    due,
+		ok:     err == nil || errors.Is(err, store.ErrHistoryGone),
+		silent: isTimeout(err),
+	}
+	if !s.health.recordCall(s.clock.Now(), c) {
 		return
 	}
-	if ok {
+	if c.ok {
 		s.log.Info("store reachable")
 		return
 	}
 	s.log.WithError(err).Warn("store not reachable")
 }
 
+// isTimeout reports whether a call failed because it got no response in time.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &t) && t.Timeout()
+}
+
 // Commit implements [store.Store].
 func (s *monitoredStore) Commit(ctx context.Context, t store.Transaction) (store.Result, error) {
 	begun := s.clock.Now()
@@ -232,7 +268,7 @@
 		s.health.recordWriteTime(s.clock.Since(begun), err == nil)
 	}
 	s.health.recordRefusal(begun, errors.Is(err, store.ErrRefused))
-	s.observe(err)
+	s.observe(begun, err)
 	s.metrics.RecordStoreWrite(writeOutcome(r, err), s.clock.Since(begun))
 	return r, err
 }
@@ -252,14 +288,16 @@
 
 // List implements [store.Store].
 func (s *monitoredStore) List(ctx context.Context, table, partition, from string, limit int) (store.Page, error) {
+	begun := s.clock.Now()
 	p, err := s.Store.List(ctx, table, partition, from, limit)
-	s.observe(err)
+	s.observe(begun, err)
 	return p, err
 }
 
 // Feed implements [store.Store].
 func (s *monitoredStore) Feed(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
+	due := s.clock.Now().Add(wait)
 	c, err := s.Store.Feed(ctx, table, after, wait)
-	s.observe(err)
+	s.observe(due, err)
 	return c, err
 }
