advisor, sched: stages wait neither on nil workers nor beside idle ones while the advisor is short

Cause, by the review: with no ready worker of a service, a stage that had waited for twice a ticket's time crashed the leader; a gang was not asked about new idle workers while its known ones would seat it if they were empty; a stage of one task waited 4 s beside an idle worker, since less than one task was expected to be placed; the step of such a stage then kept wider ones from being asked. Change: no query without workers; gangs are asked about and their tickets kept valid as before; room for all waiting tasks is worth a query after half a second; only a step that fits nowhere speaks for others.

--- a/advisor/advisor_test.go
+++ b/advisor/advisor_test.go
@@ -93,40 +93,30 @@
 	qt.Assert(t, budget.Admit(inTime), qt.IsTrue)
 }
 
-// A stage is asked about at some time, whatever room there is.
+// A stage is asked about at some time whatever room there is, and soon beside room for all of its
+// tasks.
 func TestWorthwhile(t *testing.T) {
 	budget := advisor.Budget{
 		Valid: valid,
 	}
 	for _, s := range []struct {
 		waited     time.Duration
-		seats      float64
+		tasks      int
+		room       advisor.Room
 		worthwhile bool
 	}{
-		{
-			waited:     0,
-			seats:      0.9,
-			worthwhile: false,
-		},
-		{
-			waited:     0,
-			seats:      1,
-			worthwhile: true,
-		},
-		{
-			waited:     2*valid - time.Millisecond,
-			seats:      0,
-			worthwhile: false,
-		},
-		{
-			waited:     2 * valid,
-			seats:      0,
-			worthwhile: true,
-		},
+		{waited: 0, tasks: 5, room: advisor.Room{Seats: 3, Expected: 0.9}, worthwhile: false},
+		{waited: 0, tasks: 5, room: advisor.Room{Seats: 3, Expected: 1}, worthwhile: true},
+		{waited: 2*valid - time.Millisecond, tasks: 5, room: advisor.Room{}, worthwhile: false},
+		{waited: 2 * valid, tasks: 5, room: advisor.Room{}, worthwhile: true},
+		{waited: 0, tasks: 1, room: advisor.Room{Seats: 1, Expected: 0.3}, worthwhile: false},
+		{waited: time.Second, tasks: 1, room: advisor.Room{Seats: 1, Expected: 0.3}, worthwhile: true},
+		{waited: time.Second, tasks: 2, room: advisor.Room{Seats: 1, Expected: 0.3}, worthwhile: false},
 	} {
 		got := budget.Worthwhile(advisor.Stage{
+			Tasks:  s.tasks,
 			Waited: s.waited,
-		}, s.seats)
+		}, s.room)
 		qt.Check(t, got, qt.Equals, s.worthwhile, qt.Commentf("%v", s))
 	}
 }
@@ -169,7 +159,7 @@
 			}
 			seen[c.Index] = true
 		}
-		if len(drawn) > w.AtLeast && advisor.Seats(drawn[:len(drawn)-1]) >= 2*float64(w.Tasks) {
+		if len(drawn) > w.AtLeast && advisor.RoomOf(drawn[:len(drawn)-1]).Expected >= 2*float64(w.Tasks) {
 			t.Fatalf("%d workers, fewer seat all %d tasks twice", len(drawn), w.Tasks)
 		}
 	})
--- a/advisor/budget.go
+++ b/advisor/budget.go
@@ -22,6 +22,8 @@
 	// Waited is the time since the last answer about the stage or, before the first,
 	// since the stage could start.
 	Waited time.Duration
+	// Tasks is the number of its tasks that wait.
+	Tasks int
 	// Leftover is set for work that earns nothing any more.
 	Leftover bool
 }
@@ -77,9 +79,19 @@
 // patience is the number of ticket times after which a stage is asked about whatever room there is.
 const patience = 2
 
-// Worthwhile reports whether an answer that is expected to seat some of the waiting tasks is worth
-// its time. A ticket for a worker without room expires before it can be used, yet accepted
-// work must not wait without end.
-func (b Budget) Worthwhile(s Stage, seats float64) bool {
-	return seats >= 1 || s.Waited >= patience*b.Valid
+// roomPatience is how long a stage of few tasks waits for more workers with room, beside one or a
+// few that have room for all of its tasks. It is far less than the seconds for which
+// callers accept that work waits beside idle workers.
+const roomPatience = 500 * time.Millisecond
+
+// Worthwhile reports whether an answer about workers with some room is worth its time. A ticket for a
+// worker without room expires before it can be used, yet accepted work must not wait without
+// end, and not for long beside workers that have room for it.
+func (b Budget) Worthwhile(s Stage, r Room) bool {
+	switch {
+	case r.Expected >= 1, s.Waited >= patience*b.Valid:
+		return true
+	default:
+		return s.Tasks > 0 && r.Seats >= s.Tasks && s.Waited >= roomPatience
+	}
 }
--- a/advisor/draw.go
+++ b/advisor/draw.go
@@ -35,13 +35,22 @@
 // other work takes a part of the room before the answer arrives.
 const headroom = 2
 
-// Seats returns how many tasks the answer to a query about all candidates is expected to place.
-func Seats(candidates []Candidate) float64 {
-	seats := 0.0
+// A Room is what candidates have for the tasks of a stage.
+type Room struct {
+	// Seats is how many tasks fit there.
+	Seats int
+	// Expected is how many of them the answer to a query about all candidates is expected to place.
+	Expected float64
+}
+
+// RoomOf returns the room of candidates.
+func RoomOf(candidates []Candidate) Room {
+	var r Room
 	for _, c := range candidates {
-		seats += c.expected()
+		r.Seats += c.Seats
+		r.Expected += c.expected()
 	}
-	return seats
+	return r
 }
 
 // Draw returns the candidates that one query should be about. It takes those with the most room, as
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -326,9 +326,6 @@
 	if q.Advisor == nil || a.warmQueryInFlight || d.warmQueriesInFlight >= max(d.advisorSlots/warmQueryDivisor, 1) {
 		return
 	}
-	if d.onBudget(q) {
-		return // room is held for the time of a query once there is enough
-	}
 	var ready []*worker
 	var incarnations []spoolsill.WorkerIncarnation
 	for _, w := range a.allowed {
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -174,12 +174,13 @@
 	if d.ticketSeats(g, q) >= advisor.SeatFactor*g.waiting {
 		return advisor.Seated
 	}
-	if d.roomless.covers(g) && !b.Worthwhile(need, 0) {
+	if d.roomless.covers(g) && !b.Worthwhile(need, advisor.Room{}) {
 		return advisor.NoRoom
 	}
 	candidates := d.adviceCandidates(g, q)
-	if !b.Worthwhile(need, advisor.Seats(candidates)) {
-		if g.advice.asked == nil {
+	room := advisor.RoomOf(candidates)
+	if len(candidates) == 0 || !b.Worthwhile(need, room) {
+		if g.advice.asked == nil && room.Seats == 0 {
 			d.roomless = roomless{
 				step:  g.step,
 				queue: g.job.Queue,
@@ -219,6 +220,7 @@
 		since = g.advice.answeredAt
 	}
 	return advisor.Stage{
+		Tasks:    g.waiting,
 		Waited:   d.now.Sub(since),
 		Leftover: g.tier == tierWorthless,
 	}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -190,11 +190,8 @@
 		d.noteWanted(q)
 		return known
 	}
-	if d.onBudget(q) && known && g.step.Gang && d.emptySeats(g, a.allowed) >= gangReserveFactor*len(g.tasks) {
-		return known // room is missing, not workers
-	}
 	if d.onBudget(q) && !g.step.Gang {
-		if candidates := d.adviceCandidates(g, q); advisor.Seats(candidates) >= 1 {
+		if candidates := d.adviceCandidates(g, q); advisor.RoomOf(candidates).Expected >= 1 {
 			d.askDrawn(g, q, candidates)
 			return known
 		}
