--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
+	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 	"github.com/spoolsill/spoolsill/telemetry"
 	"github.com/spoolsill/spoolsill/traffic"
@@ -115,12 +116,18 @@
 	// specs caches the specs of jobs that this host accepted or starts as a delegate.
 	specs       specCache
 	specFetches singleflight.Group // of specs, by job
-	stopping    atomic.Bool
+	// ended has the final states that this host has told or heard.
+	ended        endedJobs
+	stateLookups singleflight.Group // in the store, by job
+	stopping     atomic.Bool
 
 	mu              sync.Mutex
 	activeLeader    *leader.Leader
 	leaderHead      leader.Head // latest known
 	leaderUnhealthy bool        // according to the latest completed heartbeat
+	// leaderUnhealthySince is when leaderUnhealthy was last set.
+	leaderUnhealthySince time.Time
+	leaderAnswer         leaderAnswer
 	// lastLeaderWrite is the latest write reported by a leader, begun at
 	// lastLeaderWriteBegun.
 	lastLeaderWrite      leaderWrite
@@ -417,6 +424,21 @@
 	return n.leaderHead.Host, true
 }
 
+// answeringLeader returns the leading host if it is another one, unless the latest completed
+// heartbeat found it unhealthy and it has answered none recently. A leader that can't write to
+// the store is unhealthy but answers.
+func (n *Node) answeringLeader() (spoolsill.HostID, bool) {
+	silence := max(hostSilenceTimeout, minSilenceIntervals*n.scaledInterval(heartbeatInterval))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.leaderHead
+	if h.Host == "" || h.Released || h.Host == n.settings.Host {
+		return "", false
+	}
+	answers := n.leaderAnswer.epoch == h.Epoch && n.clock.Since(n.leaderAnswer.at) < silence
+	return h.Host, answers || !n.leaderUnhealthy
+}
+
 // lastKnownLeader returns the last known leader if it is another host, whether or not
 // it responds. If it still leads and its feed delivers nothing, it learns of a job only
 // from this host's notification.
@@ -471,7 +493,12 @@
 	n.metrics.RegisterGauge("spoolsill.workers.unclear", "workers' entries that can't be understood, at the leader", n.invalidWorkerEntries)
 	n.metrics.RegisterGauge("spoolsill.share.jobs.over", "waiting jobs that exceed the share of their team, at the leader", func() int64 { jobs, _ := n.overShare(); return jobs })
 	n.metrics.RegisterGauge("spoolsill.share.teams.over", "teams with waiting jobs that exceed their share, at the leader", func() int64 { _, teams := n.overShare(); return teams })
+	n.metrics.RegisterGauge("spoolsill.overload.groups", "groups of jobs that can't all be in time and go by what is left of them, at the leader", func() int64 { return int64(n.overload().Groups) })
+	n.metrics.RegisterGauge("spoolsill.overload.backlog.milliseconds", "how long the cell takes for the accepted work, at the leader", func() int64 { return n.overload().Backlog.Milliseconds() })
+	n.metrics.RegisterGauge("spoolsill.forecast.error.milliseconds", "mean difference between the forecast and the actual end of jobs, at the leader", func() int64 { return n.overload().ForecastError.Milliseconds() })
 	n.metrics.RegisterGauge("spoolsill.suspended.milliseconds", "for how long this machine has been suspended since the host started", func() int64 { return n.clock.SuspendedTime().Milliseconds() })
+	n.metrics.RegisterGauge("spoolsill.jobs.ended.kept", "final states of jobs that this host remembers", func() int64 { return int64(n.ended.count()) })
+	n.metrics.RegisterGauge("spoolsill.store.failing.milliseconds", "for how long all calls of this host to the store have failed; 0 if the latest one succeeded", func() int64 { return n.health.failingFor(n.clock.Now()).Milliseconds() })
 	n.metrics.RegisterGauge("spoolsill.store.reachable", "1 while the store answers this host", func() int64 { return boolToInt(n.health.reachable(n.clock.Now())) })
 }
 
@@ -493,6 +520,14 @@
 	return 0, 0
 }
 
+// overload returns the load of the cell as known here, or zeros if this host does not lead.
+func (n *Node) overload() sched.Overload {
+	if l := n.localLeader(); l != nil {
+		return l.Overload()
+	}
+	return sched.Overload{}
+}
+
 // invalidWorkerEntries returns how many worker entries the leader cannot decode, or 0 if
 // this host does not lead.
 func (n *Node) invalidWorkerEntries() int64 {
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/advisor"
 )
 
 // Decide places the tasks that can start at now. Their start orders are part of the next
@@ -33,6 +34,7 @@
 	}
 	d.collectReady()
 	s.chargeTeams()
+	s.Outlook(now)
 	ranked := s.ranked()
 	var last QueueID
 	for _, r := range ranked {
@@ -44,6 +46,7 @@
 	for _, r := range ranked {
 		d.place(s.openStages[r.index])
 	}
+	d.observeAdvisor()
 }
 
 // readyWorkers are the workers of one service that accept new tasks.
@@ -98,6 +101,13 @@
 	ready       map[spoolsill.ServiceID]*readyWorkers
 	// waitingQueues are the queues that have stages to place.
 	waitingQueues map[QueueID]bool
+	// forecastFor is the queue that the workers' soonFree holds for.
+	forecastFor *Queue
+	// adviceWanted is the advisor's time for the queries that were not made in the pass.
+	adviceWanted time.Duration
+	roomless     roomless
+	// refused counts the stages about which no query was made in the pass, by verdict.
+	refused [advisor.Verdicts]int
 }
 
 // ranked returns the stages that can be placed, sorted by rank, and removes finished ones
@@ -154,7 +164,10 @@
 		g.waitingFor = waitQuota
 		return
 	}
+	g.advice.refused = advisor.Granted
 	switch {
+	case q.Advisor != nil && d.budgeted(g, q):
+		d.placeOnBudget(g, q)
 	case q.Advisor != nil && !d.ensureAdvice(g, q):
 	case g.step.Gang:
 		d.placeGang(g, q)
@@ -173,9 +186,16 @@
 	if a.learnQueriesInFlight > 0 || known && d.now.Sub(a.learnedAt) <= askMoreAfter {
 		return known
 	}
-	if g.tier != tierUrgent && !d.mayAsk(q) {
+	if g.tier != tierUrgent && !d.mayAsk(g, q) {
+		d.noteWanted(q)
 		return known
 	}
+	if d.onBudget(q) && !g.step.Gang {
+		if candidates := d.adviceCandidates(g, q); advisor.RoomOf(candidates).Expected >= 1 {
+			d.askDrawn(g, q, candidates)
+			return known
+		}
+	}
 	more := d.unasked(g, q)
 	if len(more) == 0 {
 		a.learnedAt = d.now // there are no others; check again after askMoreAfter
@@ -337,6 +357,9 @@
 	}
 	t.lastRun = number
 	r.phase = phaseRecorded
+	if g.advice.asked != nil {
+		s.advisorTime.use.Starts++
+	}
 	g.job.starts = append(g.job.starts, StartOrder{
 		WorkerIncarnation: r.worker.incarnation(),
 		Run:               r.id,
--- a/sched/event.go
+++ b/sched/event.go
@@ -158,6 +158,8 @@
 
 // An AdviceOrder is a query to the advisor about which workers may run a stage.
 type AdviceOrder struct {
+	// Number tells the queries of a State apart.
+	Number   uint64
 	Stage    StageID
 	Queue    QueueID
 	Workers  []spoolsill.WorkerIncarnation
@@ -288,6 +290,9 @@
 type Account struct {
 	// Objective is the time within which the job should have ended.
 	Objective time.Duration
+	// Forecast is the time within which it was expected to end when it was accepted; 0 if
+	// that is not known.
+	Forecast time.Duration
 	// Advice, Room and Quota are the times that the job's stages waited for the advisor,
 	// for capacity at a worker, and for their team to fall below its quota, added up.
 	Advice time.Duration
--- a/sched/state.go
+++ b/sched/state.go
@@ -63,6 +63,7 @@
 	rankedStages []rankedStage // the buffer of ranked
 	timedStages  []*stage      // wait for their due time
 	runTimes     map[QueueID]*runTimeEstimate
+	adviceCosts  map[QueueID]time.Duration // of a stage; see adviceCost
 	teams        map[spoolsill.TeamID]*teamState
 	shares       shareState
 
@@ -81,6 +82,7 @@
 	warmQueriesInFlight int // those of them that keep tickets valid
 	// queueQueriesInFlight counts the unanswered advisor queries of each queue.
 	queueQueriesInFlight map[QueueID]int
+	advisorTime          advisorTime
 	advisorSlots         int // number of queries that hosts can make concurrently
 	notes                []Note
 	statusUpdates        []JobStatus
@@ -97,6 +99,10 @@
 	// outlook caches Outlook as of outlookAt.
 	outlook   forecast.Outlook
 	outlookAt time.Time
+	// forecastError is the mean difference between the forecast and the actual end of jobs.
+	forecastError time.Duration
+	// overloaded has the groups of jobs that can't all be in time as of outlookAt.
+	overloaded map[forecast.Group]bool
 }
 
 // New returns an empty State.
@@ -108,11 +114,13 @@
 		workers:      map[spoolsill.WorkerID]*worker{},
 		incarnations: map[string][]*worker{},
 		runTimes:     map[QueueID]*runTimeEstimate{},
+		adviceCosts:  map[QueueID]time.Duration{},
 		teams:        map[spoolsill.TeamID]*teamState{},
 		acks:         map[spoolsill.WorkerIncarnation]uint64{},
 
 		crashedAt:            map[string]time.Time{},
 		queueQueriesInFlight: map[QueueID]int{},
+		advisorTime:          newAdvisorTime(),
 		pendingJobs:          map[QueueID]int{},
 		shares: shareState{
 			excess: map[spoolsill.JobID]*job{},
@@ -165,6 +173,9 @@
 	// openedAt is when its dependencies were done.
 	openedAt time.Time
 	tier     tier // as of the current pass
+	// key caches orderKey as of keyAt.
+	key   float64
+	keyAt time.Time
 	// waitingFor is the reason for waiting since waitUpdatedAt.
 	waitingFor    waitKind
 	waitUpdatedAt time.Time
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -86,6 +86,8 @@
 	leaseExpired bool
 	ready        bool // accepts something new, as of the current pass
 	health       health
+	// soonFree is what is expected to become free here, for stages of decider.forecastFor.
+	soonFree spoolsill.Resources
 	// trials are the runs of suspect tasks.
 	trials []*run
 }
