--- a/advisor/advisor_test.go
+++ b/advisor/advisor_test.go
@@ -76,10 +76,10 @@
 		Valid:    valid,
 	}
 	inTime := advisor.Stage{
-		Leftover: false,
+		Worthless: false,
 	}
 	leftover := advisor.Stage{
-		Leftover: true,
+		Worthless: true,
 	}
 	qt.Assert(t, budget.Admit(inTime), qt.IsFalse)
 	qt.Assert(t, budget.Admit(leftover), qt.IsTrue)
@@ -140,7 +140,7 @@
 func TestDraw(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cs := drawCandidates(t)
-		w := advisor.Wish{
+		w := advisor.Target{
 			Tasks:   rapid.IntRange(1, 100).Draw(t, "tasks"),
 			AtLeast: rapid.IntRange(0, 30).Draw(t, "least"),
 			AtMost:  100,
@@ -179,7 +179,7 @@
 				Spread: advisor.Spread(stage*0x9e3779b97f4a7c15, i),
 			})
 		}
-		drawn := advisor.Draw(cs, advisor.Wish{
+		drawn := advisor.Draw(cs, advisor.Target{
 			Tasks:   1,
 			AtLeast: width,
 			AtMost:  width,
--- a/advisor/budget.go
+++ b/advisor/budget.go
@@ -24,8 +24,8 @@
 	Waited time.Duration
 	// Tasks is the number of its tasks that wait.
 	Tasks int
-	// Leftover is set for work that earns nothing any more.
-	Leftover bool
+	// Worthless is set for work that earns nothing any more.
+	Worthless bool
 }
 
 // A Verdict says whether a stage may be asked about.
@@ -55,9 +55,9 @@
 	// query of a host must be there when it has answered one; with more of them, workers
 	// would be chosen long before the query is made.
 	queuedShare = 4
-	// leftoverShare is the number of places for each query beyond the limit about work
+	// worthlessShare is the number of places for each query beyond the limit about work
 	// that earns nothing any more: accepted work must not wait without end.
-	leftoverShare = 8
+	worthlessShare = 8
 )
 
 // SeatFactor is how many times the waiting tasks of a stage must be expected to fit where it has
@@ -70,28 +70,28 @@
 func (b Budget) Admit(s Stage) bool {
 	limit := max(b.Places, 1) + max(b.Places/queuedShare, 1)
 	share := max(limit/max(b.Queues, 1), 1)
-	if s.Leftover {
-		limit += max(b.Places/leftoverShare, 1)
+	if s.Worthless {
+		limit += max(b.Places/worthlessShare, 1)
 	}
 	return b.InFlight < limit || b.OfQueue < share
 }
 
-// patience is the number of ticket times after which a stage is asked about whatever room there is.
-const patience = 2
+// maxTicketTimes is the number of ticket times after which a stage is asked about whatever room there is.
+const maxTicketTimes = 2
 
-// roomPatience is how long a stage of few tasks waits for more workers with room, beside one or a
+// maxRoomWait is how long a stage of few tasks waits for more workers with room, beside one or a
 // few that have room for all of its tasks. It is far less than the seconds for which
 // callers accept that work waits beside idle workers.
-const roomPatience = 500 * time.Millisecond
+const maxRoomWait = 500 * time.Millisecond
 
 // Worthwhile reports whether an answer about workers with some room is worth its time. A ticket for a
 // worker without room expires before it can be used, yet accepted work must not wait without
 // end, and not for long beside workers that have room for it.
 func (b Budget) Worthwhile(s Stage, r Room) bool {
 	switch {
-	case r.Expected >= 1, s.Waited >= patience*b.Valid:
+	case r.Expected >= 1, s.Waited >= maxTicketTimes*b.Valid:
 		return true
 	default:
-		return s.Tasks > 0 && r.Seats >= s.Tasks && s.Waited >= roomPatience
+		return s.Tasks > 0 && r.Seats >= s.Tasks && s.Waited >= maxRoomWait
 	}
 }
--- a/advisor/draw.go
+++ b/advisor/draw.go
@@ -22,8 +22,8 @@
 	return c.Share * float64(c.Seats)
 }
 
-// A Wish says what a query should be about.
-type Wish struct {
+// A Target says what a query should be about.
+type Target struct {
 	// Tasks is the number of waiting tasks.
 	Tasks int
 	// AtLeast and AtMost bound the number of workers. Up to AtLeast they cost little beside
@@ -56,7 +56,7 @@
 // Draw returns the candidates that one query should be about. It takes those with the most room, as
 // many as are expected to seat all tasks with some headroom. Others are added up to the least
 // number, since room may become free there while the tickets are valid. It reorders candidates.
-func Draw(candidates []Candidate, w Wish) []Candidate {
+func Draw(candidates []Candidate, w Target) []Candidate {
 	slices.SortFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(b.expected(), a.expected()), cmp.Compare(b.Share, a.Share), cmp.Compare(a.Spread, b.Spread))
 	})
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -67,7 +67,7 @@
 	}
 	return retryafter.Delay(retryafter.Refusal{
 		FailingFor: max(n.health.failingFor(now), n.leaderFailingFor(now)),
-		Patience:   platform.Patience(ctx),
+		Timeout:    platform.ClientTimeout(ctx),
 		Key:        key,
 	})
 }
--- a/retryafter/replay_test.go
+++ b/retryafter/replay_test.go
@@ -17,9 +17,9 @@
 type outage struct {
 	perSecond int
 	lasts     time.Duration
-	// patience is how long a client tries; 0 means until it is served.
-	patience time.Duration
-	seed     uint64
+	// timeout is how long a client tries; 0 means until it is served.
+	timeout time.Duration
+	seed    uint64
 }
 
 // An arrival is an attempt of a client.
@@ -68,7 +68,7 @@
 	served := map[time.Duration]int{}
 	for a.Len() > 0 {
 		x := heap.Pop(&a).(arrival)
-		if o.patience > 0 && x.at-x.first > o.patience {
+		if o.timeout > 0 && x.at-x.first > o.timeout {
 			r.neverBack++
 			continue
 		}
@@ -86,7 +86,7 @@
 		x.attempt++
 		x.at += delay(retryafter.Refusal{
 			FailingFor: x.at,
-			Patience:   o.patience,
+			Timeout:    o.timeout,
 			Key:        fmt.Sprintf("%016x-%d", x.client, x.attempt),
 		})
 		heap.Push(&a, x)
@@ -131,12 +131,12 @@
 		o := outage{
 			perSecond: 1000,
 			lasts:     4 * time.Second,
-			patience:  3 * time.Second,
+			timeout:   3 * time.Second,
 			seed:      seed,
 		}
 		r := play(o, retryafter.Delay)
 		c.Check(r.neverBack <= play(o, fixed).neverBack, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, r))
-		tries := int(o.patience/retryafter.Shortest) + 1
+		tries := int(o.timeout/retryafter.Shortest) + 1
 		// The arrivals are random, by some three percent in a second.
 		c.Check(r.busiest <= tries*o.perSecond*105/100, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, r))
 	}
@@ -153,7 +153,7 @@
 		d := retryafter.Delay(r)
 		c.Check(d >= retryafter.Shortest && d <= time.Minute+retryafter.Shortest && d%time.Second == 0, qt.IsTrue, qt.Commentf("%s", d))
 		c.Check(retryafter.Delay(r), qt.Equals, d)
-		r.Patience = 10 * time.Second
-		c.Check(retryafter.Delay(r) <= r.Patience/2, qt.IsTrue)
+		r.Timeout = 10 * time.Second
+		c.Check(retryafter.Delay(r) <= r.Timeout/2, qt.IsTrue)
 	}
 }
--- a/retryafter/retryafter.go
+++ b/retryafter/retryafter.go
@@ -29,10 +29,10 @@
 type Refusal struct {
 	// FailingFor is how long what the request needs has been failing.
 	FailingFor time.Duration
-	// Patience is how long the client says that it waits; 0 if it doesn't. A client
+	// Timeout is how long the client says that it waits; 0 if it doesn't. A client
 	// comes back within half of this time, so that it can still be served. Few such clients
 	// are left at the return, since the others have given up.
-	Patience time.Duration
+	Timeout time.Duration
 	// Key distinguishes requests. The same request always gets the same delay.
 	Key string
 }
@@ -43,8 +43,8 @@
 // bring each client back more often, longer ones would make it wait for no gain.
 func Delay(r Refusal) time.Duration {
 	spread := min(r.FailingFor, maxSpread)
-	if r.Patience > 0 {
-		spread = min(spread, r.Patience/2-Shortest)
+	if r.Timeout > 0 {
+		spread = min(spread, r.Timeout/2-Shortest)
 	}
 	if spread < Shortest {
 		return Shortest
--- a/sched/budget.go
+++ b/sched/budget.go
@@ -220,9 +220,9 @@
 		since = g.advice.answeredAt
 	}
 	return advisor.Stage{
-		Tasks:    g.waiting,
-		Waited:   d.now.Sub(since),
-		Leftover: g.tier == tierWorthless,
+		Tasks:     g.waiting,
+		Waited:    d.now.Sub(since),
+		Worthless: g.tier == tierWorthless,
 	}
 }
 
@@ -327,7 +327,7 @@
 func (d *decider) askDrawn(g *stage, q *Queue, candidates []advisor.Candidate) {
 	workers := d.ready[q.Service].workers
 	var incarnations []spoolsill.WorkerIncarnation
-	for _, c := range advisor.Draw(candidates, advisor.Wish{
+	for _, c := range advisor.Draw(candidates, advisor.Target{
 		Tasks:   g.waiting,
 		AtLeast: q.Advisor.querySize(),
 		AtMost:  maxQueryWorkers,
