--- a/review/trial/hosts.go
+++ b/review/trial/hosts.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -272,6 +273,21 @@
 	return fmt.Sprintf("%s.%d", t.net, i)
 }
 
+// killOnSignal ends the processes of the trial, and the trial, if it is told to end early.
+func (t *trial) killOnSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-c
+		for _, h := range t.hosts {
+			<-h.signal(syscall.SIGKILL)
+		}
+		_ = os.RemoveAll(t.dir)
+		t.record.printf("not run: ended early by a signal")
+		os.Exit(exitNotRun)
+	}()
+}
+
 // begin starts runners and hosts and waits until all hosts are ready.
 func (t *trial) begin(hosts, runners int) error {
 	for i := range runners {
@@ -311,6 +327,7 @@
 		}
 		t.hosts = append(t.hosts, h)
 	}
+	t.killOnSignal()
 	for _, h := range t.hosts {
 		if err := h.start(); err != nil {
 			return err
