review: case 5, room kept for a gang that lasting tasks keep out

A waiting gang reserves all workers that would fit it if they were empty, also where tasks that last never end; jobs of a lower priority starve.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/spoolsill-host ] && [ -x target/review-2/trial ] || { echo "not built"; exit 2; }
-exec target/review-2/trial forgotten review/5/record.txt
+exec target/review-2/trial gangroom review/5/record.txt
--- a/review/trial/hosts.go
+++ b/review/trial/hosts.go
@@ -79,7 +79,7 @@
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
-status_s = %[10]d
+status_s = 120
 far_x = 2
 save_s = 1
 restore_ms = 600
@@ -92,7 +92,7 @@
 pace_ms = 100
 harm_ms = 4000
 [platform]
-addr = "%[11]s"
+addr = "%[10]s"
 form = "table"
 writes_per_s = 600
 reads_per_s = 2000
@@ -244,14 +244,15 @@
 	store  *platformStore
 	cell   *cell
 	hosts  []*host
-	status int // status_s
+	// settings is the text of the settings, with gaps.
+	settings string
 
 	mu       sync.Mutex
 	accepted map[string]time.Time
 	states   map[string]string
 }
 
-func newTrial(r *record, status int) (*trial, error) {
+func newTrial(r *record) (*trial, error) {
 	dir, err := os.MkdirTemp("", "review-trial-")
 	if err != nil {
 		return nil, err
@@ -263,12 +264,24 @@
 		net:      fmt.Sprintf("127.%d.%d", 30+rand.IntN(200), 1+rand.IntN(250)),
 		store:    s,
 		cell:     newCell(r, s),
-		status:   status,
+		settings: settingsText,
 		accepted: map[string]time.Time{},
 		states:   map[string]string{},
 	}, nil
 }
 
+// landRegistry gives the trial the bounds of mmr-kartta and the runners of its service with GPUs.
+func (t *trial) landRegistry() {
+	t.settings = strings.NewReplacer(
+		"maxHoldMs = 6000", "maxHoldMs = 10000",
+		"\nstop_ms = 200", "\nstop_ms = 400",
+		"\nsave_s = 1\n", "\nsave_s = 0.5\n",
+		"writes_per_s = 600", "writes_per_s = 800",
+	).Replace(t.settings)
+	t.cell.maxHold = 10 * time.Second
+	t.cell.gpus = 8
+}
+
 func (t *trial) ip(i int) string {
 	return fmt.Sprintf("%s.%d", t.net, i)
 }
@@ -321,7 +334,7 @@
 			return err
 		}
 		h.file = filepath.Join(t.dir, h.name+".toml")
-		text := fmt.Sprintf(settingsText, h.name, h.ip, p.first, p.last, strings.Join(seeds[:min(3, len(seeds))], ","), advice, p.front, p.ready, p.control, t.status, address)
+		text := fmt.Sprintf(t.settings, h.name, h.ip, p.first, p.last, strings.Join(seeds[:min(3, len(seeds))], ","), advice, p.front, p.ready, p.control, address)
 		if err := os.WriteFile(h.file, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -384,6 +397,7 @@
 	Prefix   string
 	Attempts int
 	Advised  bool
+	Priority int
 }
 
 const domain = "nony24.example"
@@ -394,7 +408,7 @@
 	for _, r := range routes {
 		x := map[string]any{
 			"name": r.Name, "host": domain, "pathPrefix": r.Prefix, "kind": "non_idempotent", "timeoutMs": 3000,
-			"goalMs": 1000, "priority": 1, "service": "work", "maxAttempts": r.Attempts, "stretch": 2.2,
+			"goalMs": 1000, "priority": r.Priority, "service": "work", "maxAttempts": r.Attempts, "stretch": 2.2,
 		}
 		if r.Advised {
 			x["advice"] = map[string]any{"decide_ms": 10.0, "each_ms": 0.1, "valid_ms": ticketTime.Milliseconds()}
@@ -414,10 +428,14 @@
 	Count      int   `json:"count"`
 	CPU        int   `json:"cpu"`
 	MemMB      int   `json:"memMb"`
+	GPU        int   `json:"gpu,omitempty"`
 	EstMS      int   `json:"estMs"`
 	AfterRev   []int `json:"afterRev,omitempty"`
 	Checkpoint bool  `json:"checkpoint,omitempty"`
 	Gang       bool  `json:"gang,omitempty"`
+	// AntiAffinity is how many tasks of the step one runner holds at most; 0 means any number.
+	AntiAffinity int  `json:"antiAffinity,omitempty"`
+	LongRunning  bool `json:"longRunning,omitempty"`
 }
 
 // call makes one call of a client and returns the status, 0 without an answer.
--- a/review/trial/longsaved.go
+++ b/review/trial/longsaved.go
@@ -10,12 +10,12 @@
 // longSaved checks LOST: a large job with checkpoints comes, and small ones with it.
 func longSaved(r *record, trouble bool) (verdict, error) {
 	const prefix = "/lohu930/"
-	t, err := newTrial(r, 120)
+	t, err := newTrial(r)
 	if err != nil {
 		return verdict{}, err
 	}
 	defer t.end()
-	t.configure(7, route{Name: "r-3hwrr6x", Prefix: prefix, Attempts: 3})
+	t.configure(7, route{Name: "r-3hwrr6x", Prefix: prefix, Attempts: 3, Priority: 1})
 	if err := t.begin(3, 8); err != nil {
 		return verdict{}, err
 	}
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -34,8 +34,8 @@
 }
 
 var cases = map[string]func(r *record, trouble bool) (verdict, error){
-	"forgotten": forgotten,
 	"ticket":    ticket,
+	"gangroom":  gangRoom,
 	"longsaved": longSaved,
 	"removed":   removed,
 }
--- a/review/trial/removed.go
+++ b/review/trial/removed.go
@@ -16,13 +16,13 @@
 // and READD=1 adds the route again at the end.
 func removed(r *record, trouble bool) (verdict, error) {
 	const prefix = "/lohu930/"
-	t, err := newTrial(r, 120)
+	t, err := newTrial(r)
 	if err != nil {
 		return verdict{}, err
 	}
 	defer t.end()
-	queue := route{Name: "r-3hwrr6x", Prefix: prefix, Attempts: 3}
-	other := route{Name: "r-73d3zji", Prefix: "/pufi791/", Attempts: 2}
+	queue := route{Name: "r-3hwrr6x", Prefix: prefix, Attempts: 3, Priority: 1}
+	other := route{Name: "r-73d3zji", Prefix: "/pufi791/", Attempts: 2, Priority: 2}
 	t.configure(7, queue, other)
 	if err := t.begin(3, 8); err != nil {
 		return verdict{}, err
--- a/review/trial/runner.go
+++ b/review/trial/runner.go
@@ -15,7 +15,6 @@
 
 // Bounds of the small deployments; see the settings in hosts.go.
 const (
-	maxHold    = 6 * time.Second
 	saveEvery  = time.Second
 	beatEvery  = 1500 * time.Millisecond
 	workerCPU  = 64000
@@ -53,6 +52,9 @@
 	store  *platformStore
 	// advised reports whether a start of a job's task needs a ticket.
 	advised func(job string) bool
+	// maxHold is the longest lease, gpus are those of each runner.
+	maxHold time.Duration
+	gpus    int
 	// how decides how a run ends that is not stopped; nil means done.
 	how func(x *runner, a *activeRun) string
 
@@ -73,6 +75,7 @@
 		record:  r,
 		store:   s,
 		advised: func(string) bool { return false },
+		maxHold: 6 * time.Second,
 		runners: map[string]*runner{},
 		tickets: map[string]time.Time{},
 		seen:    map[string]string{},
@@ -156,7 +159,7 @@
 		x.cell.store.put("servers", x.id, map[string]any{
 			"service": "work", "addr": x.address, "zone": "vake", "version": "v1", "slots": 8,
 			"state": "ready", "coldLeftMs": 0, "machine": x.machine, "seq": seq,
-			"capacity": map[string]int{"cpu": workerCPU, "memMb": workerMem, "gpu": 0},
+			"capacity": map[string]int{"cpu": workerCPU, "memMb": workerMem, "gpu": x.cell.gpus},
 			"labels":   []string{"a", x.rack},
 		})
 		time.Sleep(beatEvery)
@@ -220,7 +223,7 @@
 }
 
 func (x *runner) lease(until int64) {
-	x.deadline = max(x.deadline, min(until, x.clock()+maxHold.Milliseconds()))
+	x.deadline = max(x.deadline, min(until, x.clock()+x.cell.maxHold.Milliseconds()))
 }
 
 // lapse ends all runs if the lease is over. The caller holds the lock.
@@ -458,35 +461,3 @@
 		"valid_ms": ticketTime.Milliseconds(),
 	})
 }
-
-// A double is a start that breaks TWICE: its task had ended done, which the system had taken note
-// of, or it ran elsewhere.
-type double struct {
-	started
-	doneAt time.Time
-	doneBy int
-}
-
-// startsAfterDone returns the starts that came after a run of their task had ended done, which had
-// been taken note of before.
-func (c *cell) startsAfterDone() []double {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	done := map[string]noted{}
-	for _, n := range c.noted {
-		if _, ok := done[n.task]; n.how == "done" && !ok {
-			done[n.task] = n
-		}
-	}
-	var all []double
-	for _, s := range c.starts {
-		if n, ok := done[s.task]; ok && s.at.After(n.at) {
-			all = append(all, double{
-				started: s,
-				doneAt:  n.at,
-				doneBy:  n.run,
-			})
-		}
-	}
-	return all
-}
