sched: reserve no workers for gangs that lasting tasks keep out

Cause: a waiting gang reserves workers if it would fit on them without any runs. Lasting tasks end only when their job is cancelled, so that the gang waited for capacity that nothing frees, and kept all stages of lower rank from the workers. TestGangThatLastingTasksKeepOutReservesNoWorkers and TestGangReservesWorkersBesideLastingTasks failed before with 0 starts of 4. Change: what lasting tasks hold, unless they are being stopped, does not count as capacity to come, for gangs and for single large tasks; the latter had the same fault (TestNoWorkerIsReservedForLargeTaskBehindLastingTask, failed before). Why it works: a reservation helps only if its capacity comes free by itself.

--- a/leader/log.go
+++ b/leader/log.go
@@ -41,6 +41,7 @@
 		"teams_over":       shares.Teams,
 		"team_most":        string(shares.Largest),
 		"unseatable":       load.Unseatable,
+		"reserved":         load.Reserved,
 		"questions":        load.Asking,
 		"questions_max":    load.MaxAsking,
 		"advice_short":     load.AdviceShort,
--- a/sched/capacity.go
+++ b/sched/capacity.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/spoolsill/spoolsill"
+)
 
 // EntriesSynced records that all changes of the workers' entries up to the time sent are
 // known.
@@ -17,6 +21,12 @@
 	return s.config.EntriesAge == 0 || s.now.Sub(s.entriesAsOf) <= s.config.EntriesAge
 }
 
+// reclaimable returns the capacity of a worker that becomes free once all of its runs have ended
+// that end by themselves or are being stopped.
+func (w *worker) reclaimable() spoolsill.Resources {
+	return w.Capacity.Sub(w.usedForGood)
+}
+
 // hasCapacity reports whether all runs that are counted at a worker fit its capacity,
 // including those being stopped and those that may still start. The capacity may have
 // been reduced since they were placed.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -55,7 +55,7 @@
 	if q.Advisor == nil {
 		from = r.workers
 	}
-	if !d.fitsEmptyWorkers(g, from) {
+	if !d.seatable(g, from) {
 		// A reservation would not let the gang start, and the reserved workers might be the
 		// only ones that other stages can use.
 		g.reserved = nil
@@ -63,7 +63,7 @@
 	}
 	fits := 0
 	reserve := func(w *worker) bool {
-		n := fitCount(g.step.demand(), w.Capacity)
+		n := fitCount(g.step.demand(), w.reclaimable())
 		if !w.ready || d.reservedFor[w] != nil || n == 0 || fits >= gangReserveFactor*len(g.tasks) {
 			return false
 		}
@@ -81,25 +81,21 @@
 	}
 }
 
-// fitsEmptyWorkers reports whether the whole gang would fit on ws if they had no runs.
-func (s *State) fitsEmptyWorkers(g *stage, ws []*worker) bool {
-	return s.emptySeats(g, ws) >= len(g.tasks)
-}
-
-// emptySeats returns how many tasks of g would fit on ws if they had no runs.
-func (s *State) emptySeats(g *stage, ws []*worker) int {
-	fits := 0
+// seatable reports whether the whole gang would fit on ws once all runs there have ended that
+// don't last.
+func (s *State) seatable(g *stage, ws []*worker) bool {
+	seats := 0
 	for _, w := range ws {
 		if w.dead || w.leaving(s.now) || !g.labelMatches(w) {
 			continue
 		}
-		n := fitCount(g.step.demand(), w.Capacity)
+		n := fitCount(g.step.demand(), w.reclaimable())
 		if m := g.step.MaxPerWorker; m > 0 {
 			n = min(n, m)
 		}
-		fits += n
+		seats += n
 	}
-	return fits
+	return seats >= len(g.tasks)
 }
 
 // ticketsToRenew returns the incarnations of the assigned workers if one of their tickets must
--- a/sched/gang_test.go
+++ b/sched/gang_test.go
@@ -183,3 +183,94 @@
 	x.c.Assert(w.For, qt.Equals, "room")
 	x.c.Assert([]int{w.Usable, w.Ready, w.Fitting, w.Kept}, qt.DeepEquals, []int{2, 2, 0, 0})
 }
+
+// Guards against workers reserved for a gang that waits for lasting tasks, which never end: jobs
+// of lower rank never started although most of the cell was idle.
+func TestGangThatLastingTasksKeepOutReservesNoWorkers(t *testing.T) {
+	x := newCell(t)
+	x.addPatientQueue()
+	for i := range 4 {
+		x.addWorker(spoolsill.WorkerID(fmt.Sprint("w", i)))
+	}
+	x.spreadLastingTasks(4, 1)
+	x.state.AddJob(x.now, job("gang", "q", gang(2, 10)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	l := x.state.Load()
+	x.c.Assert([]int{l.Unseatable, l.Reserved}, qt.DeepEquals, []int{1, 0})
+	x.state.AddJob(x.now, job("small", "patient", tasks(4, 2)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 4)
+}
+
+// A gang reserves those of its workers that lasting tasks leave enough capacity on, and only them.
+func TestGangReservesWorkersBesideLastingTasks(t *testing.T) {
+	x := newCell(t)
+	x.addPatientQueue()
+	for i := range 4 {
+		x.addWorker(spoolsill.WorkerID(fmt.Sprint("w", i)))
+	}
+	lasting := map[spoolsill.WorkerID]bool{}
+	for _, o := range x.spreadLastingTasks(2, 1) {
+		lasting[o.Worker] = true
+	}
+	// A small task on each worker keeps the gang waiting for now.
+	small := tasks(4, 1)
+	small.MaxPerWorker = 1
+	x.state.AddJob(x.now, job("before", "q", small), sched.Progress{})
+	before := x.step()
+	x.c.Assert(before, qt.HasLen, 4)
+	x.acceptStarts(before)
+	x.state.AddJob(x.now, job("gang", "q", gang(2, 10)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+	l := x.state.Load()
+	x.c.Assert([]int{l.Unseatable, l.Reserved}, qt.DeepEquals, []int{0, 2})
+	x.state.AddJob(x.now, job("later", "patient", tasks(4, 4)), sched.Progress{})
+	later := x.step()
+	x.c.Assert(later, qt.HasLen, 4)
+	for _, o := range later {
+		x.c.Assert(lasting[o.Worker], qt.IsTrue)
+	}
+	for _, o := range before {
+		x.endRun(o, sched.EndDone)
+	}
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"gang.0.0.0#1", "gang.0.0.1#1"})
+}
+
+// A lasting task that is being stopped frees its capacity, so that a gang may wait for it.
+func TestGangReservesWorkersWhoseLastingTasksStop(t *testing.T) {
+	x := newCell(t)
+	x.addPatientQueue()
+	x.addWorker("a")
+	x.addWorker("b")
+	x.spreadLastingTasks(2, 1)
+	x.state.AddJob(x.now, job("gang", "q", gang(2, 10)), sched.Progress{})
+	x.step()
+	x.state.CancelJob(x.now, "lasting")
+	x.state.AddJob(x.now, job("small", "patient", tasks(2, 2)), sched.Progress{})
+	x.c.Assert(x.step(), qt.HasLen, 0)
+}
+
+// addPatientQueue adds a queue whose stages rank below those of the queue "q".
+func (x *cell) addPatientQueue() {
+	x.state.SetQueues([]sched.Queue{
+		{
+			ID:          "patient",
+			Service:     "work",
+			Priority:    2,
+			MaxAttempts: 2,
+			Stretch:     4,
+			Goal:        time.Second,
+		},
+	})
+}
+
+// spreadLastingTasks starts a job with n lasting tasks, each on a worker of its own.
+func (x *cell) spreadLastingTasks(n, c int) []sched.StartOrder {
+	s := tasks(n, c)
+	s.Lasting = true
+	s.MaxPerWorker = 1
+	x.state.AddJob(x.now, job("lasting", "q", s), sched.Progress{})
+	o := x.step()
+	x.c.Assert(o, qt.HasLen, n)
+	x.acceptStarts(o)
+	return o
+}
--- a/sched/load.go
+++ b/sched/load.go
@@ -31,8 +31,10 @@
 	WaitRoom   int
 	WaitQuota  int
 	// Unseatable counts the gangs among the stages that would not fit on the workers that
-	// they may use even if those had no runs.
+	// they may use even once all runs there have ended that don't last.
 	Unseatable int
+	// Reserved counts the workers that are reserved for stages that wait for capacity.
+	Reserved int
 	// Asking counts the advisor queries in flight.
 	Asking int
 	// MaxAsking is how many advisor queries the hosts can make concurrently.
@@ -100,10 +102,11 @@
 		}
 		l.Stages++
 		l.countWait(g)
+		l.Reserved += len(g.reserved)
 		if s.rank(g).tier >= tierLate {
 			l.Late++
 		}
-		if g.step.Gang && s.hasAdvice(g) && !s.fitsEmptyWorkers(g, s.usableWorkers(g)) {
+		if g.step.Gang && s.hasAdvice(g) && !s.seatable(g, s.usableWorkers(g)) {
 			l.Unseatable++
 		}
 	}
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -50,11 +50,11 @@
 	d.preempt(g, q)
 }
 
-// isLarge reports whether a task of g fits on w when empty and needs at least largeShare
-// of it.
+// isLarge reports whether a task of g needs at least largeShare of w, and fits there once all runs
+// have ended that don't last.
 func (d *decider) isLarge(g *stage, w *worker) bool {
 	need := g.step.demand()
-	return g.labelMatches(w) && need.FitsIn(w.Capacity) && need.DominantShare(w.Capacity) >= largeShare
+	return g.labelMatches(w) && need.FitsIn(w.reclaimable()) && need.DominantShare(w.Capacity) >= largeShare
 }
 
 // byEarliestStart returns the workers that can be reserved for large tasks of g, sorted by
--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -113,3 +113,17 @@
 	x.step()
 	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
 }
+
+// Guards against a worker reserved for a large task that waits for a lasting task, which never
+// ends: smaller tasks could not use the worker for as long as the large one was in time.
+func TestNoWorkerIsReservedForLargeTaskBehindLastingTask(t *testing.T) {
+	x := newCell(t)
+	x.addWorker("w")
+	x.spreadLastingTasks(1, 1)
+	x.addLargeJob("q")
+	x.step()
+	later := job("later", "q", tasks(1, 2))
+	later.Received = x.now.Add(time.Second)
+	x.state.AddJob(x.now, later, sched.Progress{})
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"later.0.0.0#1"})
+}
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -21,6 +21,9 @@
 func (s *State) addRun(r *run) {
 	r.worker.runs[r.id] = r
 	r.worker.used = r.worker.used.Add(r.need)
+	if r.lasts() {
+		r.worker.usedForGood = r.worker.usedForGood.Add(r.need)
+	}
 	r.task.setRun(r)
 	r.worker.beginTrial(r)
 	j := r.task.stage.job
@@ -28,11 +31,19 @@
 	j.team.used = j.team.used.Add(r.need)
 }
 
+// lasts reports whether r goes on until its job is cancelled.
+func (r *run) lasts() bool {
+	return r.task.stage.step.Lasting && !r.stopping
+}
+
 // removeRun undoes addRun.
 func (s *State) removeRun(r *run) {
 	w := r.worker
 	delete(w.runs, r.id)
 	w.used = w.used.Sub(r.need)
+	if r.lasts() {
+		w.usedForGood = w.usedForGood.Sub(r.need)
+	}
 	w.endTrial(r)
 	j := r.task.stage.job
 	j.activeRuns--
--- a/sched/stop.go
+++ b/sched/stop.go
@@ -23,6 +23,9 @@
 	if r.stopping {
 		return
 	}
+	if r.lasts() {
+		r.worker.usedForGood = r.worker.usedForGood.Sub(r.need)
+	}
 	r.stopping = true
 	s.stoppingRuns = append(s.stoppingRuns, r)
 	s.orderStop(r, reason)
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -48,7 +48,9 @@
 	// and has no runs. It is reset when the worker comes back.
 	inactive bool
 	used     spoolsill.Resources
-	runs     map[RunID]*run
+	// usedForGood is the part of used that no run gives back by itself; see run.lasts.
+	usedForGood spoolsill.Resources
+	runs        map[RunID]*run
 	// lastEndSeen is the highest sequence of the ends received from this incarnation. It
 	// does not apply to the next incarnation, which counts from 1 again: its ends would be
 	// taken for duplicates.
@@ -455,12 +457,15 @@
 // their needs is wrong, or a stage has miscounted its tasks. It is meant for tests.
 func (s *State) CheckCapacity() error {
 	for _, w := range s.workerList {
-		var sum spoolsill.Resources
+		var sum, lasting spoolsill.Resources
 		for _, r := range w.runs {
 			sum = sum.Add(r.need)
+			if r.lasts() {
+				lasting = lasting.Add(r.need)
+			}
 		}
-		if sum != w.used {
-			return fmt.Errorf("worker %s: %v counted as used, its runs need %v", w.id, w.used, sum)
+		if sum != w.used || lasting != w.usedForGood {
+			return fmt.Errorf("worker %s: %v counted as used, %v of it for good, its runs need %v and %v", w.id, w.used, w.usedForGood, sum, lasting)
 		}
 		if w.present(s.now) && !w.hasCapacity() {
 			return fmt.Errorf("worker %s: %v used of %v", w.id, w.used, w.Capacity)
