sched: a start rejected for an unknown ticket no longer ends the leader

Cause: a worker that rejects a start for its ticket had the ticket marked as expired in a map that exists only once the advisor has answered for the stage. The leader had started without a ticket since it did not know the queue's new configuration; so did its successor. Evidence: 'assignment to entry in nil map' in advice.expire, called by dropRejected, in the hosts' logs of the case. Change: only a ticket that is there is marked as expired. Why it works: without an entry, the stage asks the advisor as for the first time.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -75,8 +75,13 @@
 	return a.tickets[w].until.Sub(now) > margin
 }
 
+// expire marks the ticket for a worker as expired. There is none if the start was ordered before it
+// was known here that the queue has an advisor.
 func (a *advice) expire(w *worker) {
-	t := a.tickets[w]
+	t, ok := a.tickets[w]
+	if !ok {
+		return
+	}
 	t.until = time.Time{}
 	a.tickets[w] = t
 }
