--- a/leader/invalidentry_test.go
+++ b/leader/invalidentry_test.go
@@ -62,3 +62,34 @@
 	}
 	return n
 }
+
+// Guards against a row in a partition of the workers table that is taken for the entry of the worker
+// with the same id.
+func TestRowInPartitionOfWorkersTableIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newCell(t.Context(), t, 1)
+		defer x.end()
+		odd := workerKey("w0")
+		odd.Partition = "other"
+		x.store.Put(store.Put{
+			Key:   odd,
+			Value: []byte("{"),
+		})
+		l := x.lead("a")
+		pause.For(x.ctx, time.Second)
+		x.store.Put(store.Put{
+			Key:   odd,
+			Value: []byte(`{"ID":"w0","Service":"elsewhere"}`),
+		})
+		pause.For(x.ctx, time.Second)
+		x.store.Delete(odd)
+		pause.For(x.ctx, time.Second)
+		x.submit(sched.Job{
+			ID:    "j",
+			Queue: "plain",
+			Steps: []sched.Step{step(1, 1)},
+		})
+		pause.For(x.ctx, 3*time.Second)
+		x.assertCompleted(l, []spoolsill.JobID{"j"})
+	})
+}
--- a/leader/load.go
+++ b/leader/load.go
@@ -53,6 +53,7 @@
 }
 
 func (l *Leader) handleWorkerList(now time.Time, rows []store.Row) {
+	rows = slices.DeleteFunc(rows, func(r store.Row) bool { return !isWorkerEntry(r) })
 	listed := map[spoolsill.WorkerID]bool{}
 	for _, r := range rows {
 		listed[spoolsill.WorkerID(r.Key.Name)] = true
@@ -73,7 +74,17 @@
 	l.config.Log.WithField("epoch", uint64(l.Epoch())).WithField("workers", len(rows)).Info("workers listed")
 }
 
+// isWorkerEntry reports whether a row of the workers table can be an entry. Those of workers have
+// no partition: a row of another writer in one must not be taken for the entry of the worker with
+// the same id.
+func isWorkerEntry(r store.Row) bool {
+	return r.Key.Partition == ""
+}
+
 func (l *Leader) handleWorkerRow(now time.Time, r store.Row) {
+	if !isWorkerEntry(r) {
+		return
+	}
 	id := spoolsill.WorkerID(r.Key.Name)
 	if r.Deleted {
 		l.setEntryError(id, nil)
