sched: a worker that answers disproves the start time of an odd entry

What callers saw: nothing yet. One entry of another writer with another start time for a worker makes the leader ignore the worker's answers, and its next entries, until the next takeover; nothing is started there any more. Cause: an entry with a start time that is not known is taken for the worker's next incarnation, and everything from the one before for a late report. Change: a former incarnation that answers a call which was made for the latest one is the latest again, with a higher fence and its runs. Why it works: it can't have ended before an incarnation began whose entry was read before the call was made. Late answers to calls for the former one stay ignored.

--- a/node/oddentries_test.go
+++ b/node/oddentries_test.go
@@ -99,6 +99,11 @@
 	})
 }
 
+// As for the other fields, but an entry with another start time tells of another incarnation.
+func TestWorkerWithExtremeStartTimesIsUsedAgain(t *testing.T) {
+	run(t, 2, 2, func(x *cell) { x.assertUsedAfterExtremes("born") })
+}
+
 // assertUsedAfterExtremes replaces the entry of a worker by entries with each field at its extremes,
 // and checks that the leader uses the worker after its next entry.
 func (x *cell) assertUsedAfterExtremes(fields ...string) {
--- a/sched/incarnations.go
+++ b/sched/incarnations.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// reinstateIfDisproved makes a former incarnation the latest again if it has answered a call that was
+// made for the latest one: it can't have ended before that one began. Something other than the
+// worker has written the entry then, whose start time is ignored from now on.
+func (s *State) reinstateIfDisproved(h Heartbeat) {
+	w := s.workers[h.Worker]
+	if w == nil || h.StartTime == 0 || h.Asked != w.incarnation() || !slices.Contains(w.former, h.StartTime) {
+		return
+	}
+	w.former = slices.DeleteFunc(w.former, func(t spoolsill.StartTime) bool { return t == h.StartTime })
+	w.disproved = true
+	s.beginNextIncarnation(w, h.StartTime, "its answer to a call for the latest")
+}
+
 // beginNextIncarnation creates the state of a worker's next incarnation, which replaces that
 // of the former one. Until its entry is seen, its properties are taken to be those of the
 // former incarnation.
@@ -83,7 +96,7 @@
 	} else {
 		s.workerList[i] = w
 	}
-	w.crashed = !old.dead && !old.mayBeDecommissioned() && !old.leftAsAnnounced()
+	w.crashed = !old.dead && !old.disproved && !old.mayBeDecommissioned() && !old.leftAsAnnounced()
 	if w.crashed {
 		s.recordCrash(old)
 		s.confirmLosses(old)
--- a/sched/incarnations_test.go
+++ b/sched/incarnations_test.go
@@ -99,6 +99,29 @@
 	x.c.Assert(x.state.Restarts("w"), qt.Equals, 1)
 }
 
+// Guards against a worker that is ignored since something else has written an entry with another
+// start time in its place: its runs were lost to the cell, and it got nothing new.
+func TestAnswerDisprovesStartTimeOfEntry(t *testing.T) {
+	x := newCell(t)
+	x.listWorkerIncarnation(incarnationAt(1000))
+	x.answerFrom(incarnationAt(1000), incarnationAt(1000))
+	x.state.AddJob(x.now, job("j", "q", tasks(1, 1)), sched.Progress{})
+	o := x.step()
+	x.acceptStarts(o)
+	for range 3 {
+		x.listWorkerIncarnation(incarnationAt(7000))
+		x.now = x.now.Add(200 * time.Millisecond)
+		x.answerFrom(incarnationAt(1000), incarnationAt(7000), o[0].Run)
+		x.listWorkerIncarnation(incarnationAt(1000))
+		x.c.Assert(x.step(), qt.HasLen, 0)
+		x.c.Assert(x.state.HeartbeatTargets(), qt.DeepEquals, []spoolsill.WorkerIncarnation{incarnationAt(1000)})
+	}
+	x.answerFrom(incarnationAt(1000), incarnationAt(1000), o[0].Run)
+	x.state.AddJob(x.now, job("k", "q", tasks(1, 1)), sched.Progress{})
+	x.c.Assert(taskNames(x.step()), qt.DeepEquals, []string{"k.0.0.0#1"})
+	x.c.Assert(x.state.Stops(), qt.HasLen, 0)
+}
+
 // answerFrom has an incarnation answer a call that was for the incarnation asked, with the
 // runs that it has.
 func (x *cell) answerFrom(l, asked spoolsill.WorkerIncarnation, running ...sched.RunID) {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -197,6 +197,7 @@
 	if s.workers[h.Worker] == nil {
 		return
 	}
+	s.reinstateIfDisproved(h)
 	w := s.observeIncarnation(h.WorkerIncarnation, "its answer")
 	if w == nil || w.dead {
 		return
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -40,6 +40,8 @@
 	former    []spoolsill.StartTime
 	// crashed is set when the incarnation before this one ended otherwise than announced.
 	crashed bool
+	// disproved is set for an incarnation that there never was.
+	disproved bool
 	// restarts counts the known earlier incarnations.
 	restarts int
 	listed   bool
