sched: drop runs that are restored at a worker that has exited

Cause: if a worker's entry goes and its machine has a new one before the jobs are read, it is declared dead without runs. Those that the jobs' rows place there are added to it later, and nothing removes them. Evidence: TestRunRestoredAtDeadWorkerIsDropped, that order of events, failed before: nothing of the job is started. Change: runs at dead workers are dropped before each placement, when all jobs are read, as losses of that worker. Why it works: it no longer matters which list is read first.

--- a/sched/formerleaders_test.go
+++ b/sched/formerleaders_test.go
@@ -76,3 +76,38 @@
 		x.c.Assert(x.step(), qt.HasLen, 0)
 	}
 }
+
+// Guards against runs that a leader restores at a worker that it already knows to have exited: their
+// tasks counted as running for as long as it led.
+func TestRunRestoredAtDeadWorkerIsDropped(t *testing.T) {
+	for _, step := range []sched.Step{tasks(1, 1), gang(2, 1)} {
+		x := newCell(t)
+		x.state.WorkerListed(x.now, sched.Worker{
+			ID:      "lost",
+			Machine: "m",
+			Service: "work",
+			Address: "lost",
+		})
+		x.state.WorkerUnlisted(x.now, "lost")
+		x.state.WorkerListed(x.now, sched.Worker{
+			ID:       "w",
+			Machine:  "m",
+			Service:  "work",
+			Address:  "w",
+			Capacity: cores(10),
+		})
+		p := sched.StageProgress{}
+		for range step.Tasks {
+			p.Tasks = append(p.Tasks, sched.TaskProgress{
+				Run:    1,
+				Worker: "lost",
+			})
+		}
+		x.state.AddJob(x.now, job("j", "q", step), sched.Progress{
+			State:  sched.Running,
+			Stages: []sched.StageProgress{p},
+		})
+		x.renewLease("w")
+		x.c.Check(x.step(), qt.HasLen, step.Tasks)
+	}
+}
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -439,9 +439,13 @@
 }
 
 // expireLeases drops the runs of workers that have not answered for so long that their
-// leases have expired.
+// leases have expired, and those that were restored at workers that were already known to have
+// exited: workers may be read from the store before the jobs.
 func (s *State) expireLeases() {
 	for _, w := range slices.Clone(s.workerList) {
+		if w.dead && len(w.runs) > 0 {
+			s.dropRuns(w, "its worker has exited", !w.mayBeDecommissioned())
+		}
 		if w.dead || s.now.Before(w.leaseUntil) {
 			continue
 		}
