sched: pace starts that are rejected for an unknown ticket

What callers saw: while a leader does not know yet that a queue has an advisor, each waiting stage of it was started and rejected every 50 ms, each time with a write to the store and a call to a worker. Cause: the delay after a rejection is that for want of capacity, which may be free at any moment. Here only a new configuration helps. Change: such a stage is tried again after 0.5 s, or at once with a new configuration, which ends all such delays. Why it works: the configuration is what the stage waits for.

--- a/sched/advicechange_test.go
+++ b/sched/advicechange_test.go
@@ -48,6 +48,26 @@
 	x.c.Assert(o[0].Ticket, qt.Equals, "ticket-w")
 }
 
+// Guards against starts that are repeated every 50 ms although each is rejected until the leader
+// knows the queue's new configuration.
+func TestStartsRejectedForUnknownTicketArePaced(t *testing.T) {
+	x := newCell(t)
+	x.addWorker("w")
+	x.setAdvised(false)
+	x.state.AddJob(x.now, job("j", "changing", tasks(1, 1)), sched.Progress{})
+	for range 200 {
+		x.renewLease("w")
+		for _, o := range x.step() {
+			x.answerStart(o, sched.StartNoTicket)
+		}
+	}
+	x.c.Assert(x.started, qt.HasLen, 4)
+	x.setAdvised(true)
+	x.step()
+	x.advise(x.query(), "w")
+	x.c.Assert(x.step(), qt.HasLen, 1)
+}
+
 // Guards against a worker that is never used again for a stage: it rejected a start for its ticket
 // while the advisor had been asked about other workers only.
 func TestWorkerThatWantsTicketIsUsedOnceAllowed(t *testing.T) {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -180,10 +180,13 @@
 // dropRejected drops a run that the worker certainly did not start.
 func (s *State) dropRejected(r *run, o StartOutcome) {
 	g := r.task.stage
+	g.retryAt = s.now.Add(rejectedRetryDelay)
 	if o == StartNoTicket {
 		g.advice.expire(r.worker)
+		if s.queue(g.job).Advisor == nil {
+			g.retryAt = s.now.Add(unknownAdvisorRetryDelay)
+		}
 	}
-	g.retryAt = s.now.Add(rejectedRetryDelay)
 	s.dropRun(r, "start order: "+o.String())
 }
 
@@ -191,6 +194,11 @@
 // about one round trip and one write.
 const rejectedRetryDelay = 50 * time.Millisecond
 
+// unknownAdvisorRetryDelay is the delay after a start that was rejected for want of a ticket although
+// the queue has no advisor as far as is known. Until its new configuration arrives, which ends the
+// delay, each start is rejected.
+const unknownAdvisorRetryDelay = 500 * time.Millisecond
+
 // Heartbeat handles a worker's answer to a lease renewal.
 func (s *State) Heartbeat(now time.Time, h Heartbeat) {
 	s.now = now
--- a/sched/state.go
+++ b/sched/state.go
@@ -247,7 +247,8 @@
 }
 
 // SetQueues applies the queues of the latest configuration. Queues that it lacks are kept
-// for their remaining jobs.
+// for their remaining jobs. Stages whose next attempt was delayed are tried again, since the reason
+// may be gone.
 func (s *State) SetQueues(queues []Queue) {
 	for _, q := range queues {
 		s.queues[q.ID] = &q
@@ -255,6 +256,9 @@
 	for _, j := range s.jobs {
 		j.queue = nil
 	}
+	for _, g := range s.openStages {
+		g.retryAt = time.Time{}
+	}
 }
 
 // Job returns the status of a job. It reports false if the job is not known.
