--- a/node/formerleader_test.go
+++ b/node/formerleader_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
 )
@@ -40,7 +41,7 @@
 	x.workers.Crash(id)
 	time.AfterFunc(4500*time.Millisecond, func() {
 		x.store.Delete(store.Key{
-			Table: "servers",
+			Table: platform.WorkersTable,
 			Name:  string(id),
 		})
 	})
