--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -65,16 +65,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := newCell(t)
-			x.state.SetQueues([]sched.Queue{
-				{
-					ID:          "patient",
-					Service:     "work",
-					Priority:    2,
-					MaxAttempts: 2,
-					Stretch:     4,
-					Goal:        time.Second,
-				},
-			})
+			x.addPatientQueue()
 			x.addWorker("w")
 			running := x.fillWithSmallTasks(c.queue, c.saves)
 			x.addLargeJob()
