node: test that only heartbeats under the present epoch end former leaders

Cause: the comparison of epochs in handleHeartbeat could be taken out without a failing test; a delayed heartbeat would then count a host as over that leads. Change: TestHeartbeatUnderFormerEpochDoesNotEndFormerLeader sends heartbeats under no epoch, the former one and the present one. Only the last takes a host off.

--- a/node/formerleader_test.go
+++ b/node/formerleader_test.go
@@ -1,7 +1,9 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +12,9 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/pause"
+	"github.com/spoolsill/spoolsill/internal/standin"
+	"github.com/spoolsill/spoolsill/leader"
+	"github.com/spoolsill/spoolsill/peer"
 	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/sched"
 	"github.com/spoolsill/spoolsill/store"
@@ -126,3 +131,41 @@
 	x.c.Check(x.workers.Violations(), qt.HasLen, 0)
 	x.c.Check(x.workers.RunningCount(), qt.Equals, 3)
 }
+
+// Guards against a delayed heartbeat by which a former leader counts as over although it may lead:
+// only one under the present epoch was sent after it had learned of the takeover.
+func TestHeartbeatUnderFormerEpochDoesNotEndFormerLeader(t *testing.T) {
+	run(t, 3, 1, func(x *cell) {
+		former := x.leader()
+		x.setCutOff(former, true)
+		x.awaitTakeoverFrom(former)
+		h, _, err := leader.ReadHead(x.ctx, x.store)
+		x.c.Assert(err, qt.IsNil)
+		sender := peer.NewNode(peer.Config{
+			Host: spoolsill.HostID(hostName(former)),
+			Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				return x.network.Dialer(standin.Node{
+					Name:  "delayed",
+					Place: "hall9",
+				})(ctx, "tcp", address)
+			},
+		})
+		defer sender.Close()
+		sender.SetAddress(h.Host, h.Address)
+		for _, c := range []struct {
+			epoch spoolsill.Epoch
+			left  int
+		}{
+			{0, 1},
+			{h.Epoch - 1, 1},
+			{h.Epoch, 0},
+		} {
+			_, err := peer.Call[struct{}](x.ctx, sender, h.Host, "greet", struct{ Epoch spoolsill.Epoch }{c.epoch})
+			x.c.Assert(err, qt.IsNil)
+			pause.For(x.ctx, time.Second)
+			h, _, err := leader.ReadHead(x.ctx, x.store)
+			x.c.Assert(err, qt.IsNil)
+			x.c.Check(h.Former, qt.HasLen, c.left, qt.Commentf("epoch %d", c.epoch))
+		}
+	})
+}
