--- a/review/kit3/cell.go
+++ b/review/kit3/cell.go
@@ -28,6 +28,7 @@
 const (
 	service     = "quizdesk"
 	runnerCPU   = 32_000
+	runnerGPUs  = 8
 	runnerMemMB = 131_072
 	maxHold     = 10 * time.Second
 )
@@ -47,7 +48,7 @@
 
 	storeAddress   string
 	advisorAddress string
-	net            byte
+	net            int // tells cells that run beside each other apart
 	machines       []*machine
 	hosts          []*host
 	version        int
@@ -60,7 +61,7 @@
 		record:  r,
 		store:   cellfake.NewStore(),
 		workers: cellfake.NewWorkers(maxHold),
-		net:     byte(1 + os.Getpid()%250),
+		net:     os.Getpid(),
 		client: &http.Client{
 			Timeout: 3 * time.Second,
 		},
@@ -100,7 +101,8 @@
 
 // ip returns the n-th loopback address of the cell.
 func (c *cell) ip(n int) string {
-	return fmt.Sprintf("127.31.%d.%d", c.net, n)
+	const first, nets = 32, 200
+	return fmt.Sprintf("127.%d.%d.%d", first+c.net/nets%nets, c.net%nets, n)
 }
 
 func (c *cell) serveAt(n int, h http.Handler) (string, error) {
@@ -216,9 +218,13 @@
 	Count       int   `json:"count"`
 	CPU         int64 `json:"cpu,omitempty"`
 	MemMB       int64 `json:"memMb,omitempty"`
+	GPU         int   `json:"gpu,omitempty"`
 	EstMS       int   `json:"estMs,omitempty"`
 	AfterRev    []int `json:"afterRev,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
+	// AntiAffinity is how many tasks of the step a runner may hold.
+	AntiAffinity int `json:"antiAffinity,omitempty"`
 }
 
 // newID returns a job id of 16 hexadecimal digits.
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -30,7 +30,7 @@
 
 var cases = map[string]testCase{
 	"crashes": crashes,
-	"route":   droppedRoute,
+	"gang":    gang,
 	"gone":    goneRunner,
 	"poison":  poison,
 	"failing": failing,
--- a/review/kit3/runner.go
+++ b/review/kit3/runner.go
@@ -121,7 +121,7 @@
 		"capacity": map[string]int64{
 			"cpu":   runnerCPU,
 			"memMb": runnerMemMB,
-			"gpu":   0,
+			"gpu":   runnerGPUs,
 		},
 		"labels": []string{"a", m.rack},
 	})
