--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
   exit 2
 fi
-exec target/kit3 poison review/13
+exec target/kit3 gang review/13
