--- a/review/kit3/cases.go
+++ b/review/kit3/cases.go
@@ -24,6 +24,9 @@
 	idle    = 3 * time.Second
 	// visible is visible_ms.
 	visible = 3 * time.Second
+	// submitGap is between the jobs of the cases with hopeless ones: 45 or more come in three
+	// seconds.
+	submitGap = 50 * time.Millisecond
 	// lastingTime is longer than any case.
 	lastingTime = time.Hour
 )
@@ -160,13 +163,12 @@
 	return slices.MaxFunc(c.machines, func(a, b *machine) int { return count[a] - count[b] })
 }
 
-// failing hands in jobs, one of twenty of which can never be done: its tasks fail wherever they
-// run. After the last job, the runners have room for all of them.
+// failing hands in jobs, two of which can never be done: their tasks fail wherever they run. After the last job, the runners have room for all of them.
 func failing(ctx context.Context, dir string, r *record, trouble bool) (verdict, error) {
 	const (
 		machines = 8
-		jobs     = 40
-		hopeless = 2  // 0.05 of the jobs
+		jobs     = 80
+		hopeless = 2  // less than 0.05 of the jobs of the three seconds around them
 		width    = 84 // tasks of a hopeless job, as many as title-extract has at most
 		taskTime = 400 * time.Millisecond
 		taskCPU  = 2000
@@ -203,7 +205,7 @@
 			return nil, fmt.Errorf("job %s was not accepted", id)
 		}
 		handedIn[id] = true
-		pause(ctx, 150*time.Millisecond)
+		pause(ctx, submitGap)
 	}
 	return c.watchIdle(r, handedIn, func() bool { return 2*c.runs.runningCount()*taskCPU < machines*runnerCPU }), nil
 }
@@ -286,13 +288,13 @@
 	return c.watchIdle(r, jobs, func() bool { return 2*c.runs.runningCount() < machines*runnerGPUs }), nil
 }
 
-// poison hands in jobs, one of twenty of which can never be done: they ask for more memory than
+// poison hands in jobs, two of which can never be done: they ask for more memory than
 // any runner has.
 func poison(ctx context.Context, dir string, r *record, trouble bool) (verdict, error) {
-	const jobs = 40
+	const jobs = 120
 	memory := map[int]int64{
-		9:  math.MaxInt64,
-		10: 1 << 44,
+		50: math.MaxInt64,
+		51: 1 << 44,
 	}
 	c, err := newCell(ctx, dir, r, 8, 5, []route{{name: "batch", priority: 1}})
 	if c != nil {
@@ -334,7 +336,7 @@
 				broken = append(broken, fmt.Sprintf("LOST: 410 for job %s, which was accepted %.1f s before and not cancelled", j.id, time.Since(j.at).Seconds()))
 			}
 		}
-		pause(ctx, 150*time.Millisecond)
+		pause(ctx, submitGap)
 	}
 	r.add("the traffic ends")
 	pause(ctx, 5*time.Second)
