sched, platform: numbers of a job can't overflow

Cause: amounts were multiplied without a check; hosts and leaders checked jobs with two sets of bounds, so that a host could accept what no leader reads; and decisions computed with any number (tasks x need, steps x estimate, rounds x interval, floats converted to times).

Sums and products of resources, costs and times saturate (internal/saturate). Forecast, supply and backlog leave out what no worker can hold, which waits.

--- a/forecast/cost.go
+++ b/forecast/cost.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/saturate"
 )
 
 // A Cost is what work uses of the cell.
@@ -15,11 +16,11 @@
 	Advice time.Duration
 }
 
-// Add returns c + o.
+// Add returns c + o. Times saturate.
 func (c Cost) Add(o Cost) Cost {
 	return Cost{
-		Processor: c.Processor + o.Processor,
-		Advice:    c.Advice + o.Advice,
+		Processor: saturate.Add(c.Processor, o.Processor),
+		Advice:    saturate.Add(c.Advice, o.Advice),
 	}
 }
 
@@ -33,7 +34,7 @@
 
 // ProcessorTime returns the processor time of n tasks that use p for d each.
 func ProcessorTime(n int, p spoolsill.Millicores, d time.Duration) time.Duration {
-	return time.Duration(float64(n) * float64(p) / float64(spoolsill.Core) * float64(d))
+	return saturate.FromFloat[time.Duration](float64(n) * float64(p) / float64(spoolsill.Core) * float64(d))
 }
 
 // A Supply is what the cell has for work that ends.
--- a/jobstore/fuzz_test.go
+++ b/jobstore/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/sched"
 )
@@ -91,3 +92,24 @@
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%+v", j))
 	}
 }
+
+// Guards against accepted jobs that nobody knows any more: releases that did not limit a job's memory
+// stored amounts that had overflowed.
+func TestJobOfNegativeMemoryIsRead(t *testing.T) {
+	b, err := jobstore.EncodeJob(sched.Job{
+		ID:    "j",
+		Queue: "q",
+		Steps: []sched.Step{
+			{
+				Tasks: 1,
+				Need: spoolsill.Resources{
+					Memory: -spoolsill.MiB,
+				},
+			},
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	j, err := jobstore.DecodeJob(b)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, j.Steps[0].Need.Memory > 256<<10*spoolsill.GiB, qt.IsTrue)
+}
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -82,6 +82,7 @@
 	if _, err := packed.Decode(b, &j); err != nil {
 		return sched.Job{}, err
 	}
+	j.Normalize()
 	if err := j.Check(); err != nil {
 		return sched.Job{}, err
 	}
--- a/sched/capacity.go
+++ b/sched/capacity.go
@@ -33,3 +33,31 @@
 func (w *worker) hasCapacity() bool {
 	return !w.free().Negative()
 }
+
+// A largestCapacity has for each service the largest amount of each resource that one of its
+// workers has.
+type largestCapacity map[spoolsill.ServiceID]spoolsill.Resources
+
+// largestCapacities returns the largest capacities of the workers that are alive.
+func (s *State) largestCapacities() largestCapacity {
+	l := largestCapacity{}
+	for _, w := range s.workerList {
+		if w.dead {
+			continue
+		}
+		c := l[w.Service]
+		l[w.Service] = spoolsill.Resources{
+			Processors:   max(c.Processors, w.Capacity.Processors),
+			Memory:       max(c.Memory, w.Capacity.Memory),
+			Accelerators: max(c.Accelerators, w.Capacity.Accelerators),
+		}
+	}
+	return l
+}
+
+// tooSmallFor reports whether no worker of the queue's service can hold a task of g, even an empty
+// one. It is false as long as none is known.
+func (l largestCapacity) tooSmallFor(g *stage, q *Queue) bool {
+	c, known := l[q.Service]
+	return known && !g.step.demand().FitsIn(c)
+}
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/spoolsill/spoolsill/internal/saturate"
 )
 
 const (
@@ -16,6 +18,9 @@
 	// minSlowness and maxSlowness bound the slowness of a worker.
 	minSlowness = 0.5
 	maxSlowness = 10.0
+	// maxRunTimeRatio bounds what an estimate that is off by orders of magnitude adds to the
+	// average of its queue.
+	maxRunTimeRatio = 1000.0
 )
 
 // A runTimeEstimate is the observed run time of the tasks of a queue.
@@ -30,7 +35,7 @@
 	if e == nil || !e.known {
 		return p.Estimate
 	}
-	return time.Duration(e.ratio * float64(p.Estimate))
+	return min(saturate.FromFloat[time.Duration](e.ratio*float64(p.Estimate)), maxEstimate)
 }
 
 // adviceWeight is the weight of the newest stage in the moving average of what stages cost the
@@ -86,7 +91,7 @@
 		e = &runTimeEstimate{}
 		s.runTimes[q] = e
 	}
-	ratio := runTime / float64(p.Estimate)
+	ratio := min(max(runTime/float64(p.Estimate), 1/maxRunTimeRatio), maxRunTimeRatio)
 	if !e.known {
 		e.ratio = ratio
 		e.known = true
--- a/sched/job.go
+++ b/sched/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/saturate"
 )
 
 // QueueID identifies a queue, the route by which a job was submitted.
@@ -69,14 +70,64 @@
 	Received time.Time
 }
 
-// Limits of a job. They are far above what hosts accept, but bound the work of a leader,
+// Limits of a job that hosts accept and leaders read back. They bound the work of a leader,
 // which creates all tasks of a step at once.
 const (
-	maxSteps  = 1 << 12
-	maxTasks  = 1 << 20
-	maxRounds = 1 << 20
+	maxSteps  = 1000
+	maxTasks  = 100_000 // of all rounds
+	maxRounds = 100_000
 )
 
+// maxNeed is more than any worker has, so that a task that needs it can't be placed.
+var maxNeed = spoolsill.Resources{
+	Processors:   1 << 27 * spoolsill.Millicores(1),
+	Memory:       1 << 49 * spoolsill.Bytes(1),
+	Accelerators: 1 << 14,
+}
+
+// maxEstimate is the longest estimate of a run time. Sums over the steps of a job do not overflow.
+const maxEstimate = 30 * 24 * time.Hour
+
+// The range of the due times of rounds. Differences between them, or from the time of day, do
+// not overflow.
+var (
+	minDue = time.Unix(0, 0)
+	maxDue = minDue.AddDate(200, 0, 0)
+)
+
+// Normalize limits the amounts and times of a job to the ranges that decisions can compute with.
+// Tasks that need more than any worker has still do afterwards. Rows of releases that did
+// not limit a job's memory may have a negative amount, which stands for too large a one.
+func (j *Job) Normalize() {
+	j.Interval = max(j.Interval, 0)
+	if j.Rounds > 0 && j.FirstRound.Before(minDue) {
+		j.FirstRound = minDue
+	}
+	if j.FirstRound.After(maxDue) {
+		j.FirstRound = maxDue
+	}
+	for i := range j.Steps {
+		p := &j.Steps[i]
+		if p.Need.Negative() {
+			p.Need = maxNeed
+		}
+		p.Need = p.Need.Clamp(spoolsill.Resources{}, maxNeed)
+		p.Estimate = min(max(p.Estimate, 0), maxEstimate)
+		p.TailTarget = min(max(p.TailTarget, 0), maxEstimate)
+		p.MaxPerWorker = max(p.MaxPerWorker, 0)
+		p.MayMiss = max(p.MayMiss, 0)
+	}
+}
+
+// dueAt returns when round k of a timed job is due.
+func (j *Job) dueAt(k int) time.Time {
+	due := j.FirstRound.Add(saturate.Mul(time.Duration(k), j.Interval))
+	if due.After(maxDue) {
+		return maxDue
+	}
+	return due
+}
+
 // Check returns an error if no host can have accepted the job. Without the check, a row
 // that was damaged or written by someone else would crash every process that leads.
 func (j *Job) Check() error {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -64,7 +64,7 @@
 				tasksLeft: j.Steps[i].Tasks,
 			}
 			if j.Rounds > 0 {
-				g.due = j.FirstRound.Add(time.Duration(k) * j.Interval)
+				g.due = j.dueAt(k)
 			}
 			j.stages = append(j.stages, g)
 			if g.tasksLeft > 0 {
--- a/sched/load.go
+++ b/sched/load.go
@@ -120,11 +120,12 @@
 	return l
 }
 
-// Backlog returns the demand of the tasks that wait to be placed, and the free capacity of the
-// ready workers. Cost: O(workers + stages).
+// Backlog returns the demand of the tasks that wait to be placed and that some worker can hold, and
+// the free capacity of the ready workers. Cost: O(workers + stages).
 func (s *State) Backlog() (waiting, free spoolsill.Resources) {
+	largest := s.largestCapacities()
 	for _, g := range s.openStages {
-		if g.placeable() && !g.job.state.Final() {
+		if g.placeable() && !g.job.state.Final() && !largest.tooSmallFor(g, s.queue(g.job)) {
 			waiting = waiting.Add(g.step.demand().Times(g.waiting))
 		}
 	}
--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -6,6 +6,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/forecast"
+	"github.com/spoolsill/spoolsill/internal/saturate"
 )
 
 // outlookTTL is how long an outlook is cached. It is far shorter than the tasks whose end it
@@ -120,12 +121,13 @@
 	if f.Processors == 0 {
 		return forecast.Supply{}
 	}
+	largest := s.largestCapacities()
 	for _, g := range s.openStages {
 		if !g.step.Lasting || g.job.state.Final() {
 			continue
 		}
 		n := len(g.tasks)
-		if !g.job.team.allows(g.step.demand()) {
+		if !g.job.team.allows(g.step.demand()) || largest.tooSmallFor(g, s.queue(g.job)) {
 			n -= g.waiting
 		}
 		f.Processors -= g.step.demand().Times(n).Processors
@@ -135,11 +137,13 @@
 }
 
 // describeAccepted returns the unfinished jobs, and each unfinished round of timed jobs that is due.
+// Those whose tasks no worker can hold are left out: others don't wait for them.
 func (s *State) describeAccepted() []forecast.Job {
 	jobs := make([]forecast.Job, 0, len(s.openStages))
+	largest := s.largestCapacities()
 	for _, g := range s.openStages {
 		q := s.queue(g.job)
-		if q.Service == "" || g.job.state.Final() || g != g.firstLeft() {
+		if q.Service == "" || g.job.state.Final() || g != g.firstLeft() || largest.tooSmallFor(g, q) {
 			continue
 		}
 		if f := s.describe(g, q); f.Left != (forecast.Cost{}) {
@@ -224,7 +228,7 @@
 		if t.run != nil && !t.run.stopping {
 			d = s.remaining(t.run)
 		}
-		total += d
+		total = saturate.Add(total, d)
 		longest = max(longest, d)
 	}
 	c.Processor = forecast.ProcessorTime(1, p.demand().Processors, total)
--- a/sched/outlook_test.go
+++ b/sched/outlook_test.go
@@ -269,3 +269,43 @@
 	x.c.Check(forecasts["first"], qt.Equals, 2*time.Second)
 	x.c.Check(forecasts["second"] > 2500*time.Millisecond && forecasts["second"] < 3*time.Second, qt.IsTrue, qt.Commentf("%s", forecasts["second"]))
 }
+
+// Guards against one job that no worker can hold making all others seem late: nothing waits for it.
+func TestJobThatFitsNowhereIsNotForecast(t *testing.T) {
+	for _, lasting := range []bool{false, true} {
+		x := newCell(t)
+		x.addWorker("a")
+		huge := tasks(1000, 1<<17)
+		huge.Estimate = 30 * 24 * time.Hour
+		huge.Lasting = lasting
+		x.addNow(job("huge", "q", huge))
+		x.addNow(job("plain", "q", tasks(1, 5)))
+		x.step()
+		x.now = x.now.Add(200 * time.Millisecond)
+		x.state.Decide(x.now)
+		o := x.state.Outlook(x.now)
+		x.c.Check(o.Supply().Processors, qt.Equals, cores(10).Processors)
+		x.c.Check(o.Backlog() < time.Second, qt.IsTrue, qt.Commentf("%s", o.Backlog()))
+		x.c.Check(o.Overloaded(), qt.IsFalse)
+		waiting, _ := x.state.Backlog()
+		x.c.Check(waiting.IsZero(), qt.IsTrue, qt.Commentf("%v", waiting))
+	}
+}
+
+// Guards against an estimate that is far too low making the expected times of other jobs of the
+// queue overflow.
+func TestExpectedTimesAreBoundedAfterTinyEstimate(t *testing.T) {
+	x := newCell(t)
+	x.addWorker("w")
+	tiny := tasks(1, 1)
+	tiny.Estimate = time.Nanosecond
+	x.addNow(job("tiny", "q", tiny))
+	started := x.step()
+	x.c.Assert(started, qt.HasLen, 1)
+	x.acceptStarts(started)
+	x.run("w", started[0], 5*time.Second)
+	long := tasks(1000, 10)
+	long.Estimate = 30 * 24 * time.Hour
+	d := x.state.Describe(job("long", "q", long, after(long), after(long)))
+	x.c.Check(d.Chain > 0 && d.Left.Processor > 0 && d.Due > 0, qt.IsTrue, qt.Commentf("%+v", d))
+}
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/spoolsill/spoolsill/internal/saturate"
 )
 
 // A tier classifies stages by the worth that they can still earn.
@@ -99,10 +101,14 @@
 	return r
 }
 
+// maxObjective bounds the objective of a job, so that a multiple of it does not overflow.
+const maxObjective = 10 * 365 * 24 * time.Hour
+
 // objective returns the time within which a round of a job with these critical paths should
 // be done.
 func (q *Queue) objective(criticalPaths []time.Duration) time.Duration {
-	return time.Duration(q.Stretch*float64(slices.Max(criticalPaths))) + q.Goal
+	stretched := saturate.FromFloat[time.Duration](q.Stretch * float64(slices.Max(criticalPaths)))
+	return min(saturate.Add(stretched, q.Goal), maxObjective)
 }
 
 // criticalPathTTL is how long the critical paths of a job are cached. Estimates of run
--- a/unit.go
+++ b/unit.go
@@ -1,6 +1,10 @@
 package spoolsill
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/spoolsill/spoolsill/internal/saturate"
+)
 
 // Millicores is an amount of processor capacity in thousandths of a core.
 type Millicores int64
@@ -26,12 +30,12 @@
 	Accelerators Accelerators `json:"accelerators" msgpack:"a" toml:"accelerators"`
 }
 
-// Add returns r + o.
+// Add returns r + o. Components saturate.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{
-		Processors:   r.Processors + o.Processors,
-		Memory:       r.Memory + o.Memory,
-		Accelerators: r.Accelerators + o.Accelerators,
+		Processors:   saturate.Add(r.Processors, o.Processors),
+		Memory:       saturate.Add(r.Memory, o.Memory),
+		Accelerators: saturate.Add(r.Accelerators, o.Accelerators),
 	}
 }
 
@@ -44,12 +48,21 @@
 	}
 }
 
-// Times returns r multiplied by n.
+// Times returns r multiplied by n. Components saturate.
 func (r Resources) Times(n int) Resources {
 	return Resources{
-		Processors:   r.Processors * Millicores(n),
-		Memory:       r.Memory * Bytes(n),
-		Accelerators: r.Accelerators * Accelerators(n),
+		Processors:   saturate.Mul(r.Processors, Millicores(n)),
+		Memory:       saturate.Mul(r.Memory, Bytes(n)),
+		Accelerators: saturate.Mul(r.Accelerators, Accelerators(n)),
+	}
+}
+
+// Clamp returns r with each component limited to the range from that of low to that of high.
+func (r Resources) Clamp(low, high Resources) Resources {
+	return Resources{
+		Processors:   min(max(r.Processors, low.Processors), high.Processors),
+		Memory:       min(max(r.Memory, low.Memory), high.Memory),
+		Accelerators: min(max(r.Accelerators, low.Accelerators), high.Accelerators),
 	}
 }
 
