sched: jobs of lower rank backfill beside a waiting gang

Cause: a reservation was absolute, and a gang reserves three times its room.

Evidence: "load of the cell" has 13 of 13 workers reserved from the arrival of the gang until it starts; the small jobs start with it.

Fix: the gang's start is forecast from the runs on its workers. A task may use a reserved worker if it takes nothing from the gang, is expected to end before, or leaves it enough seats in a service that is less than half in use; any job may that would have nothing running for 2.5 s beside capacity that is mostly idle, also beside a large task. A run that overstays is stopped a second after its time if the gang could start without it, a task twice at most. Queries to the advisor and the cache of stages without room go by the same decision.

--- a/sched/budget.go
+++ b/sched/budget.go
@@ -181,7 +181,7 @@
 	candidates, anyRoom := d.adviceCandidates(g, q)
 	if !anyRoom {
 		d.roomless = roomless{
-			step:  g.step,
+			stage: g,
 			queue: g.job.Queue,
 		}
 	}
@@ -192,16 +192,22 @@
 	return advisor.Granted
 }
 
-// roomless is a step for which no room was found in a pass. Other stages of its queue that need as
+// roomless is a stage for which no room was found in a pass. Other stages of its queue that need as
 // much are then known to have none, without a look at each worker.
 type roomless struct {
-	step  *Step
+	stage *stage
 	queue QueueID
 }
 
-// covers reports whether no worker has room for a task of g either. Workers that are reserved for g may.
+// covers reports whether no worker has room for a task of g either. Workers that are reserved for g may, or
+// those where g can backfill since it is shorter or has waited for longer.
 func (r roomless) covers(g *stage) bool {
-	return r.step != nil && len(g.reserved) == 0 && r.queue == g.job.Queue && r.step.Requires == "" && r.step.MaxPerWorker == 0 && r.step.demand().FitsIn(g.step.demand())
+	if r.stage == nil || len(g.reserved) > 0 || r.queue != g.job.Queue {
+		return false
+	}
+	p := r.stage.step
+	return p.Requires == "" && p.MaxPerWorker == 0 && p.demand().FitsIn(g.step.demand()) &&
+		p.Estimate <= g.step.Estimate && !g.openedAt.Before(r.stage.openedAt)
 }
 
 func (d *decider) adviceBudget(q *Queue) advisor.Budget {
@@ -242,7 +248,7 @@
 		if !g.labelMatches(w) {
 			continue
 		}
-		if h := d.reservedFor[w]; h != nil && h != g && q.Priority > 0 {
+		if !d.mayUse(g, q, w) {
 			continue
 		}
 		c := advisor.Candidate{
@@ -316,7 +322,7 @@
 // endsIn returns the expected remaining time of a run, by its progress if that is known.
 func (s *State) endsIn(r *run) time.Duration {
 	done := r.progressedAt.Sub(r.startedAt)
-	if r.percent <= 0 || r.startedAt.IsZero() || done <= 0 || r.stopping {
+	if r.percent <= 0 || r.startedAt.IsZero() || done <= 0 || r.stopping || r.task.stage.step.Lasting {
 		return s.remaining(r)
 	}
 	left := time.Duration(float64(done) * float64(100-r.percent) / float64(r.percent))
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -28,7 +28,6 @@
 	}
 	d := decider{
 		State:         s,
-		reservedFor:   map[*worker]*stage{},
 		ready:         map[spoolsill.ServiceID]*readyWorkers{},
 		waitingQueues: map[QueueID]bool{},
 	}
@@ -55,6 +54,9 @@
 	// maxFree is an upper bound of the free resources of any of them. It is not
 	// lowered while resources are allocated during a pass.
 	maxFree spoolsill.Resources
+	// capacity and used are the totals of the workers, as of the start of the pass.
+	capacity spoolsill.Resources
+	used     spoolsill.Resources
 	// byFree has the workers sorted by free processors, highest first, as of the first
 	// call of sortedByFree in the pass; nil before.
 	byFree []*worker
@@ -74,6 +76,7 @@
 // fit anywhere are rejected cheaply.
 func (d *decider) collectReady() {
 	for _, w := range d.workerList {
+		w.reservation = nil
 		w.ready = d.acceptsStarts(w) && w.health.available(d.now)
 		if !w.ready {
 			continue
@@ -86,6 +89,8 @@
 			d.ready[w.Service] = r
 		}
 		r.workers = append(r.workers, w)
+		r.capacity = r.capacity.Add(w.Capacity)
+		r.used = r.used.Add(w.used)
 		free := w.free()
 		r.maxFree.Processors = max(r.maxFree.Processors, free.Processors)
 		r.maxFree.Memory = max(r.maxFree.Memory, free.Memory)
@@ -96,9 +101,9 @@
 // A decider is one pass over the waiting stages.
 type decider struct {
 	*State
-	// reservedFor maps a reserved worker to the stage that it is reserved for.
-	reservedFor map[*worker]*stage
-	ready       map[spoolsill.ServiceID]*readyWorkers
+	// reserved counts the workers with a reservation.
+	reserved int
+	ready    map[spoolsill.ServiceID]*readyWorkers
 	// waitingQueues are the queues that have stages to place.
 	waitingQueues map[QueueID]bool
 	// forecastFor is the queue that the workers' soonFree holds for.
@@ -211,8 +216,7 @@
 }
 
 // candidates returns the workers where g may start a task and that have the capacity for
-// it. It leaves out workers that are reserved for other stages, except for queues of the
-// highest priority.
+// it. It leaves out workers that are reserved for other stages and where g can't backfill.
 func (d *decider) candidates(g *stage, q *Queue) []*worker {
 	r := d.ready[q.Service]
 	need := g.step.demand()
@@ -231,10 +235,7 @@
 		if !g.labelMatches(w) {
 			continue
 		}
-		if h := d.reservedFor[w]; h != nil && h != g && q.Priority > 0 {
-			continue
-		}
-		if d.blockedByTrial(g, w) {
+		if !d.mayUse(g, q, w) || d.blockedByTrial(g, w) {
 			continue
 		}
 		ws = append(ws, w)
@@ -303,6 +304,9 @@
 		if m := g.step.MaxPerWorker; m > 0 && g.runsAt(w) >= m {
 			continue
 		}
+		if w.reservation != nil && !d.mayUse(g, d.queue(g.job), w) {
+			continue // tasks started before in the pass may have taken what was spare
+		}
 		c := d.placementCost(g, w, free.Sub(need)) + d.trialCost(t, w)
 		if slices.Contains(t.failedOn, w.incarnation()) {
 			c += failedWorkerCost
@@ -373,7 +377,7 @@
 		Job:    g.job.ID,
 		Run:    r.id,
 		Worker: r.worker.id,
-		Reason: "has room",
+		Reason: r.placementReason(),
 		Age:    s.now.Sub(r.worker.answeredAt),
 	})
 }
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -47,7 +47,7 @@
 // it. Reservations of the last pass are kept.
 func (d *decider) reserveForGang(g *stage, q *Queue) {
 	r := d.ready[q.Service]
-	if r == nil || len(d.reservedFor) > 0 && len(d.reservedFor) >= len(r.workers)/reserveDivisor {
+	if r == nil || d.reserved > 0 && d.reserved >= len(r.workers)/reserveDivisor {
 		g.reserved = nil
 		return
 	}
@@ -61,13 +61,14 @@
 		g.reserved = nil
 		return
 	}
+	h := g.gangReservation()
 	fits := 0
 	reserve := func(w *worker) bool {
 		n := fitCount(g.step.demand(), w.reclaimable())
-		if !w.ready || d.reservedFor[w] != nil || n == 0 || fits >= gangReserveFactor*len(g.tasks) {
+		if !w.ready || w.reservation != nil || n == 0 || fits >= gangReserveFactor*len(g.tasks) {
 			return false
 		}
-		d.reservedFor[w] = g
+		d.reserve(w, h)
 		fits += n
 		return true
 	}
@@ -79,6 +80,22 @@
 			g.reserved = append(g.reserved, w)
 		}
 	}
+	d.reclaim(h)
+}
+
+// gangReservation returns the reservation of a gang, without workers. What was forecast for the
+// last one is kept.
+func (g *stage) gangReservation() *reservation {
+	h := g.reservation
+	if h == nil || len(g.reserved) == 0 {
+		h = &reservation{
+			stage: g,
+			tasks: len(g.tasks),
+		}
+		g.reservation = h
+	}
+	h.workers = h.workers[:0]
+	return h
 }
 
 // seatable reports whether the whole gang would fit on ws once all runs there have ended that
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -30,10 +30,15 @@
 	}
 	limit := max(len(r.workers)/reserveDivisor, 1)
 	reserve := func(w *worker) bool {
-		if !w.ready || d.reservedFor[w] != nil || waiting == 0 || len(d.reservedFor) >= limit || !d.isLarge(g, w) {
+		if !w.ready || w.reservation != nil || waiting == 0 || d.reserved >= limit || !d.isLarge(g, w) {
 			return false
 		}
-		d.reservedFor[w] = g
+		h := &reservation{
+			stage: g,
+			tasks: 1,
+		}
+		d.reserve(w, h)
+		d.reclaim(h)
 		waiting--
 		return true
 	}
@@ -67,7 +72,7 @@
 	at := map[*worker]time.Time{}
 	var ws []*worker
 	for _, w := range from {
-		if w.ready && d.reservedFor[w] == nil && d.isLarge(g, w) {
+		if w.ready && w.reservation == nil && d.isLarge(g, w) {
 			at[w] = d.earliestStart(g, w)
 			ws = append(ws, w)
 		}
--- a/sched/state.go
+++ b/sched/state.go
@@ -191,8 +191,10 @@
 	// deferred are recorded orders that wait for a new ticket, since theirs expired while
 	// a slow store recorded them.
 	deferred []StartOrder
-	// reserved are the workers reserved for the stage while it waits for capacity.
-	reserved []*worker
+	// reserved are the workers reserved for the stage while it waits for capacity, and
+	// reservation, for a gang, is that of the last pass.
+	reserved    []*worker
+	reservation *reservation
 }
 
 // A task is one task of a stage.
@@ -244,6 +246,10 @@
 	stopping        bool
 	stopAcceptedAt  time.Time // when the worker first accepted a stop
 	nextStopAt      time.Time // when to repeat the stop order
+	// yieldsTo is the stage that the worker was reserved for when the run was placed there until
+	// yieldAt, or nil.
+	yieldsTo *stage
+	yieldAt  time.Time
 }
 
 // SetQueues applies the queues of the latest configuration. Queues that it lacks are kept
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -91,7 +91,9 @@
 	// leaseExpired is set when its runs were dropped because its lease had expired.
 	leaseExpired bool
 	ready        bool // accepts something new, as of the current pass
-	health       health
+	// reservation is by which the worker is kept for a stage in the current pass, or nil.
+	reservation *reservation
+	health      health
 	// soonFree is what is expected to become free here, for stages of decider.forecastFor.
 	soonFree spoolsill.Resources
 	// trials are the runs of suspect tasks.
--- a/unit.go
+++ b/unit.go
@@ -91,6 +91,22 @@
 	return max(s, share(int64(r.Accelerators), int64(total.Accelerators)))
 }
 
+// LeastShare returns the smallest ratio of a component of r to that of total. Components that are not
+// positive in total are ignored; it is 1 if there is no other.
+func (r Resources) LeastShare(total Resources) float64 {
+	least := 1.0
+	for _, c := range [][2]int64{
+		{int64(r.Processors), int64(total.Processors)},
+		{int64(r.Memory), int64(total.Memory)},
+		{int64(r.Accelerators), int64(total.Accelerators)},
+	} {
+		if c[1] > 0 {
+			least = min(least, share(c[0], c[1]))
+		}
+	}
+	return least
+}
+
 // String returns r in a form like "2.5 cores, 4 GiB".
 func (r Resources) String() string {
 	s := fmt.Sprintf("%.4g cores, %.4g GiB", float64(r.Processors)/float64(Core), float64(r.Memory)/float64(GiB))
