leader, sched: a row that the store rejects stops no other

Cause: the size of a job's progress was guessed when it was accepted, whatever workers save later; the leader wrote rows of any size; and a refusal that comes again each time was retried without end, with the progress of all jobs behind it.

Fix: rows stay within the limit, by giving up what costs least: texts of tasks that are done or running, then of waiting ones, evidence of crashes, and starts that have not been sent. store.ErrInvalid tells refusals for good; the leader divides such a transaction until the rejected rows are alone, holds back what depends on them, and writes them again, smaller each time; the job fails in the end. The writer of accepted jobs divides its transactions alike.

--- a/internal/cellfake/store.go
+++ b/internal/cellfake/store.go
@@ -21,6 +21,7 @@
 	StoreLoseReply            // applied, but the answer is lost
 	StoreLate                 // applied later if its conditions still hold; the answer is lost
 	StoreReset                // not applied; the connection is reset immediately
+	StoreReject               // rejected for good
 )
 
 // lateDelay is the delay after which a [StoreLate] transaction is applied.
@@ -45,6 +46,7 @@
 	extraLatency time.Duration            // added to each call, see SetExtraLatency
 	queueEnds    map[string]time.Time     // when the queued transactions of each partition end
 	unavailable  bool
+	maxRowBytes  int // of the rows that are accepted; 0 means no limit
 	feedStalled  bool
 }
 
@@ -59,11 +61,14 @@
 // faultFor returns the fault of a transaction.
 func (s *Store) faultFor(t store.Transaction) StoreFault {
 	s.mu.Lock()
-	f, refuse := s.fault, s.unavailable
+	f, refuse, most := s.fault, s.unavailable, s.maxRowBytes
 	s.mu.Unlock()
+	tooLarge := func(p store.Put) bool { return most > 0 && len(p.Value) > most }
 	switch {
 	case refuse:
 		return StoreRefuse
+	case slices.ContainsFunc(t.Puts, tooLarge):
+		return StoreReject
 	case f == nil:
 		return StoreOK
 	default:
@@ -71,6 +76,13 @@
 	}
 }
 
+// SetMaxRowBytes sets the size of the largest row that the store accepts.
+func (s *Store) SetMaxRowBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxRowBytes = n
+}
+
 // SetFeedStalled stalls or resumes the change feeds. The platform's feeds may stall for a
 // second; changes of that time are delivered afterwards.
 func (s *Store) SetFeedStalled(stalled bool) {
@@ -191,6 +203,8 @@
 	switch s.faultFor(t) {
 	case StoreRefuse:
 		return store.Result{}, store.ErrRefused
+	case StoreReject:
+		return store.Result{}, store.ErrInvalid
 	case StoreReset:
 		return store.Result{}, fmt.Errorf("%w: connection reset", store.ErrUnknownOutcome)
 	case StoreLoseReply:
--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -99,7 +99,7 @@
 	Conflict                 // another job has the id
 	Refused                  // certainly not written by this call
 	Unknown                  // may be stored
-	TooLarge                 // the job or its progress is larger than the store accepts
+	TooLarge                 // larger than the store accepts, or rejected by it for good
 )
 
 var outcomeNames = [...]string{"accepted", "known", "conflict", "refused", "unknown", "too large"}
--- a/jobstore/jobstore_test.go
+++ b/jobstore/jobstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -291,3 +292,22 @@
 		c.Check(p.Rows, qt.HasLen, 1)
 	})
 }
+
+// Guards against a job that the store rejects for good failing the jobs that are written with it.
+func TestJobThatStoreRejectsFailsNoOther(t *testing.T) {
+	withWriter(t, func(ctx context.Context, c *qt.C, s *cellfake.Store, w *jobstore.Writer) {
+		s.SetMaxRowBytes(1000)
+		var calls sync.WaitGroup
+		for i := range 20 {
+			calls.Go(func() {
+				spec, want := "s", jobstore.Accepted
+				if i%7 == 3 {
+					spec, want = strings.Repeat("s", 2000), jobstore.TooLarge
+				}
+				o, _ := w.Accept(ctx, job(fmt.Sprint("j", i), spec))
+				c.Check(o, qt.Equals, want, qt.Commentf("job %d", i))
+			})
+		}
+		calls.Wait()
+	})
+}
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -184,6 +184,13 @@
 		Tries: maxAttempts,
 	})
 	switch {
+	case errors.Is(err, store.ErrInvalid) && len(batch) > 1:
+		half := len(batch) / 2
+		return append(w.write(ctx, batch[:half:half]), w.write(ctx, batch[half:])...)
+	case errors.Is(err, store.ErrInvalid):
+		w.backOff(ctx)
+		batch[0].complete(TooLarge, err)
+		return nil
 	case errors.Is(err, store.ErrRefused):
 		return w.rejectBatch(ctx, batch, err)
 	case err != nil:
--- a/leader/chain.go
+++ b/leader/chain.go
@@ -111,7 +111,7 @@
 	}
 	c.head.UnfinishedLoads = old.UnfinishedLoads + 1
 	c.head.Former, c.head.FormerKnown = old.formerOfNext(me.Host)
-	if err := c.write(ctx, c.head, nil, nil); err != nil {
+	if err := c.write(ctx, c.head, rows{}); err != nil {
 		return nil, err
 	}
 	return c, nil
@@ -183,12 +183,88 @@
 	c.head.UnfinishedLoads = 0
 }
 
-// Write puts and deletes rows in one transaction. It retries until the transaction is
-// applied, ctx ends or another host leads.
-func (c *Chain) Write(ctx context.Context, puts []store.Put, deletes []store.Key) error {
+// Write puts and deletes rows, in one transaction unless the store rejects it for good. It
+// retries until the rows are written, ctx ends or another host leads. It returns the keys of the rows that
+// the store rejects for good; all others are written then.
+func (c *Chain) Write(ctx context.Context, puts []store.Put, deletes []store.Key) (rejected []store.Key, err error) {
+	return c.writeRows(ctx, rows{
+		puts:    puts,
+		deletes: deletes,
+	})
+}
+
+// writeRows isolates rejected rows by bisection.
+func (c *Chain) writeRows(ctx context.Context, w rows) (rejected []store.Key, err error) {
+	err = c.writeOnce(ctx, w)
+	if !errors.Is(err, store.ErrInvalid) {
+		return nil, err
+	}
+	if w.len() == 1 {
+		return c.confirmRejected(ctx, w)
+	}
+	for _, half := range w.split() {
+		r, err := c.writeRows(ctx, half)
+		rejected = append(rejected, r...)
+		if err != nil {
+			return rejected, err
+		}
+	}
+	return rejected, nil
+}
+
+// confirmRejected tries a single row once more, after a write without rows: a store that for a time
+// refuses whatever it is sent must not cost any row.
+func (c *Chain) confirmRejected(ctx context.Context, w rows) ([]store.Key, error) {
+	if err := c.writeOnce(ctx, rows{}); err != nil {
+		return nil, err
+	}
+	err := c.writeOnce(ctx, w)
+	if errors.Is(err, store.ErrInvalid) {
+		return w.keys(), nil
+	}
+	return nil, err
+}
+
+func (c *Chain) writeOnce(ctx context.Context, w rows) error {
 	h := c.head
 	h.WriteCount++
-	return c.write(ctx, h, puts, deletes)
+	return c.write(ctx, h, w)
+}
+
+// rows are the changes of a transaction, in addition to that of the leader row.
+type rows struct {
+	puts    []store.Put
+	deletes []store.Key
+}
+
+func (w rows) len() int {
+	return len(w.puts) + len(w.deletes)
+}
+
+func (w rows) keys() []store.Key {
+	keys := slices.Clone(w.deletes)
+	for _, p := range w.puts {
+		keys = append(keys, p.Key)
+	}
+	return keys
+}
+
+// split returns two halves of w, which has at least two rows.
+func (w rows) split() [2]rows {
+	p, d := len(w.puts)/2, len(w.deletes)/2
+	if p+d == 0 {
+		p = 1 // one of each
+	}
+	return [2]rows{
+		{
+			puts:    w.puts[:p],
+			deletes: w.deletes[:d],
+		},
+		{
+			puts:    w.puts[p:],
+			deletes: w.deletes[d:],
+		},
+	}
 }
 
 // Release gives up the leadership, so that another host can take over at once.
@@ -196,10 +272,11 @@
 	h := c.head
 	h.WriteCount++
 	h.Released = true
-	return c.write(ctx, h, nil, nil)
+	return c.write(ctx, h, rows{})
 }
 
-func (c *Chain) write(ctx context.Context, h Head, puts []store.Put, deletes []store.Key) error {
+// write returns [store.ErrInvalid] only if there are other rows than the leader's.
+func (c *Chain) write(ctx context.Context, h Head, w rows) error {
 	v, err := msgpack.Marshal(&h)
 	if err != nil {
 		return err
@@ -216,8 +293,8 @@
 				Key:   HeadKey,
 				Value: v,
 			},
-		}, puts...),
-		Deletes: deletes,
+		}, w.puts...),
+		Deletes: w.deletes,
 	}
 	delay := retryDelay
 	for {
@@ -227,6 +304,8 @@
 			return c.resolve(h, v, r)
 		case ctx.Err() != nil:
 			return ctx.Err()
+		case errors.Is(err, store.ErrInvalid) && w.len() > 0:
+			return err
 		case errors.Is(err, store.ErrRefused):
 			pause.For(ctx, delay)
 			delay = min(2*delay, maxRetryDelay)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -183,6 +183,8 @@
 	batchWritten   struct {
 		batch sched.Batch
 		begun time.Time
+		// rejected has the jobs of the batch whose rows the store rejects for good.
+		rejected []spoolsill.JobID
 	}
 	leadershipEnded struct{ err error }
 	probeSent       struct{ at time.Time }
--- a/leader/write.go
+++ b/leader/write.go
@@ -45,16 +45,21 @@
 		for i, id := range b.Forgotten {
 			deletes[i] = jobstore.ProgressKey(id)
 		}
-		if err := l.config.Chain.Write(ctx, puts, deletes); err != nil {
+		rejected, err := l.config.Chain.Write(ctx, puts, deletes)
+		if err != nil {
 			l.send(leadershipEnded{
 				err: err,
 			})
 			return
 		}
-		l.send(batchWritten{
+		e := batchWritten{
 			batch: b,
 			begun: now,
-		})
+		}
+		for _, k := range rejected {
+			e.rejected = append(e.rejected, spoolsill.JobID(k.Name))
+		}
+		l.send(e)
 	}()
 	return nil
 }
@@ -71,13 +76,14 @@
 	}
 	l.lastWrite = e.begun
 	l.updateWriteCount()
-	l.publish(e.begun, e.batch.Statuses)
-	for _, o := range l.state.BatchWritten(now, e.batch) {
+	b := l.state.RowsRejected(now, e.batch, e.rejected)
+	l.publish(e.begun, b.Statuses)
+	for _, o := range l.state.BatchWritten(now, b) {
 		l.sendStart(o)
 	}
-	l.sweeper.enqueue(e.batch.Ended)
-	l.forget(e.batch.Forgotten)
-	for _, a := range e.batch.Acks {
+	l.sweeper.enqueue(b.Ended)
+	l.forget(b.Forgotten)
+	for _, a := range b.Acks {
 		if h := l.renewers[a.WorkerIncarnation]; h != nil {
 			h.ack(a.Sequence)
 		}
--- a/node/leaderconfig.go
+++ b/node/leaderconfig.go
@@ -55,7 +55,8 @@
 
 			EntryInterval: b.EntryInterval,
 
-			BatchBytes: int(batchLinkTime.Seconds() * float64(n.settings.LinkRate) * rowDataFraction),
+			MaxRowBytes: n.settings.MaxRow,
+			BatchBytes:  int(batchLinkTime.Seconds() * float64(n.settings.LinkRate) * rowDataFraction),
 
 			ConfigInForce: n.configInForce(),
 		},
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -33,7 +33,7 @@
 			break
 		}
 		n++
-		v, err := EncodeProgress(j.progress())
+		v, err := s.encodeRow(j)
 		if err != nil {
 			return Batch{}, false, err
 		}
--- a/sched/event.go
+++ b/sched/event.go
@@ -267,6 +267,7 @@
 	NoteAdvised         NoteKind = "advice received"
 	NoteWorkerLost      NoteKind = "worker gone with its runs"
 	NoteTaskGivenUp     NoteKind = "task given up"
+	NoteRowRejected     NoteKind = "row rejected for good"
 )
 
 // A Note explains a decision or a change of state, for logs.
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -262,12 +262,16 @@
 		return p
 	}
 	p.Tasks = make([]TaskProgress, len(g.tasks))
+	saved := false // members of a gang resume from the first text
 	for i, t := range g.tasks {
 		p.Tasks[i] = TaskProgress{
 			Done:  t.done,
 			Fails: t.failures,
 			Run:   t.lastRun,
-			Saved: t.saved,
+		}
+		if !t.done && !(g.step.Gang && saved) {
+			p.Tasks[i].Saved = t.saved
+			saved = saved || t.saved != ""
 		}
 		if t.run != nil && t.run.phase != phasePlanned {
 			p.Tasks[i].Worker = t.run.worker.id
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -388,6 +388,7 @@
 		return
 	}
 	t.setDone()
+	t.saved = ""
 	t.stage.tasksLeft--
 	if t.run == nil || t.run.id.Number == n {
 		return
--- a/sched/state.go
+++ b/sched/state.go
@@ -35,6 +35,8 @@
 	// BatchBytes is the total size of its rows from which on a batch takes no more; 0 means
 	// the limit of the store.
 	BatchBytes int
+	// MaxRowBytes is the size of the largest row that the store accepts; 0 means no limit.
+	MaxRowBytes int
 	// ConfigInForce is the maximum time for a configuration to reach all hosts.
 	ConfigInForce time.Duration
 	// KeepEnded is how long the state of a finished job is retained.
@@ -151,6 +153,9 @@
 	activeRuns int
 	stagesLeft int // stages that are not done
 	dirty      bool
+	// rowLimit is the size that its row may have since the store has rejected a larger one,
+	// or 0.
+	rowLimit int
 	// criticalPaths caches the expected time of the longest dependency chain from each
 	// step on, as of criticalPathsAt.
 	criticalPaths   []time.Duration
--- a/store/store.go
+++ b/store/store.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -19,6 +20,9 @@
 var (
 	// ErrRefused is returned when the call certainly had no effect.
 	ErrRefused = errors.New("store: request refused")
+	// ErrInvalid is an [ErrRefused] for a call that is refused each time it is made, since it is
+	// malformed or too large.
+	ErrInvalid = fmt.Errorf("%w for good", ErrRefused)
 	// ErrUnknownOutcome is returned when there was no usable response: the call may
 	// have taken effect, or may do so later.
 	ErrUnknownOutcome = errors.New("store: outcome unknown")
