leader, node: wait one lease for a leader that never comes back

Cause: a leader that can't write may extend leases until twice the lease after its last write, and a leader that is gone can't be told from one that is cut off, so that the next one waits for that long.

Evidence: "lease is over" 14.55 s after "this host leads", with "former leaders may extend leases" naming the lost host and no line that it follows.

Fix: a leader extends leases only on evidence that no other host leads. It counts the processes that greet it; a lease ends at most one lease after its last write or after the oldest of their latest stamps, which replies carry and greetings bring back. A host that was counted by all former leaders within the last ten seconds waits for one lease, any other one for two, as before.

--- a/leader/chain.go
+++ b/leader/chain.go
@@ -51,6 +51,30 @@
 	// releases don't set it.
 	Former      []spoolsill.HostID `msgpack:"f"`
 	FormerKnown bool               `msgpack:"k"`
+	// FormerEpochs has the epochs of the latest leaderships of Former. Earlier releases leave
+	// it out.
+	FormerEpochs []spoolsill.Epoch `msgpack:"g"`
+}
+
+// FormerEpoch returns the epoch of the latest leadership of a host in Former, or 0 if it is not
+// known.
+func (h *Head) FormerEpoch(host spoolsill.HostID) spoolsill.Epoch {
+	i := slices.Index(h.Former, host)
+	if i < 0 || len(h.FormerEpochs) != len(h.Former) {
+		return 0
+	}
+	return h.FormerEpochs[i]
+}
+
+// setFormer sets the former leaders and their epochs.
+func (h *Head) setFormer(hosts []spoolsill.HostID, known bool, epoch func(spoolsill.HostID) spoolsill.Epoch) {
+	epochs := make([]spoolsill.Epoch, len(hosts))
+	for i, f := range hosts {
+		epochs[i] = epoch(f)
+	}
+	h.Former = hosts
+	h.FormerKnown = known
+	h.FormerEpochs = epochs
 }
 
 // ReadHead returns the leader row and its version; version 0 means that no host has led yet.
@@ -110,7 +134,13 @@
 		c.head.Hosts = old.Hosts
 	}
 	c.head.UnfinishedLoads = old.UnfinishedLoads + 1
-	c.head.Former, c.head.FormerKnown = old.formerOfNext(me.Host)
+	hosts, known := old.formerOfNext(me.Host)
+	c.head.setFormer(hosts, known, func(f spoolsill.HostID) spoolsill.Epoch {
+		if f == old.Host {
+			return old.Epoch
+		}
+		return old.FormerEpoch(f)
+	})
 	if err := c.write(ctx, c.head, rows{}); err != nil {
 		return nil, err
 	}
@@ -141,6 +171,17 @@
 	return former, true
 }
 
+// CountedByFormer reports whether all former leaders that may not be over are known and count this host
+// as a follower, as counts reports. It must not be called during a write.
+func (c *Chain) CountedByFormer(counts func(spoolsill.HostID, spoolsill.Epoch) bool) bool {
+	for _, f := range c.head.Former {
+		if !counts(f, c.head.FormerEpoch(f)) {
+			return false
+		}
+	}
+	return c.head.FormerKnown
+}
+
 // Former returns the hosts whose earlier leaderships may not be over. The second result is false
 // if there may be others. It must not be called during a write.
 func (c *Chain) Former() ([]spoolsill.HostID, bool) {
@@ -150,8 +191,8 @@
 // SetFormer sets the hosts whose earlier leaderships may not be over; the next write stores
 // them. It must not be called during a write.
 func (c *Chain) SetFormer(hosts []spoolsill.HostID) {
-	c.head.Former = hosts
-	c.head.FormerKnown = true
+	old := c.head
+	c.head.setFormer(hosts, true, old.FormerEpoch)
 }
 
 // FencesPerEpoch is how many fences a leadership has. Each incarnation of a worker that it
--- a/leader/former.go
+++ b/leader/former.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/sched"
 )
 
 // A formerLeaders has the hosts whose earlier leaderships are not known to be over. Until they
@@ -18,6 +19,8 @@
 	known bool // hosts is complete
 	// ended is a time from which on none of the former leaders that are not in hosts leads.
 	ended time.Time
+	// leasesEnd is when their leases are over, whether or not they lead.
+	leasesEnd time.Time
 }
 
 // set sets the hosts, and whether there are no others, at the time of the takeover. Leaders that
@@ -80,13 +83,17 @@
 func (l *Leader) beginFormer(now time.Time) {
 	hosts, known := l.config.Chain.Former()
 	l.former.set(hosts, known, now)
-	if known && len(hosts) == 0 {
+	l.former.leasesEnd = now.Add(l.config.Sched.InheritedLease)
+	counted := known && l.config.CountedByFormer
+	if counted || known && len(hosts) == 0 {
 		l.state.FormerLeadersEnded(now, now)
+		l.former.leasesEnd = sched.LeaseEnd(now, l.config.Sched.Lease)
 	}
 	l.config.Log.WithFields(logrus.Fields{
 		"epoch":    uint64(l.Epoch()),
 		"former":   hosts,
 		"complete": known,
+		"counted":  counted,
 	}).Info("former leaders may extend leases")
 }
 
@@ -109,7 +116,7 @@
 // storeFormer passes the former leaders on to the next write. Once their leases must be over,
 // there are none.
 func (l *Leader) storeFormer(now time.Time) {
-	if now.Sub(l.config.Sched.TakenOver) > l.config.Sched.InheritedLease {
+	if now.After(l.former.leasesEnd) {
 		l.former.forget()
 	}
 	if hosts, known := l.former.list(); known {
--- a/leader/former_test.go
+++ b/leader/former_test.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/spoolsill/spoolsill"
+	"github.com/spoolsill/spoolsill/internal/cellfake"
 	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/store"
@@ -76,3 +77,47 @@
 		x.assertFormer(true)
 	})
 }
+
+// A host may rely on being counted only by leaderships whose epochs are known: earlier releases store
+// none.
+func TestHostIsCountedOnlyByLeadershipsOfKnownEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for _, test := range []struct {
+			former []spoolsill.HostID
+			epochs []spoolsill.Epoch
+			known  bool
+			want   bool
+		}{
+			{[]spoolsill.HostID{"a"}, []spoolsill.Epoch{10_000}, true, true},
+			{[]spoolsill.HostID{"a"}, []spoolsill.Epoch{10_000}, false, false},
+			{[]spoolsill.HostID{"a"}, nil, true, false},
+			{[]spoolsill.HostID{"a"}, []spoolsill.Epoch{20_000}, true, false},
+			{nil, nil, true, true},
+		} {
+			s := cellfake.NewStore()
+			v, err := msgpack.Marshal(&leader.Head{
+				Epoch:        30_000,
+				Host:         "b",
+				Former:       test.former,
+				FormerKnown:  test.known,
+				FormerEpochs: test.epochs,
+			})
+			c.Assert(err, qt.IsNil)
+			s.Put(store.Put{
+				Key:   leader.HeadKey,
+				Value: v,
+			})
+			old, version, err := leader.ReadHead(t.Context(), s)
+			c.Assert(err, qt.IsNil)
+			chain, err := leader.Acquire(t.Context(), s, old, version, leader.Head{
+				Host: "c",
+			})
+			c.Assert(err, qt.IsNil)
+			counted := chain.CountedByFormer(func(h spoolsill.HostID, e spoolsill.Epoch) bool {
+				return h == "a" && e == 10_000 || h == "b" && e == 30_000
+			})
+			c.Check(counted, qt.Equals, test.want, qt.Commentf("%+v", test))
+		}
+	})
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -67,6 +67,12 @@
 	// ReadBytes bounds, approximately, the bytes in flight from the store while all
 	// rows are read after a takeover; 0 means no limit.
 	ReadBytes int
+	// AcquiredAt is a time before the leadership was acquired; zero means that of the call of
+	// [Leader.Lead].
+	AcquiredAt time.Time
+	// CountedByFormer is set if all former leaders that are not known to be over count this host as
+	// a follower, so that their leases end at most one lease after the takeover.
+	CountedByFormer bool
 	// Sched configures the decisions. The leader itself sets TakenOver, Ahead, StartLease and
 	// InheritedLease.
 	Sched sched.Config
@@ -108,6 +114,8 @@
 	idle           *idlePool
 	sweeper        *sweeper
 	former         formerLeaders
+	followers      followers
+	created        time.Time // the origin of stamps
 	losses         lossEstimator
 	responses      latencyEstimator
 	renewing       atomic.Int64                // number of workers whose lease is renewed
@@ -210,6 +218,7 @@
 		waiting:         map[sched.QueueID]int{},
 		jobsAsOfChanged: make(chan struct{}),
 	}
+	l.created = c.Clock.Now()
 	l.advice = newAdviceDispatcher(l)
 	l.idle = newIdlePool(l)
 	l.sweeper = newSweeper(l)
--- a/leader/renewer.go
+++ b/leader/renewer.go
@@ -446,16 +446,17 @@
 }
 
 // leaseDeadline returns the end of the lease to request, on the worker's clock, or 0 if none
-// can be, and the event that must be sent before the request. It is at most twice the lease
-// after this leader's last successful write: the next leader waits that long for workers that
-// it can't reach.
+// can be, and the event that must be sent before the request. It is at most one lease after this
+// was certainly the only leader, as far as counted followers are concerned, and at most twice the lease
+// after its last successful write: the next leader waits that long for workers that it can't
+// reach.
 func (h *renewer) leaseDeadline(now time.Time) (sched.ClockMillis, leaseRequested) {
 	c := h.workerTime(now)
 	if c == 0 {
 		return 0, leaseRequested{}
 	}
 	lease := h.leader.config.Sched.Lease
-	left := min(lease, h.leader.LastWriteTime().Add(2*lease).Sub(now))
+	left := min(h.leader.soleLeaderAt(now).Add(lease).Sub(now), h.leader.LastWriteTime().Add(2*lease).Sub(now))
 	if left <= 0 {
 		return 0, leaseRequested{}
 	}
--- a/leader/write.go
+++ b/leader/write.go
@@ -75,6 +75,7 @@
 		l.state.StoreRecovered(now)
 	}
 	l.lastWrite = e.begun
+	l.followers.written(e.begun)
 	l.updateWriteCount()
 	b := l.state.RowsRejected(now, e.batch, e.rejected)
 	l.publish(e.begun, b.Statuses)
--- a/node/election.go
+++ b/node/election.go
@@ -257,6 +257,9 @@
 
 // lead tries to take over and then leads until it is deposed or ctx is done.
 func (n *Node) lead(ctx context.Context, old leader.Head, v store.Version) {
+	n.setCandidate(true)
+	defer n.setCandidate(false)
+	begun := n.clock.Now()
 	c, err := n.takeOver(ctx, old, v)
 	if err != nil {
 		if !errors.Is(err, leader.ErrLeadershipLost) && ctx.Err() == nil {
@@ -264,7 +267,7 @@
 		}
 		return
 	}
-	l := n.newLeader(c)
+	l := n.newLeader(c, begun)
 	n.setActiveLeader(l, c.Epoch())
 	n.log.WithField("epoch", uint64(c.Epoch())).WithField("former", string(old.Host)).Info("this host leads")
 	n.configs.applyTo(l)
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -28,6 +28,7 @@
 	defer cancel()
 	n.peers.SetAddress(h.Host, h.Address)
 	sent := n.clock.Now()
+	stamp, countable := n.confirmFollowing(h)
 	r, err := peer.Call[heartbeatReply](ctx, n.peers, h.Host, methodHeartbeat, heartbeatRequest{
 		Address: n.peerAddress(),
 		Version: math.MaxUint64,
@@ -44,7 +45,12 @@
 		MayLead:     n.readyToLead(),
 		Link:        n.settings.LinkRate,
 		Epoch:       h.Epoch,
+		Countable:   countable,
+		Confirms:    stamp,
 	})
+	if err == nil {
+		n.recordFollowing(h, r, sent)
+	}
 	if err == nil && r.Leads {
 		n.leaderLatency.observe(n.clock.Since(sent))
 		n.mu.Lock()
--- a/node/leaderconfig.go
+++ b/node/leaderconfig.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/platform"
 	"github.com/spoolsill/spoolsill/sched"
@@ -30,9 +31,10 @@
 	rowDataFraction = 0.6
 )
 
-// newLeader returns a leader that writes to c, a newly acquired chain.
-func (n *Node) newLeader(c *leader.Chain) *leader.Leader {
+// newLeader returns a leader that writes to c, a chain that was acquired after the given time.
+func (n *Node) newLeader(c *leader.Chain, begun time.Time) *leader.Leader {
 	b := n.settings.Bounds
+	now := n.clock.Now()
 	n.delegated.numbers.begin(c.Epoch())
 	return leader.New(leader.Config{
 		Store:        n.store,
@@ -43,7 +45,11 @@
 		WorkersTable: platform.WorkersTable,
 		DecodeWorker: platform.DecodeWorker,
 		Clock:        n.clock,
-		ReadBytes:    int(readLinkTime.Seconds() * float64(n.settings.LinkRate)),
+		AcquiredAt:   begun,
+		CountedByFormer: c.CountedByFormer(func(h spoolsill.HostID, e spoolsill.Epoch) bool {
+			return n.countedBy(h, e, now)
+		}),
+		ReadBytes: int(readLinkTime.Seconds() * float64(n.settings.LinkRate)),
 		Sched: sched.Config{
 			Lease:      min(b.Lease, maxLease),
 			SettleTime: settleTime,
--- a/node/node.go
+++ b/node/node.go
@@ -50,8 +50,8 @@
 	// retentionFactor scales the minimum retention of the states of ended jobs.
 	retentionFactor = 2
 	// maxLease is the longest lease that is requested. Tasks of a lost worker restart
-	// elsewhere when its lease expires, and after twice that time following a takeover:
-	// with 10 s, long-running tasks were interrupted for 26 s. Without a successful
+	// elsewhere when its lease expires, and after twice that time following a takeover by a
+	// host that the former leader did not count: with 10 s, long-running tasks were interrupted for 26 s. Without a successful
 	// write, leases last twice as long: with 5 s, a store outage of 5.6 s terminated
 	// running tasks and cost 1.2% of the total worth of a day's jobs.
 	maxLease = 7 * time.Second
@@ -121,10 +121,13 @@
 	stateLookups singleflight.Group // in the store, by job
 	stopping     atomic.Bool
 
-	mu              sync.Mutex
-	activeLeader    *leader.Leader
-	leaderHead      leader.Head // latest known
-	leaderUnhealthy bool        // according to the latest completed heartbeat
+	mu           sync.Mutex
+	activeLeader *leader.Leader
+	leaderHead   leader.Head // latest known
+	// candidate is set while this host is taking over or leads.
+	candidate       bool
+	followed        map[spoolsill.HostID]followed
+	leaderUnhealthy bool // according to the latest completed heartbeat
 	// leaderUnhealthySince is when leaderUnhealthy was last set.
 	leaderUnhealthySince time.Time
 	leaderAnswer         leaderAnswer
--- a/node/peers.go
+++ b/node/peers.go
@@ -80,6 +80,11 @@
 	// Epoch is that of the leadership that the caller follows. Hosts of earlier releases send
 	// none.
 	Epoch spoolsill.Epoch
+	// Countable is set if the caller knows what it means to be counted as a follower, and does not
+	// try to take over. Confirms is the stamp of the last reply that it had meanwhile. Hosts of
+	// earlier releases send neither.
+	Countable bool
+	Confirms  leader.Stamp
 }
 
 type heartbeatReply struct {
@@ -112,6 +117,10 @@
 	Unmeasured bool
 	// Held describes the configuration of the replying host.
 	Held configSummary
+	// Counted is set if the leader counts the caller as a follower. Stamp is to be sent back with the
+	// next heartbeat. Leaders of earlier releases set neither.
+	Counted bool
+	Stamp   leader.Stamp
 }
 
 type stateRequest struct {
@@ -206,6 +215,10 @@
 		n.maybeYieldTo(now, l, c.Host, q)
 		if q.Epoch == l.Epoch() {
 			l.RecordFollower(c.Host)
+			r.Counted = q.Countable
+		}
+		if r.Counted {
+			r.Stamp = l.CountFollower(leader.FollowerID(c), q.Confirms)
 		}
 		r.Leads = true
 		r.Epoch = l.Epoch()
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -355,8 +355,8 @@
 	}
 }
 
-// FormerLeadersEnded records that no former leader has requested a lease after the given time.
-// Workers that have not answered hold theirs for at most Config.Lease from then on.
+// FormerLeadersEnded records that no lease of a former leader ends later than Config.Lease after the
+// given time: none has requested one since, or none that ends later.
 func (s *State) FormerLeadersEnded(now, at time.Time) {
 	s.now = now
 	until := LeaseEnd(at, s.config.Lease)
