sched: jobs that fail everywhere keep no worker from others

Cause: two failed runs in a row counted as their worker's fault, also those of one job that fails everywhere; its tasks are tried on other workers, so that all of them were shut.

Evidence: "load of the cell" has ready 0 of 8 and runs 0 for eight seconds with 12 stages that wait for room, the longest backoff.

Fix: failures of a stage count once against a worker until a task of it is done, and not at all if it has failed on more workers than tasks are done. At most a third of a service's workers is avoided for failures, rejections and unanswered starts, those with the most evidence against them. New log field "avoided".

--- a/leader/log.go
+++ b/leader/log.go
@@ -27,6 +27,7 @@
 		"epoch":            uint64(l.Epoch()),
 		"workers":          load.Workers,
 		"ready":            load.Ready,
+		"avoided":          load.Avoided,
 		"cores":            int64(load.Capacity.Processors / spoolsill.Core),
 		"cores_used":       int64(load.Used.Processors / spoolsill.Core),
 		"runs":             load.Runs,
--- a/sched/backfill_test.go
+++ b/sched/backfill_test.go
@@ -18,6 +18,10 @@
 	workers  []spoolsill.WorkerID
 	duration map[spoolsill.JobID]time.Duration
 	runs     map[sched.RunID]timedRun
+	// hopeless has the jobs whose runs fail wherever they run, failing the workers on which
+	// all runs fail.
+	hopeless map[spoolsill.JobID]bool
+	failing  map[spoolsill.WorkerID]bool
 	// begun has when each task first started, stopped the runs that were stopped.
 	begun   map[sched.TaskID]time.Time
 	stopped []sched.RunID
@@ -34,6 +38,8 @@
 		duration: map[spoolsill.JobID]time.Duration{},
 		runs:     map[sched.RunID]timedRun{},
 		begun:    map[sched.TaskID]time.Time{},
+		hopeless: map[spoolsill.JobID]bool{},
+		failing:  map[spoolsill.WorkerID]bool{},
 	}
 	x.addPatientQueue()
 	for i := range workers {
@@ -57,7 +63,7 @@
 		for id, r := range x.runs {
 			if !r.ends.After(x.now) {
 				delete(x.runs, id)
-				x.endRun(r.order, sched.EndDone)
+				x.endRun(r.order, x.endOf(r.order))
 			}
 		}
 		for _, w := range x.workers {
@@ -85,6 +91,14 @@
 	}
 }
 
+// endOf returns how a run ends.
+func (x *timedCell) endOf(o sched.StartOrder) sched.EndKind {
+	if x.hopeless[o.Run.Task.Stage.Job] || x.failing[o.Worker] {
+		return sched.EndFailed
+	}
+	return sched.EndDone
+}
+
 // report renews the lease of a worker, which answers with its runs and their progress.
 func (x *timedCell) report(w spoolsill.WorkerID) {
 	h := sched.Heartbeat{
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -77,7 +77,10 @@
 func (d *decider) collectReady() {
 	for _, w := range d.workerList {
 		w.reservation = nil
-		w.ready = d.acceptsStarts(w) && w.health.available(d.now)
+		w.ready = d.acceptsStarts(w)
+	}
+	d.backOff()
+	for _, w := range d.workerList {
 		if !w.ready {
 			continue
 		}
--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -71,7 +71,7 @@
 	case EndDone:
 		s.observeRunTime(r)
 	case EndFailed:
-		r.worker.health.recordFailure(s.now)
+		s.recordFailure(r)
 	default:
 	}
 }
@@ -99,62 +99,3 @@
 	r.worker.health.recordSuccess(ratio / e.ratio)
 	e.ratio += runTimeWeight * (ratio/r.worker.health.slowness() - e.ratio)
 }
-
-// health is the estimate of a worker's condition from the runs that ended there.
-type health struct {
-	slowEstimate float64   // moving average of run time relative to other workers; 0 means unknown
-	failures     int       // consecutive
-	backoffUntil time.Time // no new tasks before
-}
-
-const (
-	// maxConsecutiveFailures is the number of failures in a row from which on they are
-	// attributed to the worker. At failure rates of a few percent, two in a row are rarely
-	// a coincidence.
-	maxConsecutiveFailures = 2
-	// minBackoff doubles with each further failure, up to maxBackoff.
-	minBackoff = 2 * time.Second
-	maxBackoff = 8 * time.Second
-)
-
-// available reports whether the worker's backoff has passed.
-func (h *health) available(now time.Time) bool {
-	return !now.Before(h.backoffUntil)
-}
-
-// recordFailure counts a failed run and starts a backoff after repeated failures.
-func (h *health) recordFailure(now time.Time) {
-	h.failures++
-	if h.failures < maxConsecutiveFailures {
-		return
-	}
-	h.backoffUntil = now.Add(min(minBackoff<<min(h.failures-maxConsecutiveFailures, 8), maxBackoff))
-}
-
-// recordRejection counts a start that the worker rejected as unhealthy or did not answer as
-// a failure.
-func (h *health) recordRejection(now time.Time) {
-	h.recordFailure(now)
-}
-
-// recordSuccess counts a completed run. Its ratio is the run time relative to other
-// workers; 0 means unknown.
-func (h *health) recordSuccess(ratio float64) {
-	h.failures = 0
-	if ratio <= 0 {
-		return
-	}
-	ratio = min(max(ratio, minSlowness), maxSlowness)
-	if h.slowEstimate == 0 {
-		h.slowEstimate = 1
-	}
-	h.slowEstimate += slownessWeight * (ratio - h.slowEstimate)
-}
-
-// slowness returns the run time of tasks at the worker relative to other workers.
-func (h *health) slowness() float64 {
-	if h.slowEstimate == 0 {
-		return 1
-	}
-	return h.slowEstimate
-}
--- a/sched/load.go
+++ b/sched/load.go
@@ -13,6 +13,8 @@
 	// accept new tasks.
 	Workers int
 	Ready   int
+	// Avoided counts the workers that get no new tasks because of failures.
+	Avoided int
 	// Capacity and Used are the sums over the ready workers.
 	Capacity spoolsill.Resources
 	Used     spoolsill.Resources
@@ -89,6 +91,9 @@
 		l.Workers++
 		l.Runs += len(w.runs)
 		l.Doubtful += w.uncertainRuns()
+		if w.avoided {
+			l.Avoided++
+		}
 		if !w.ready {
 			continue
 		}
--- a/sched/state.go
+++ b/sched/state.go
@@ -178,8 +178,10 @@
 	waiting       int // tasks that are neither done nor have a run
 	// failuresSeen is set once a task of it has failed or was lost with its worker.
 	failuresSeen bool
-	open         bool
-	due          time.Time // not to be started earlier, by the wall clock
+	// failedAt has the workers where runs of it have failed.
+	failedAt []spoolsill.WorkerID
+	open     bool
+	due      time.Time // not to be started earlier, by the wall clock
 	// openedAt is when its dependencies were done.
 	openedAt time.Time
 	tier     tier // as of the current pass
--- a/sched/stuck.go
+++ b/sched/stuck.go
@@ -49,5 +49,5 @@
 func (s *State) stopAsStuck(r *run) {
 	s.stop(r, "no progress")
 	r.task.failedOn = append(r.task.failedOn, r.worker.incarnation())
-	r.worker.health.recordFailure(s.now)
+	s.recordFailure(r)
 }
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -91,6 +91,8 @@
 	// leaseExpired is set when its runs were dropped because its lease had expired.
 	leaseExpired bool
 	ready        bool // accepts something new, as of the current pass
+	// avoided is set while it gets no new tasks because of failures, as of the current pass.
+	avoided bool
 	// reservation is by which the worker is kept for a stage in the current pass, or nil.
 	reservation *reservation
 	health      health
