--- a/leader/rejectedrow_test.go
+++ b/leader/rejectedrow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/spoolsill/spoolsill"
 	"github.com/spoolsill/spoolsill/internal/cellfake"
+	"github.com/spoolsill/spoolsill/internal/pause"
 	"github.com/spoolsill/spoolsill/jobstore"
 	"github.com/spoolsill/spoolsill/leader"
 	"github.com/spoolsill/spoolsill/sched"
@@ -42,9 +43,9 @@
 					Steps: []sched.Step{step(2, 1)},
 				})
 				ids = append(ids, id)
-				time.Sleep(200 * time.Millisecond)
+				pause.For(ctx, 200*time.Millisecond)
 			}
-			time.Sleep(8 * time.Second)
+			pause.For(ctx, 8*time.Second)
 			x.assertCompleted(l, ids)
 			s, known := l.Status("wide")
 			x.c.Assert(known, qt.IsTrue)
--- a/sched/outlook_test.go
+++ b/sched/outlook_test.go
@@ -54,7 +54,7 @@
 	o := x.step()
 	x.c.Assert(o, qt.HasLen, 1)
 	x.acceptStarts(o)
-	x.run("w", o[0], 3*time.Second)
+	x.run(o[0], 3*time.Second)
 	for i := range 10 {
 		x.submit(wideJob(spoolsill.JobID(fmt.Sprint("small", i)), 2))
 	}
@@ -67,11 +67,11 @@
 	x.state.AddJob(x.now, j, sched.Progress{})
 }
 
-// run has a worker run a task for d and report its end.
-func (x *cell) run(id spoolsill.WorkerID, o sched.StartOrder, d time.Duration) {
+// run has the worker run a task for d and report its end.
+func (x *cell) run(o sched.StartOrder, d time.Duration) {
 	for end := x.now.Add(d); x.now.Before(end); {
 		x.now = x.now.Add(500 * time.Millisecond)
-		x.renewLease(id, o.Run)
+		x.renewLease(o.Worker, o.Run)
 	}
 	x.endRun(o, sched.EndDone)
 }
@@ -254,12 +254,12 @@
 	x.renewLease("w", o[0].Run)
 	x.step()
 	x.addNow(wideJob("second", 1))
-	x.run("w", o[0], 3*time.Second)
+	x.run(o[0], 3*time.Second)
 	x.c.Check(x.state.Overload().ForecastError > 0, qt.IsTrue)
 	o = x.step()
 	x.c.Assert(o, qt.HasLen, 1)
 	x.acceptStarts(o)
-	x.run("w", o[0], time.Second)
+	x.run(o[0], time.Second)
 	forecasts := map[spoolsill.JobID]time.Duration{}
 	for _, n := range x.state.Notes() {
 		if n.Kind == sched.NoteJobEnded {
@@ -303,7 +303,7 @@
 	started := x.step()
 	x.c.Assert(started, qt.HasLen, 1)
 	x.acceptStarts(started)
-	x.run("w", started[0], 5*time.Second)
+	x.run(started[0], 5*time.Second)
 	long := tasks(1000, 10)
 	long.Estimate = 30 * 24 * time.Hour
 	d := x.state.Describe(job("long", "q", long, after(long), after(long)))
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -269,7 +269,7 @@
 			Fails: t.failures,
 			Run:   t.lastRun,
 		}
-		if !t.done && !(g.step.Gang && saved) {
+		if !t.done && (!g.step.Gang || !saved) {
 			p.Tasks[i].Saved = t.saved
 			saved = saved || t.saved != ""
 		}
