sched: full reservations of gangs are left alone while the service is busy

Cause: a task that takes no seat of a gang at its expected start could be placed at once, also on reserved workers that become free later, so that only as many workers as the gang needs went on becoming free for it. Change: beside a gang that waits, such a task must take nothing that the gang can use once all other runs there have ended. Backfilled runs are kept by their stage, so that a pass without overdue ones sorts no runs.

--- a/sched/backfill.go
+++ b/sched/backfill.go
@@ -52,7 +52,7 @@
 
 const (
 	backfillDenied    backfillVerdict = iota
-	backfillHarmless                  // takes nothing that the stage needs
+	backfillHarmless                  // takes nothing that the stage can use
 	backfillSpare                     // takes one of more seats than the stage needs
 	backfillEndsFirst                 // expected to end before the stage starts
 	backfillStarved                   // has waited for long in a service that is mostly idle
@@ -70,21 +70,26 @@
 func (d *decider) backfill(g *stage, q *Queue, w *worker) backfillVerdict {
 	h := w.reservation
 	d.forecastStart(h)
-	if h.stage.step.Gang {
-		taken := d.seatsTaken(h, w, g)
-		switch {
-		case taken == 0:
-			return backfillHarmless
-		case d.endsBy(g, q, w, h.start):
-			return backfillEndsFirst
-		case !g.step.Gang && h.seats-taken >= h.tasks && d.mostlyIdle(q.Service, spoolsill.Resources.DominantShare):
-			return backfillSpare
-		}
-	}
-	if d.starved(g, h) && d.mostlyIdle(q.Service, spoolsill.Resources.LeastShare) {
+	gang := h.stage.step.Gang
+	switch {
+	case gang && h.stage.seatsBeside(g.step.demand(), w):
+		return backfillHarmless
+	case gang && d.endsBy(g, q, w, h.start):
+		return backfillEndsFirst
+	case gang && !g.step.Gang && d.mostlyIdle(q.Service, spoolsill.Resources.DominantShare) && h.seats-d.seatsTaken(h, w, g) >= h.tasks:
+		return backfillSpare
+	case d.starved(g, h) && d.mostlyIdle(q.Service, spoolsill.Resources.LeastShare):
 		return backfillStarved
+	default:
+		return backfillDenied
 	}
-	return backfillDenied
+}
+
+// seatsBeside reports whether as many tasks of g fit on w beside a task that needs some resources as
+// without it, once the other runs there have ended that don't last.
+func (g *stage) seatsBeside(need spoolsill.Resources, w *worker) bool {
+	free := w.reclaimable().Sub(w.usedBeside)
+	return g.seatsIn(free.Sub(need), w) == g.seatsIn(free, w)
 }
 
 // endsBy reports whether a task of g that starts at w now is expected to end by a time.
@@ -204,15 +209,26 @@
 		h.seats -= d.seatsTaken(h, w, t.stage)
 	}
 	d.State.plan(t, w)
-	if (v == backfillEndsFirst || v == backfillStarved) && !t.stage.step.Lasting {
+	switch {
+	case t.stage.step.Lasting:
+	case v == backfillHarmless:
+		t.run.beside = true
+		w.usedBeside = w.usedBeside.Add(t.run.need)
+	case v == backfillEndsFirst || v == backfillStarved:
 		t.run.yieldsTo = h.stage
 		t.run.yieldAt = h.start.Add(maxOverstay)
+		h.stage.yielding = append(h.stage.yielding, t.run)
 	}
 }
 
 // reclaim stops the backfilled runs that have exceeded their time if the stage of h could start
 // without them. A task is stopped at most maxPreemptions times.
 func (d *decider) reclaim(h *reservation) {
+	g := h.stage
+	g.yielding = slices.DeleteFunc(g.yielding, func(r *run) bool { return r.worker.runs[r.id] != r })
+	if !slices.ContainsFunc(g.yielding, func(r *run) bool { return d.overdue(r, h) }) {
+		return
+	}
 	seats := 0
 	var stops []*run
 	for _, w := range h.workers {
@@ -226,11 +242,11 @@
 				overdue = append(overdue, r)
 			}
 		}
-		n := h.stage.seatsIn(free, w)
+		n := g.seatsIn(free, w)
 		for _, r := range overdue {
 			free = free.Add(r.need)
 		}
-		if m := h.stage.seatsIn(free, w); m > n {
+		if m := g.seatsIn(free, w); m > n {
 			stops = append(stops, overdue...)
 			n = m
 		}
@@ -241,7 +257,7 @@
 	}
 	for _, r := range stops {
 		r.task.preemptions++
-		d.stop(r, "has exceeded its time beside "+h.stage.id.String())
+		d.stop(r, "has exceeded its time beside "+g.id.String())
 	}
 }
 
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -44,6 +44,9 @@
 	if r.lasts() {
 		w.usedForGood = w.usedForGood.Sub(r.need)
 	}
+	if r.beside {
+		w.usedBeside = w.usedBeside.Sub(r.need)
+	}
 	w.endTrial(r)
 	j := r.task.stage.job
 	j.activeRuns--
--- a/sched/state.go
+++ b/sched/state.go
@@ -202,6 +202,8 @@
 	// reservation, for a gang, is that of the last pass.
 	reserved    []*worker
 	reservation *reservation
+	// yielding are the runs that have to end for the stage; see run.yieldsTo.
+	yielding []*run
 }
 
 // A task is one task of a stage.
@@ -257,6 +259,9 @@
 	// yieldAt, or nil.
 	yieldsTo *stage
 	yieldAt  time.Time
+	// beside is set if the run was placed on a reserved worker of which it takes nothing that the
+	// reservation's stage can use.
+	beside bool
 }
 
 // SetQueues applies the queues of the latest configuration. Queues that it lacks are kept
--- a/sched/workers.go
+++ b/sched/workers.go
@@ -52,7 +52,9 @@
 	used     spoolsill.Resources
 	// usedForGood is the part of used that no run gives back by itself; see run.lasts.
 	usedForGood spoolsill.Resources
-	runs        map[RunID]*run
+	// usedBeside is the part of used by the runs with run.beside set.
+	usedBeside spoolsill.Resources
+	runs       map[RunID]*run
 	// lastEndSeen is the highest sequence of the ends received from this incarnation. It
 	// does not apply to the next incarnation, which counts from 1 again: its ends would be
 	// taken for duplicates.
